Set up the build, the design page and the shared contracts

Cause: a new project needs one build that checks format, lint, layers and tests before parts are built side by side. Change: Maven modules, Spotless, Checkstyle and Error Prone as errors, the layer test, docs/design.md, value types, configuration entities, contracts of the coordination objects, and frame connections. Conclusion: parts can be developed against these contracts.

--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RateLimiter.java
@@ -0,0 +1,33 @@
+package org.cornelspoke.coordination.quota;
+
+import org.cornelspoke.model.AccountId;
+
+/**
+ * Charges requests to the rate shares that this daemon holds.
+ *
+ * <p>Not safe for use by several threads; listeners run on the thread that owns the limiter.
+ */
+public interface RateLimiter {
+
+  /**
+   * Takes one token of the account, or waits for one until the deadline while the owner of the
+   * share is asked for spare capacity.
+   *
+   * @param listener called exactly once, possibly before the method returns
+   */
+  void acquire(AccountId account, long deadlineNanos, Listener listener, long nowNanos);
+
+  /** Receives the answer. */
+  interface Listener {
+
+    /** A token was taken. */
+    void onGranted();
+
+    /**
+     * The account is over its rate.
+     *
+     * @param retryAfterMillis time until a token is expected
+     */
+    void onRefused(long retryAfterMillis);
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/model/IdPattern.java
@@ -0,0 +1,21 @@
+package org.cornelspoke.model;
+
+import java.util.regex.Pattern;
+
+/** The text pattern that the ids of one type must match. */
+final class IdPattern {
+
+  private final String typeName;
+  private final Pattern pattern;
+
+  IdPattern(String typeName, String regex) {
+    this.typeName = typeName;
+    this.pattern = Pattern.compile(regex);
+  }
+
+  void check(String value) {
+    if (value == null || !pattern.matcher(value).matches()) {
+      throw new IllegalArgumentException(typeName + " must match " + pattern + ": " + value);
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/model/KeyId.java
@@ -0,0 +1,21 @@
+package org.cornelspoke.model;
+
+/** Identifies a client key, which is not secret and names the key in tables and the audit trail. */
+public record KeyId(String value) {
+
+  private static final IdPattern PATTERN = new IdPattern("KeyId", "[a-z0-9][a-z0-9-]{0,62}");
+
+  /**
+   * Checks the text against the id's pattern.
+   *
+   * @throws IllegalArgumentException if the text does not match
+   */
+  public KeyId {
+    PATTERN.check(value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/model/RouteId.java
@@ -0,0 +1,21 @@
+package org.cornelspoke.model;
+
+/** Identifies a route. */
+public record RouteId(String value) {
+
+  private static final IdPattern PATTERN = new IdPattern("RouteId", "[a-z0-9][a-z0-9-]{0,62}");
+
+  /**
+   * Checks the text against the id's pattern.
+   *
+   * @throws IllegalArgumentException if the text does not match
+   */
+  public RouteId {
+    PATTERN.check(value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/Account.java
@@ -0,0 +1,31 @@
+package org.cornelspoke.state.config;
+
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.util.Assert;
+
+/**
+ * A client account with its fleet-wide limits.
+ *
+ * @param rateTokensPerSecond requests per second over all daemons together
+ * @param burstTokens requests that may be admitted at once over all daemons together
+ * @param weight share of the account in fair queueing, relative to the other accounts
+ */
+public record Account(AccountId id, double rateTokensPerSecond, double burstTokens, int weight)
+    implements ConfigEntity {
+
+  /** Checks the limits. */
+  public Account {
+    Assert.notNull(id, "id");
+    Assert.isTrue(
+        rateTokensPerSecond > 0 && Double.isFinite(rateTokensPerSecond),
+        "rateTokensPerSecond must be a positive number");
+    Assert.isTrue(
+        burstTokens >= 1 && Double.isFinite(burstTokens), "burstTokens must be 1 or more");
+    Assert.isTrue(weight >= 1, "weight must be 1 or more");
+  }
+
+  @Override
+  public EntityId entityId() {
+    return new EntityId(EntityKind.ACCOUNT, id.value());
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityId.java
@@ -0,0 +1,18 @@
+package org.cornelspoke.state.config;
+
+import org.cornelspoke.util.Assert;
+
+/** Identifies one configuration entity by its kind and its name within the kind. */
+public record EntityId(EntityKind kind, String name) {
+
+  /** Checks that both parts are present. */
+  public EntityId {
+    Assert.notNull(kind, "kind");
+    Assert.hasText(name, "name");
+  }
+
+  @Override
+  public String toString() {
+    return kind + "/" + name;
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/package-info.java
@@ -0,0 +1,2 @@
+/** Contract of replicated state; the sub-packages hold its parts. */
+package org.cornelspoke.state;
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/registry/package-info.java
@@ -0,0 +1,2 @@
+/** Targets that upstreams have announced through their daemons. */
+package org.cornelspoke.state.registry;
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
@@ -0,0 +1,146 @@
+package org.cornelspoke.state.view;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.PresetName;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.state.config.Account;
+import org.cornelspoke.state.config.ActivePreset;
+import org.cornelspoke.state.config.ClientKey;
+import org.cornelspoke.state.config.ConfigEntity;
+import org.cornelspoke.state.config.ContextSecret;
+import org.cornelspoke.state.config.Preset;
+import org.cornelspoke.state.config.Route;
+import org.cornelspoke.state.registry.Target;
+import org.cornelspoke.util.Assert;
+
+/**
+ * What a traffic daemon knows of the configuration and the targets at one revision. A request takes
+ * one view when it arrives and uses it until it ends, so that it sees one preset.
+ *
+ * <p>Immutable and safe for use by any thread.
+ */
+public final class FleetView {
+
+  /** The view of a daemon that has not yet heard from the control group. */
+  public static final FleetView EMPTY = new FleetView(Revision.NONE, List.of(), Map.of());
+
+  private final Revision revision;
+  private final Map<AccountId, Account> accounts = new HashMap<>();
+  private final Map<String, ClientKey> keysByHash = new HashMap<>();
+  private final List<Route> routes = new ArrayList<>();
+  private final Map<PresetName, Preset> presets = new HashMap<>();
+  private final Map<Integer, ContextSecret> contextSecrets = new HashMap<>();
+  private final Map<ServiceName, List<Target>> targets;
+  private PresetName activePreset;
+
+  /**
+   * Builds a view.
+   *
+   * @param revision the configuration revision that the entities stand for
+   * @param entities every live entity that traffic daemons need
+   * @param targets the registered targets of each service that the daemon calls
+   */
+  public FleetView(
+      Revision revision,
+      Collection<? extends ConfigEntity> entities,
+      Map<ServiceName, List<Target>> targets) {
+    this.revision = Assert.notNull(revision, "revision");
+    this.targets = Map.copyOf(targets);
+    entities.forEach(this::add);
+    routes.sort(
+        Comparator.comparingInt((Route route) -> route.pathPrefix().length())
+            .reversed()
+            .thenComparing(route -> route.method().equals(Route.ANY_METHOD))
+            .thenComparing(route -> route.id().value()));
+  }
+
+  /** Returns the configuration revision of this view. */
+  public Revision revision() {
+    return revision;
+  }
+
+  /** Returns the route of a request, or empty if none matches. */
+  public Optional<Route> route(String method, String path) {
+    for (Route route : routes) {
+      if (route.matches(method, path)) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Returns the account of a key.
+   *
+   * @param keyHashHex SHA-256 of the presented key in lower-case hexadecimal; a lookup by hash
+   *     leaks no timing about the key itself
+   */
+  public Optional<Account> accountOfKey(String keyHashHex) {
+    ClientKey key = keysByHash.get(keyHashHex);
+    return key == null ? Optional.empty() : account(key.account());
+  }
+
+  /** Returns the account, or empty if it does not exist. */
+  public Optional<Account> account(AccountId id) {
+    return Optional.ofNullable(accounts.get(id));
+  }
+
+  /** Returns every account. */
+  public Collection<Account> accounts() {
+    return List.copyOf(accounts.values());
+  }
+
+  /** Returns the preset in force, or empty before the first configuration has arrived. */
+  public Optional<Preset> activePreset() {
+    return activePreset == null ? Optional.empty() : Optional.ofNullable(presets.get(activePreset));
+  }
+
+  /** Returns the secret that signs new call contexts: the one with the highest number. */
+  public Optional<ContextSecret> signingSecret() {
+    return contextSecrets.values().stream().max(Comparator.comparingInt(ContextSecret::number));
+  }
+
+  /** Returns the secret with the number, for checking a context. */
+  public Optional<ContextSecret> contextSecret(int number) {
+    return Optional.ofNullable(contextSecrets.get(number));
+  }
+
+  /** Returns the known targets of a service, in no particular order. */
+  public List<Target> targets(ServiceName service) {
+    return targets.getOrDefault(service, List.of());
+  }
+
+  /** Returns the known targets of every service. */
+  public Map<ServiceName, List<Target>> targets() {
+    return targets;
+  }
+
+  /** Returns the services that the routes name. */
+  public List<ServiceName> routedServices() {
+    return routes.stream().map(Route::service).distinct().toList();
+  }
+
+  private void add(ConfigEntity entity) {
+    if (entity instanceof Account account) {
+      accounts.put(account.id(), account);
+    } else if (entity instanceof ClientKey key) {
+      keysByHash.put(key.keyHashHex(), key);
+    } else if (entity instanceof Route route) {
+      routes.add(route);
+    } else if (entity instanceof Preset preset) {
+      presets.put(preset.name(), preset);
+    } else if (entity instanceof ActivePreset active) {
+      activePreset = active.name();
+    } else if (entity instanceof ContextSecret secret) {
+      contextSecrets.put(secret.number(), secret);
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/FrameConnection.java
@@ -0,0 +1,221 @@
+package org.cornelspoke.transport.link;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.bytebuf.ByteBufPool;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.promise.Promise;
+import io.activej.reactor.net.SocketSettings;
+import io.activej.reactor.nio.NioReactor;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.cornelspoke.util.Assert;
+
+/**
+ * One TCP connection that carries frames. Each frame is a 4-byte big-endian length and that many
+ * bytes. Frames that are sent in one iteration of the event loop leave in one write.
+ *
+ * <p>Belongs to the thread of its reactor. A frame over the size limit, a listener that throws, or
+ * a peer that reads too slowly closes the connection.
+ */
+public final class FrameConnection {
+
+  /** Largest frame in bytes. */
+  public static final int MAX_FRAME_BYTES = 1 << 20;
+
+  /** Bytes that may wait to be written before a slow peer is disconnected. */
+  public static final int MAX_PENDING_BYTES = 64 << 20;
+
+  private static final int LENGTH_BYTES = 4;
+  private static final SocketSettings SOCKET_SETTINGS =
+      SocketSettings.builder().withTcpNoDelay(true).build();
+
+  private final NioReactor reactor;
+  private final ITcpSocket socket;
+  private final byte[] lengthPrefix = new byte[LENGTH_BYTES];
+  private FrameListener listener;
+  private ByteBuf pending = ByteBuf.empty();
+  private boolean flushScheduled;
+  private boolean writing;
+  private boolean closed;
+  private int lengthFill;
+  private byte[] frame;
+  private int frameFill;
+
+  private FrameConnection(NioReactor reactor, ITcpSocket socket) {
+    this.reactor = reactor;
+    this.socket = socket;
+  }
+
+  /**
+   * Opens a connection. Call {@link #start} on the result to receive frames.
+   *
+   * @return fails with an {@link IOException} if the peer does not accept within the timeout
+   */
+  public static Promise<FrameConnection> connect(
+      NioReactor reactor, InetSocketAddress address, Duration timeout) {
+    return TcpSocket.connect(reactor, address, timeout, SOCKET_SETTINGS)
+        .map(socket -> new FrameConnection(reactor, socket));
+  }
+
+  /** Wraps a socket that a server has accepted. */
+  public static FrameConnection accepted(NioReactor reactor, ITcpSocket socket) {
+    return new FrameConnection(reactor, socket);
+  }
+
+  /** Starts to read. Frames go to the listener until the connection closes. */
+  public void start(FrameListener frameListener) {
+    Assert.isTrue(listener == null, "start must be called once");
+    this.listener = Assert.notNull(frameListener, "frameListener");
+    readNext();
+  }
+
+  /**
+   * Sends a frame. Frames keep their order. Does nothing if the connection is closed.
+   *
+   * @throws IllegalArgumentException if the frame is larger than {@link #MAX_FRAME_BYTES}
+   */
+  public void send(byte[] content) {
+    Assert.isTrue(content.length <= MAX_FRAME_BYTES, "frame must be at most 1 MiB");
+    if (closed) {
+      return;
+    }
+    ByteBuf buf = ByteBufPool.ensureWriteRemaining(pending, LENGTH_BYTES + content.length);
+    buf.writeInt(content.length);
+    buf.put(content);
+    pending = buf;
+    if (buf.readRemaining() > MAX_PENDING_BYTES) {
+      closeWith(new IOException("peer reads too slowly"));
+      return;
+    }
+    if (!flushScheduled && !writing) {
+      flushScheduled = true;
+      reactor.postLast(this::flush);
+    }
+  }
+
+  /** Returns true once the connection is closed from either side. */
+  public boolean isClosed() {
+    return closed;
+  }
+
+  /** Closes the connection. Frames that have not been written are lost. */
+  public void close() {
+    closeWith(new IOException("closed by this side"));
+  }
+
+  private void flush() {
+    flushScheduled = false;
+    if (closed || writing || !pending.canRead()) {
+      return;
+    }
+    ByteBuf buf = pending;
+    pending = ByteBuf.empty();
+    writing = true;
+    socket
+        .write(buf)
+        .whenComplete(
+            (result, e) -> {
+              writing = false;
+              if (e != null) {
+                closeWith(e);
+              } else {
+                flush();
+              }
+            });
+  }
+
+  private void readNext() {
+    while (!closed) {
+      Promise<ByteBuf> read = socket.read();
+      if (!read.isComplete()) {
+        read.whenComplete(
+            (buf, e) -> {
+              if (accept(buf, e)) {
+                readNext();
+              }
+            });
+        return;
+      }
+      if (!accept(read.isResult() ? read.getResult() : null, read.getException())) {
+        return;
+      }
+    }
+  }
+
+  private boolean accept(ByteBuf buf, Exception error) {
+    if (error != null) {
+      closeWith(error);
+      return false;
+    }
+    if (buf == null) {
+      closeWith(new EOFException("closed by the peer"));
+      return false;
+    }
+    try {
+      consume(buf);
+    } catch (IOException | RuntimeException e) {
+      closeWith(e);
+    } finally {
+      buf.recycle();
+    }
+    return !closed;
+  }
+
+  private void consume(ByteBuf buf) throws IOException {
+    while (buf.canRead() && !closed) {
+      if (frame == null) {
+        readLength(buf);
+      }
+      if (frame != null) {
+        readContent(buf);
+      }
+    }
+  }
+
+  private void readLength(ByteBuf buf) throws IOException {
+    while (lengthFill < LENGTH_BYTES && buf.canRead()) {
+      lengthPrefix[lengthFill++] = buf.readByte();
+    }
+    if (lengthFill < LENGTH_BYTES) {
+      return;
+    }
+    int length =
+        (lengthPrefix[0] & 0xff) << 24
+            | (lengthPrefix[1] & 0xff) << 16
+            | (lengthPrefix[2] & 0xff) << 8
+            | (lengthPrefix[3] & 0xff);
+    if (length <= 0 || length > MAX_FRAME_BYTES) {
+      throw new IOException("frame length out of range: " + length);
+    }
+    lengthFill = 0;
+    frame = new byte[length];
+    frameFill = 0;
+  }
+
+  private void readContent(ByteBuf buf) {
+    int count = Math.min(frame.length - frameFill, buf.readRemaining());
+    buf.read(frame, frameFill, count);
+    frameFill += count;
+    if (frameFill == frame.length) {
+      byte[] whole = frame;
+      frame = null;
+      listener.onFrame(whole);
+    }
+  }
+
+  private void closeWith(Exception cause) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    pending.recycle();
+    pending = ByteBuf.empty();
+    socket.close();
+    if (listener != null) {
+      listener.onClosed(cause);
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/link/FrameConnectionTest.java
@@ -0,0 +1,104 @@
+package org.cornelspoke.transport.link;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.cornelspoke.model.Endpoint;
+import org.junit.jupiter.api.Test;
+
+class FrameConnectionTest {
+
+  private static final long SEED = 7;
+
+  private final Eventloop reactor = Eventloop.create();
+
+  /** Guards against frames that are lost, split, merged or reordered. */
+  @Test
+  void framesArriveWholeAndInOrder() throws Exception {
+    List<byte[]> sent = new ArrayList<>();
+    Random random = new Random(SEED);
+    for (int i = 0; i < 300; i++) {
+      byte[] frame = new byte[1 + random.nextInt(40_000)];
+      random.nextBytes(frame);
+      sent.add(frame);
+    }
+    List<byte[]> received = new ArrayList<>();
+    run(
+        connection -> sent.forEach(connection::send),
+        (server, frame) -> {
+          received.add(frame);
+          if (received.size() == sent.size()) {
+            server.close();
+          }
+        });
+    assertThat(received).hasSize(sent.size());
+    for (int i = 0; i < sent.size(); i++) {
+      assertThat(received.get(i)).isEqualTo(sent.get(i));
+    }
+  }
+
+  /** Guards against a listener fault that leaves a connection open in an unknown state. */
+  @Test
+  void listenerFaultClosesTheConnection() throws Exception {
+    List<byte[]> received = new ArrayList<>();
+    run(
+        connection -> {
+          connection.send(new byte[] {1});
+          connection.send(new byte[] {2});
+        },
+        (server, frame) -> {
+          received.add(frame);
+          throw new IllegalStateException("fault in the listener");
+        });
+    assertThat(received).hasSize(1);
+  }
+
+  private interface Receiver {
+    void onFrame(FrameConnection server, byte[] frame);
+  }
+
+  private void run(java.util.function.Consumer<FrameConnection> sender, Receiver receiver)
+      throws Exception {
+    FrameServer[] holder = new FrameServer[1];
+    FrameServer server =
+        new FrameServer(
+            reactor,
+            new Endpoint("127.0.0.1", 0).toSocketAddress(),
+            connection -> connection.start(listener(connection, holder, receiver)));
+    holder[0] = server;
+    reactor.post(
+        () -> {
+          try {
+            server.start();
+          } catch (java.io.IOException e) {
+            throw new IllegalStateException(e);
+          }
+          FrameConnection.connect(reactor, server.boundAddress(), Duration.ofSeconds(5))
+              .whenResult(
+                  connection -> {
+                    connection.start(listener(connection, holder, (c, f) -> {}));
+                    sender.accept(connection);
+                  });
+        });
+    reactor.run();
+  }
+
+  private static FrameListener listener(
+      FrameConnection connection, FrameServer[] holder, Receiver receiver) {
+    return new FrameListener() {
+      @Override
+      public void onFrame(byte[] frame) {
+        receiver.onFrame(connection, frame);
+      }
+
+      @Override
+      public void onClosed(Exception cause) {
+        holder[0].stop();
+      }
+    };
+  }
+}
--- /dev/null
+++ b/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package org.cornelspoke.ctl;
