Add link messages, signed call context, call links and HTTP transport

Cause: the traffic path needs a codec for the link messages, a multiplexed link, a strict HTTP edge and upstream connections that can't hand surplus bytes to the next request. Change: protocol.call, protocol.context, transport.http, transport.link; FrameConnection reports pending bytes and calls back when they are written, so that large bodies take turns. Conclusion: the daemon service can be built on top.

--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/context/CallContext.java
@@ -0,0 +1,33 @@
+package org.cornelspoke.protocol.context;
+
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.CallId;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.TrafficClass;
+import org.cornelspoke.util.Assert;
+
+/**
+ * What an upstream passes on with its nested calls.
+ *
+ * @param call the call that the daemon handed to its upstream
+ * @param revision configuration revision that the root request used
+ * @param expiresAtMillis wall-clock time after which the context is refused; only the daemon that
+ *     issued it, or its successor on the same VM, compares it with its clock
+ */
+public record CallContext(
+    CallId call,
+    AccountId account,
+    int weight,
+    TrafficClass trafficClass,
+    Revision revision,
+    long expiresAtMillis) {
+
+  /** Checks that every part is present. */
+  public CallContext {
+    Assert.notNull(call, "call");
+    Assert.notNull(account, "account");
+    Assert.isTrue(weight >= 1, "weight must be 1 or more");
+    Assert.notNull(trafficClass, "trafficClass");
+    Assert.notNull(revision, "revision");
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/BodyReader.java
@@ -0,0 +1,192 @@
+package org.cornelspoke.transport.http;
+
+import java.util.Arrays;
+import org.cornelspoke.model.RefusalReason;
+
+/** Collects one message body up to a size limit. */
+final class BodyReader {
+
+  private static final int INITIAL_BYTES = 64 << 10;
+  private static final int MAX_CHUNK_LINE_BYTES = 256;
+  private static final int MAX_SIZE_DIGITS = 7;
+  private static final byte[] NONE = new byte[0];
+
+  private enum State {
+    DATA,
+    CHUNK_SIZE,
+    CHUNK_END,
+    TRAILER,
+    DONE
+  }
+
+  private final int maxBytes;
+  private final boolean chunked;
+  private final boolean untilClose;
+  private State state;
+  private byte[] body;
+  private int size;
+  private int remaining;
+  private int trailerBytes;
+
+  private BodyReader(State state, int remaining, boolean untilClose, int maxBytes) {
+    this.state = state;
+    this.chunked = state == State.CHUNK_SIZE;
+    this.untilClose = untilClose;
+    this.remaining = remaining;
+    this.maxBytes = maxBytes;
+    // The whole length is not reserved at once: a peer may announce a body and never send it.
+    this.body = remaining == 0 && !chunked && !untilClose ? NONE : new byte[initialSize(remaining)];
+  }
+
+  static BodyReader none() {
+    return new BodyReader(State.DONE, 0, false, 0);
+  }
+
+  static BodyReader ofLength(long length, int maxBytes) throws HttpSyntaxException {
+    if (length > maxBytes) {
+      throw tooLarge();
+    }
+    return length == 0 ? none() : new BodyReader(State.DATA, (int) length, false, maxBytes);
+  }
+
+  static BodyReader chunked(int maxBytes) {
+    return new BodyReader(State.CHUNK_SIZE, 0, false, maxBytes);
+  }
+
+  static BodyReader untilClose(int maxBytes) {
+    return new BodyReader(State.DATA, 0, true, maxBytes);
+  }
+
+  /**
+   * Uses bytes of the buffer.
+   *
+   * @return true once the body is complete; bytes after it stay in the buffer
+   */
+  boolean read(ReadBuffer in) throws HttpSyntaxException {
+    boolean progress = true;
+    while (progress && state != State.DONE) {
+      progress =
+          switch (state) {
+            case DATA -> readData(in);
+            case CHUNK_SIZE -> readChunkSize(in);
+            case CHUNK_END -> readChunkEnd(in);
+            case TRAILER -> readTrailer(in);
+            case DONE -> false;
+          };
+    }
+    return state == State.DONE;
+  }
+
+  /** Returns true if the end of the stream is the proper end of this body. */
+  boolean endsWithStream() {
+    return untilClose || state == State.DONE;
+  }
+
+  /** Returns the bytes read. */
+  byte[] body() {
+    return size == body.length ? body : Arrays.copyOf(body, size);
+  }
+
+  private boolean readData(ReadBuffer in) throws HttpSyntaxException {
+    int count = untilClose ? in.size() : Math.min(remaining, in.size());
+    if (count == 0) {
+      return false;
+    }
+    if (size + count > maxBytes) {
+      throw tooLarge();
+    }
+    if (size + count > body.length) {
+      int wanted = Math.max(size + count, body.length * 2);
+      int known = chunked || untilClose ? maxBytes : size + remaining;
+      body = Arrays.copyOf(body, Math.min(wanted, known));
+    }
+    System.arraycopy(in.array(), in.head(), body, size, count);
+    in.consume(count);
+    size += count;
+    remaining -= count;
+    if (!untilClose && remaining == 0) {
+      state = chunked ? State.CHUNK_END : State.DONE;
+    }
+    return true;
+  }
+
+  private boolean readChunkSize(ReadBuffer in) throws HttpSyntaxException {
+    int length = lineLength(in, MAX_CHUNK_LINE_BYTES);
+    if (length < 0) {
+      return false;
+    }
+    int value = 0;
+    int digits = 0;
+    while (digits < length && Character.digit(in.array()[in.head() + digits], 16) >= 0) {
+      value = value * 16 + Character.digit(in.array()[in.head() + digits], 16);
+      digits++;
+      if (digits > MAX_SIZE_DIGITS) {
+        throw tooLarge();
+      }
+    }
+    if (digits == 0 || (digits < length && in.array()[in.head() + digits] != ';')) {
+      throw HttpSyntaxException.malformed("chunk size is malformed");
+    }
+    if (value > maxBytes - size) {
+      throw tooLarge();
+    }
+    in.consume(length + 2);
+    remaining = value;
+    state = value == 0 ? State.TRAILER : State.DATA;
+    return true;
+  }
+
+  private boolean readChunkEnd(ReadBuffer in) throws HttpSyntaxException {
+    int length = lineLength(in, 0);
+    if (length < 0) {
+      return false;
+    }
+    in.consume(2);
+    state = State.CHUNK_SIZE;
+    return true;
+  }
+
+  /** Trailers are dropped: they would reach the other side as headers that nobody has checked. */
+  private boolean readTrailer(ReadBuffer in) throws HttpSyntaxException {
+    int length = lineLength(in, HeadParser.MAX_HEAD_BYTES - trailerBytes);
+    if (length < 0) {
+      return false;
+    }
+    trailerBytes += length + 2;
+    in.consume(length + 2);
+    if (length == 0) {
+      state = State.DONE;
+    }
+    return true;
+  }
+
+  private static int lineLength(ReadBuffer in, int maxLength) throws HttpSyntaxException {
+    byte[] bytes = in.array();
+    for (int i = in.head(); i < in.tail(); i++) {
+      if (bytes[i] == '\n' || bytes[i] == 0) {
+        throw HttpSyntaxException.malformed("chunk line does not end with CR LF");
+      }
+      if (bytes[i] == '\r') {
+        if (i + 1 == in.tail()) {
+          return -1;
+        }
+        if (bytes[i + 1] != '\n') {
+          throw HttpSyntaxException.malformed("CR without LF");
+        }
+        return i - in.head();
+      }
+      if (i - in.head() >= maxLength) {
+        throw HttpSyntaxException.malformed("chunk line is too long or not empty");
+      }
+    }
+    return -1;
+  }
+
+  private static int initialSize(int remaining) {
+    return remaining == 0 ? 1_024 : Math.min(remaining, INITIAL_BYTES);
+  }
+
+  private static HttpSyntaxException tooLarge() {
+    return new HttpSyntaxException(RefusalReason.TOO_LARGE, "message body is too large");
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
@@ -0,0 +1,155 @@
+package org.cornelspoke.transport.http;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import io.activej.net.SimpleServer;
+import io.activej.reactor.net.ServerSocketSettings;
+import io.activej.reactor.net.SocketSettings;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.util.Assert;
+
+/**
+ * HTTP/1.1 server with strict syntax checks. A malformed request is answered with 400, 413, 431 or
+ * 501, its connection is closed, and the handler does not see it.
+ *
+ * <p>Belongs to the thread of its reactor.
+ */
+public final class HttpServer {
+
+  static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(75);
+  static final long HEAD_NANOS = TimeUnit.SECONDS.toNanos(10);
+  static final long BODY_NANOS = TimeUnit.SECONDS.toNanos(30);
+  static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  /** Connections that may wait to be accepted; callers reconnect in bursts after a failure. */
+  private static final int BACKLOG = 1_024;
+
+  private final SimpleServer server;
+  private final HttpHandler handler;
+  private final int maxBodyBytes;
+  private final Set<HttpServerConnection> connections = new LinkedHashSet<>();
+  private final Counter connectionCount;
+  private final Meter requests;
+  private final Meter malformed;
+  private int serving;
+  private boolean closing;
+
+  /**
+   * Creates a server that does not yet listen.
+   *
+   * @param metricPrefix start of the metric names, for example {@code edge}
+   */
+  public HttpServer(
+      NioReactor reactor,
+      InetSocketAddress address,
+      int maxBodyBytes,
+      HttpHandler handler,
+      MetricRegistry metrics,
+      String metricPrefix) {
+    Assert.isTrue(maxBodyBytes > 0, "maxBodyBytes must be positive");
+    this.handler = Assert.notNull(handler, "handler");
+    this.maxBodyBytes = maxBodyBytes;
+    this.connectionCount = metrics.counter(metricPrefix + ".connections");
+    this.requests = metrics.meter(metricPrefix + ".requests");
+    this.malformed = metrics.meter(metricPrefix + ".malformed");
+    this.server =
+        SimpleServer.builder(reactor, this::accept)
+            .withListenAddress(address)
+            .withServerSocketSettings(ServerSocketSettings.create(BACKLOG))
+            .withSocketSettings(SocketSettings.builder().withTcpNoDelay(true).build())
+            .build();
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws IOException if the address is in use
+   */
+  public void start() throws IOException {
+    server.listen();
+  }
+
+  /** Returns the address in use, with the port that the system chose if port 0 was given. */
+  public InetSocketAddress boundAddress() {
+    return server.getBoundAddresses().get(0);
+  }
+
+  /** Answers from now on with {@code Connection: close}, so that callers move elsewhere. */
+  public void startClosing() {
+    closing = true;
+  }
+
+  /** Stops listening and closes the connections that carry no request. */
+  public void stopListening() {
+    server.close();
+    for (HttpServerConnection connection : new ArrayList<>(connections)) {
+      if (connection.isIdle()) {
+        connection.close();
+      }
+    }
+  }
+
+  /** Closes every connection, also those that carry a request. */
+  public void closeAll() {
+    new ArrayList<>(connections).forEach(HttpServerConnection::close);
+  }
+
+  /** Closes connections on which the caller has been silent for too long. */
+  public void sweep(long nowNanos) {
+    for (HttpServerConnection connection : new ArrayList<>(connections)) {
+      connection.sweep(nowNanos);
+    }
+  }
+
+  /** Returns the number of requests that have no answer yet. */
+  public int serving() {
+    return serving;
+  }
+
+  /** Returns the number of open connections. */
+  public int connections() {
+    return connections.size();
+  }
+
+  int maxBodyBytes() {
+    return maxBodyBytes;
+  }
+
+  boolean isClosing() {
+    return closing;
+  }
+
+  void serve(HttpExchange exchange) {
+    requests.mark();
+    serving++;
+    handler.onRequest(exchange);
+  }
+
+  void onServed() {
+    serving--;
+  }
+
+  void onMalformed(HttpSyntaxException e) {
+    malformed.mark();
+  }
+
+  void onClosed(HttpServerConnection connection) {
+    if (connections.remove(connection)) {
+      connectionCount.dec();
+    }
+  }
+
+  private void accept(io.activej.net.socket.tcp.ITcpSocket socket) {
+    HttpServerConnection connection = new HttpServerConnection(this, socket);
+    connections.add(connection);
+    connectionCount.inc();
+    connection.start();
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServerConnection.java
@@ -0,0 +1,205 @@
+package org.cornelspoke.transport.http;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.tcp.ITcpSocket;
+import org.cornelspoke.model.Verdict;
+
+/** One connection of a caller. Requests on it are served one after the other. */
+final class HttpServerConnection implements SocketReader.Sink {
+
+  /** Pipelined bytes that are kept while a request is served; reading pauses above that. */
+  private static final int MAX_READ_AHEAD_BYTES = 64 << 10;
+
+  private enum State {
+    HEAD,
+    BODY,
+    SERVING,
+    LINGERING,
+    CLOSED
+  }
+
+  private final HttpServer server;
+  private final ITcpSocket socket;
+  private final SocketReader reader;
+  private final ReadBuffer in = new ReadBuffer();
+  private State state = State.HEAD;
+  private RequestHead head;
+  private BodyReader bodyReader;
+  private HttpExchange exchange;
+  private boolean parsing;
+  private long stateSinceNanos;
+
+  HttpServerConnection(HttpServer server, ITcpSocket socket) {
+    this.server = server;
+    this.socket = socket;
+    this.reader = new SocketReader(socket, this);
+    this.stateSinceNanos = System.nanoTime();
+  }
+
+  void start() {
+    reader.start();
+  }
+
+  @Override
+  public void onData(ByteBuf buf) {
+    if (state == State.LINGERING || state == State.CLOSED) {
+      return;
+    }
+    if (state == State.HEAD && in.size() == 0) {
+      stateSinceNanos = System.nanoTime();
+    }
+    in.append(buf);
+    if (state == State.SERVING) {
+      if (in.size() > MAX_READ_AHEAD_BYTES) {
+        reader.pause();
+      }
+      return;
+    }
+    parse();
+  }
+
+  @Override
+  public void onEnd(boolean clean) {
+    close();
+  }
+
+  /** Serves requests from the buffer until more bytes are needed or one is being served. */
+  private void parse() {
+    if (parsing) {
+      return;
+    }
+    parsing = true;
+    try {
+      boolean progress = true;
+      while (progress) {
+        progress =
+            switch (state) {
+              case HEAD -> parseHead();
+              case BODY -> parseBody();
+              default -> false;
+            };
+      }
+    } catch (HttpSyntaxException e) {
+      refuse(e);
+    } finally {
+      parsing = false;
+    }
+  }
+
+  private boolean parseHead() throws HttpSyntaxException {
+    if (in.size() == 0) {
+      return false;
+    }
+    int length = HeadParser.findEnd(in);
+    if (length < 0) {
+      return false;
+    }
+    head = HeadParser.parseRequest(in.array(), in.head(), length);
+    in.consume(length);
+    bodyReader =
+        head.chunked()
+            ? BodyReader.chunked(server.maxBodyBytes())
+            : BodyReader.ofLength(head.contentLength(), server.maxBodyBytes());
+    if (head.expectsContinue() && in.size() == 0) {
+      write(ByteBuf.wrapForReading(ResponseWriter.CONTINUE.clone()), false);
+    }
+    enter(State.BODY);
+    return true;
+  }
+
+  private boolean parseBody() throws HttpSyntaxException {
+    if (!bodyReader.read(in)) {
+      return false;
+    }
+    exchange = new HttpExchange(this, head, bodyReader.body());
+    bodyReader = null;
+    enter(State.SERVING);
+    server.serve(exchange);
+    return true;
+  }
+
+  void respond(HttpExchange answered, HttpResponse response) {
+    server.onServed();
+    if (answered != exchange || state != State.SERVING) {
+      return;
+    }
+    exchange = null;
+    boolean close = !head.keepAlive() || server.isClosing();
+    boolean keepAlive = !close && !head.http11();
+    ByteBuf buf = ResponseWriter.write(response, head.method().equals("HEAD"), close, keepAlive);
+    if (close) {
+      enter(State.LINGERING);
+      write(buf, true);
+      reader.resume();
+      return;
+    }
+    enter(State.HEAD);
+    write(buf, false);
+    reader.resume();
+    parse();
+  }
+
+  /** Returns true if no request is being received or served. */
+  boolean isIdle() {
+    return state == State.HEAD && in.size() == 0;
+  }
+
+  /** Closes the connection if it has been in a waiting state for too long. */
+  void sweep(long nowNanos) {
+    long age = nowNanos - stateSinceNanos;
+    long limit =
+        switch (state) {
+          case HEAD -> in.size() == 0 ? HttpServer.IDLE_NANOS : HttpServer.HEAD_NANOS;
+          case BODY -> HttpServer.BODY_NANOS;
+          case LINGERING -> HttpServer.LINGER_NANOS;
+          default -> Long.MAX_VALUE;
+        };
+    if (age > limit) {
+      close();
+    }
+  }
+
+  void close() {
+    if (state == State.CLOSED) {
+      return;
+    }
+    enter(State.CLOSED);
+    socket.close();
+    server.onClosed(this);
+    if (exchange != null) {
+      HttpExchange left = exchange;
+      exchange = null;
+      left.abandon();
+    }
+  }
+
+  private void refuse(HttpSyntaxException e) {
+    server.onMalformed(e);
+    in.clear();
+    HttpResponse response = HttpResponse.refusal(e.status(), e.reason(), Verdict.NOT_RUN, -1);
+    enter(State.LINGERING);
+    write(ResponseWriter.write(response, false, true, false), true);
+  }
+
+  /**
+   * Writes bytes. With {@code last}, the output ends but input is read on and dropped for a moment:
+   * a socket that is closed with unread input resets, and the caller would lose the answer.
+   */
+  private void write(ByteBuf buf, boolean last) {
+    socket
+        .write(buf)
+        .whenComplete(
+            (result, e) -> {
+              if (e != null) {
+                close();
+              } else if (last && state == State.LINGERING) {
+                socket.write(null);
+              }
+            });
+  }
+
+  private void enter(State next) {
+    state = next;
+    stateSinceNanos = System.nanoTime();
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/ReadBuffer.java
@@ -0,0 +1,71 @@
+package org.cornelspoke.transport.http;
+
+import io.activej.bytebuf.ByteBuf;
+import java.util.Arrays;
+
+/** Bytes that were received and not yet used. */
+final class ReadBuffer {
+
+  private static final int INITIAL_BYTES = 2_048;
+
+  private byte[] bytes = new byte[INITIAL_BYTES];
+  private int head;
+  private int tail;
+
+  void append(ByteBuf buf) {
+    int count = buf.readRemaining();
+    reserve(count);
+    buf.read(bytes, tail, count);
+    tail += count;
+  }
+
+  byte[] array() {
+    return bytes;
+  }
+
+  int head() {
+    return head;
+  }
+
+  int tail() {
+    return tail;
+  }
+
+  int size() {
+    return tail - head;
+  }
+
+  void consume(int count) {
+    head += count;
+    if (head == tail) {
+      head = 0;
+      tail = 0;
+    }
+  }
+
+  void clear() {
+    head = 0;
+    tail = 0;
+  }
+
+  private void reserve(int count) {
+    if (tail + count <= bytes.length) {
+      return;
+    }
+    int size = size();
+    if (size + count <= bytes.length) {
+      System.arraycopy(bytes, head, bytes, 0, size);
+    } else {
+      byte[] larger = new byte[Math.max(bytes.length * 2, size + count)];
+      System.arraycopy(bytes, head, larger, 0, size);
+      bytes = larger;
+    }
+    head = 0;
+    tail = size;
+  }
+
+  @Override
+  public String toString() {
+    return Arrays.toString(Arrays.copyOfRange(bytes, head, tail));
+  }
+}
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/FrameConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/FrameConnection.java
@@ -36,6 +36,7 @@
   private final ITcpSocket socket;
   private final byte[] lengthPrefix = new byte[LENGTH_BYTES];
   private FrameListener listener;
+  private Runnable writableListener;
   private ByteBuf pending = ByteBuf.empty();
   private boolean flushScheduled;
   private boolean writing;
@@ -96,6 +97,16 @@
     }
   }
 
+  /** Returns the bytes that were given to {@link #send} and not yet handed to the socket. */
+  public int pendingBytes() {
+    return pending.readRemaining();
+  }
+
+  /** Sets what to run each time the socket has taken every byte that was sent. */
+  public void onWritable(Runnable newWritableListener) {
+    this.writableListener = Assert.notNull(newWritableListener, "newWritableListener");
+  }
+
   /** Returns true once the connection is closed from either side. */
   public boolean isClosed() {
     return closed;
@@ -123,6 +134,9 @@
                 closeWith(e);
               } else {
                 flush();
+                if (!writing && !closed && writableListener != null) {
+                  writableListener.run();
+                }
               }
             });
   }
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/LinkCall.java
@@ -0,0 +1,41 @@
+package org.cornelspoke.transport.link;
+
+import org.cornelspoke.protocol.call.CallEnding;
+import org.cornelspoke.protocol.call.CallMessage.Reply;
+
+/** One call in flight on a {@link PeerLink}. Belongs to the reactor thread. */
+public final class LinkCall {
+
+  /** Receives the end of a call. */
+  public interface Listener {
+
+    /** Called exactly once unless the call is cancelled first. */
+    void onEnded(CallEnding ending);
+  }
+
+  private final PeerLink link;
+  private final long correlationId;
+  private final Listener listener;
+  BodySender.Body requestBody;
+  Reply reply;
+  BodyAssembler replyBody;
+
+  LinkCall(PeerLink link, long correlationId, Listener listener) {
+    this.link = link;
+    this.correlationId = correlationId;
+    this.listener = listener;
+  }
+
+  /** Tells the peer that nobody waits any more. The listener is not called afterwards. */
+  public void cancel() {
+    link.cancel(this);
+  }
+
+  long correlationId() {
+    return correlationId;
+  }
+
+  void end(CallEnding ending) {
+    listener.onEnded(ending);
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/LinkServer.java
@@ -0,0 +1,109 @@
+package org.cornelspoke.transport.link;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.cornelspoke.protocol.call.CallCodec;
+import org.cornelspoke.util.Assert;
+
+/**
+ * Accepts links from other daemons.
+ *
+ * <p>Belongs to the thread of its reactor.
+ */
+public final class LinkServer {
+
+  private final FrameServer server;
+  private final String selfId;
+  private final CallCodec codec;
+  private final int maxBodyBytes;
+  private final Consumer<IncomingCall> handler;
+  private final Set<ServerLink> links = new LinkedHashSet<>();
+  private final Meter malformed;
+  private boolean goingAway;
+
+  /**
+   * Creates a server that does not yet listen.
+   *
+   * @param handler must answer each call exactly once
+   */
+  public LinkServer(
+      NioReactor reactor,
+      InetSocketAddress address,
+      String selfId,
+      CallCodec codec,
+      int maxBodyBytes,
+      Consumer<IncomingCall> handler,
+      MetricRegistry metrics) {
+    this.selfId = Assert.hasText(selfId, "selfId");
+    this.codec = Assert.notNull(codec, "codec");
+    this.maxBodyBytes = maxBodyBytes;
+    this.handler = Assert.notNull(handler, "handler");
+    this.malformed = metrics.meter("link.malformed");
+    this.server = new FrameServer(reactor, address, this::accept);
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws IOException if the address is in use
+   */
+  public void start() throws IOException {
+    server.start();
+  }
+
+  /** Returns the address in use. */
+  public InetSocketAddress boundAddress() {
+    return server.boundAddress();
+  }
+
+  /** Tells every peer to send no new calls. Calls that still arrive are served. */
+  public void goAway() {
+    goingAway = true;
+    links.forEach(ServerLink::goAway);
+  }
+
+  /** Stops listening and closes every link; calls in flight are cancelled. */
+  public void close() {
+    server.stop();
+    new ArrayList<>(links).forEach(ServerLink::close);
+  }
+
+  String selfId() {
+    return selfId;
+  }
+
+  int maxBodyBytes() {
+    return maxBodyBytes;
+  }
+
+  void serve(IncomingCall call) {
+    handler.accept(call);
+  }
+
+  void onGreeted(ServerLink link) {
+    if (goingAway) {
+      link.goAway();
+    }
+  }
+
+  void onMalformed() {
+    malformed.mark();
+  }
+
+  void onClosed(ServerLink link) {
+    links.remove(link);
+  }
+
+  private void accept(FrameConnection connection) {
+    ServerLink link = new ServerLink(this, connection, codec);
+    links.add(link);
+    connection.start(link);
+  }
+}
