Add the traffic daemon service

Change: edge, forwarding with retries, local upstreams with gate and lease, announcement API, graceful stop.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.protocol.call.CallResult;
+import org.cornelspoke.protocol.call.Headers;
 
 /**
  * One connection to an upstream. It serves one exchange at a time and is reused only after an
@@ -14,6 +15,10 @@
 final class UpstreamConnection implements SocketReader.Sink {
 
   private static final int MAX_INTERIM_ANSWERS = 8;
+  private static final int SHED_STATUS = 503;
+  private static final String SHED_HEADER = "cornelspoke-shed";
+  private static final String SHED_VALUE = "1";
+  private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
   private final UpstreamPool pool;
   private final TcpSocket socket;
@@ -170,11 +175,7 @@
 
   private void finish() {
     UpstreamExchange done = exchange;
-    CallResult answer =
-        new CallResult.Answered(
-            head.status(),
-            ForwardedHeaders.ofResponse(head.headers(), isBodyless(head.status())),
-            bodyReader.body());
+    CallResult answer = result();
     exchange = null;
     if (in.size() > 0) {
       pool.onSurplus();
@@ -188,6 +189,23 @@
     done.end(answer);
   }
 
+  private CallResult result() {
+    Headers headers = head.headers();
+    if (head.status() == SHED_STATUS && SHED_VALUE.equals(headers.get(SHED_HEADER))) {
+      return new CallResult.Refused(
+          RefusalReason.OVERLOAD, retryAfterMillis(headers.get("retry-after")));
+    }
+    return new CallResult.Answered(
+        head.status(),
+        ForwardedHeaders.ofResponse(headers, isBodyless(head.status())),
+        bodyReader.body());
+  }
+
+  private static long retryAfterMillis(String seconds) {
+    boolean valid = seconds != null && seconds.matches("[0-9]{1,5}");
+    return valid ? Long.parseLong(seconds) * 1_000 : DEFAULT_RETRY_AFTER_MILLIS;
+  }
+
   private void fail() {
     UpstreamExchange failed = exchange;
     exchange = null;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/BodySender.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/BodySender.java
@@ -40,6 +40,11 @@
     return body;
   }
 
+  /** Returns true if no body waits to be sent. */
+  boolean isEmpty() {
+    return bodies.isEmpty();
+  }
+
   private void sendChunks() {
     while (connection.pendingBytes() < MAX_AHEAD_BYTES && !bodies.isEmpty()) {
       Body body = bodies.remove();
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/FrameConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/FrameConnection.java
@@ -102,6 +102,11 @@
     return pending.readRemaining();
   }
 
+  /** Returns true if the socket has taken every byte that was sent. */
+  public boolean isFlushed() {
+    return !writing && !pending.canRead();
+  }
+
   /** Sets what to run each time the socket has taken every byte that was sent. */
   public void onWritable(Runnable newWritableListener) {
     this.writableListener = Assert.notNull(newWritableListener, "newWritableListener");
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/LinkServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/LinkServer.java
@@ -63,15 +63,31 @@
     return server.boundAddress();
   }
 
-  /** Tells every peer to send no new calls. Calls that still arrive are served. */
+  /**
+   * Accepts no more links and tells every peer to send no new calls. Calls that still arrive are
+   * served; each peer closes its link once its last call has ended.
+   */
   public void goAway() {
     goingAway = true;
+    server.stop();
     links.forEach(ServerLink::goAway);
   }
 
+  /** Returns true if every answer has been handed to the sockets. */
+  public boolean isIdle() {
+    return links.stream().allMatch(ServerLink::isIdle);
+  }
+
+  /** Returns the number of open links. */
+  public int links() {
+    return links.size();
+  }
+
   /** Stops listening and closes every link; calls in flight are cancelled. */
   public void close() {
-    server.stop();
+    if (!goingAway) {
+      server.stop();
+    }
     new ArrayList<>(links).forEach(ServerLink::close);
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/PeerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/PeerLink.java
@@ -107,6 +107,11 @@
     return ready && !goingAway && !stopped;
   }
 
+  /** Returns true if the peer has announced its stop. */
+  public boolean isGoingAway() {
+    return goingAway;
+  }
+
   /** Returns the number of calls in flight. */
   public int callsInFlight() {
     return calls.size();
@@ -126,7 +131,9 @@
     byte[] chunk = BodySender.firstChunk(body);
     connection.send(
         codec.encode(new CallMessage.Call(call.correlationId(), head, body.length, chunk)));
-    call.requestBody = bodySender.sendRest(call.correlationId(), body, true);
+    if (connection != null) {
+      call.requestBody = bodySender.sendRest(call.correlationId(), body, true);
+    }
     return call;
   }
 
@@ -244,6 +251,7 @@
       connection.send(codec.encode(new Pong(ping.number())));
     } else if (message instanceof GoAway) {
       goingAway = true;
+      closeIfUnused();
     } else if (!(message instanceof Pong)) {
       throw new ProtocolException("message is not allowed from the serving side");
     }
@@ -317,7 +325,7 @@
   }
 
   private void closeIfUnused() {
-    if (stopped && calls.isEmpty() && connection != null) {
+    if ((stopped || goingAway) && calls.isEmpty() && connection != null) {
       connection.close();
     }
   }
@@ -335,7 +343,7 @@
 
   /** The peer starts a call only when it has the whole body. */
   private static CallResult resultOfBreak(LinkCall call) {
-    return call.requestBody.isSent()
+    return call.requestBody != null && call.requestBody.isSent()
         ? new CallResult.Failed(RefusalReason.LINK_FAILED)
         : new CallResult.Refused(RefusalReason.NO_TARGET, 0);
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
@@ -75,6 +75,11 @@
     }
   }
 
+  /** Returns true if every answer has been handed to the socket. */
+  boolean isIdle() {
+    return calls.isEmpty() && bodySender.isEmpty() && connection.isFlushed();
+  }
+
   void close() {
     connection.close();
   }
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Collaborators.java
@@ -0,0 +1,25 @@
+package org.cornelspoke.daemon.traffic;
+
+import io.activej.eventloop.Eventloop;
+import org.cornelspoke.coordination.dedup.ClaimClient;
+import org.cornelspoke.coordination.dissemination.FleetViewSource;
+import org.cornelspoke.coordination.dissemination.TargetPublisher;
+import org.cornelspoke.coordination.quota.RateLimiter;
+import org.cornelspoke.coordination.retry.RetryLedger;
+import org.cornelspoke.coordination.retry.RetryThrottle;
+import org.cornelspoke.coordination.routing.TargetSelector;
+
+/** What the traffic path uses; all but the thread-safe ones belong to the reactor thread. */
+record Collaborators(
+    Eventloop reactor,
+    TrafficSettings settings,
+    FleetViewSource views,
+    RateLimiter rateLimiter,
+    ClaimClient claims,
+    GateFactory gates,
+    TargetSelector selector,
+    RetryLedger ledger,
+    RetryThrottle throttle,
+    TargetPublisher publisher,
+    TrafficMetrics metrics,
+    Timers timers) {}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeParts.java
@@ -0,0 +1,5 @@
+package org.cornelspoke.daemon.traffic;
+
+/** What every request at the edge shares. */
+record EdgeParts(
+    Collaborators with, ForwardingParts forwarding, ParentCalls parents, Digests digests) {}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -0,0 +1,189 @@
+package org.cornelspoke.daemon.traffic;
+
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.admission.Completion;
+import org.cornelspoke.coordination.admission.GateRequest;
+import org.cornelspoke.coordination.admission.UpstreamGate;
+import org.cornelspoke.model.CallId;
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.protocol.call.CallEnding;
+import org.cornelspoke.protocol.call.CallHead;
+import org.cornelspoke.protocol.call.CallResult;
+import org.cornelspoke.protocol.call.Headers;
+import org.cornelspoke.transport.http.UpstreamExchange;
+import org.cornelspoke.transport.http.UpstreamRequest;
+import org.cornelspoke.transport.link.LinkCall;
+import org.cornelspoke.util.TimerWheel;
+
+/** One call at the upstream beside this daemon: through its gate, to the upstream and back. */
+final class LocalCall implements UpstreamGate.Listener {
+
+  private enum State {
+    WAITING,
+    ADMITTED,
+    RUNNING,
+    ENDED
+  }
+
+  private final LocalCalls calls;
+  private final Collaborators with;
+  private final LocalUpstream upstream;
+  private final CallHead head;
+  private final byte[] body;
+  private final LinkCall.Listener listener;
+  private final long startNanos = System.nanoTime();
+  private final long deadlineNanos;
+  private State state = State.WAITING;
+  private UpstreamGate.Ticket ticket;
+  private boolean submitted;
+  private TimerWheel.Timer deadline;
+  private CallId callId;
+  private UpstreamExchange exchange;
+  private long sentNanos;
+
+  LocalCall(
+      LocalCalls calls,
+      LocalUpstream upstream,
+      CallHead head,
+      byte[] body,
+      LinkCall.Listener listener) {
+    this.calls = calls;
+    this.with = calls.with();
+    this.upstream = upstream;
+    this.head = head;
+    this.body = body;
+    this.listener = listener;
+    this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(head.remainingMillis());
+  }
+
+  void start() {
+    calls.upstreams().onCallStarted(upstream);
+    GateRequest request =
+        new GateRequest(head.account(), head.weight(), head.trafficClass(), deadlineNanos);
+    ticket = upstream.gate.submit(request, this, startNanos);
+    if (state == State.ADMITTED) {
+      run();
+    }
+    submitted = true;
+    if (state != State.ENDED) {
+      deadline = with.timers().schedule(deadlineNanos, this::onDeadline);
+    }
+  }
+
+  @Override
+  public void onAdmitted() {
+    state = State.ADMITTED;
+    // While submit runs, the ticket that complete needs is not yet known. Later the gate may be in
+    // the middle of another method, which must not be entered again.
+    if (submitted) {
+      with.reactor().post(this::runIfAdmitted);
+    }
+  }
+
+  @Override
+  public void onRefused(RefusalReason reason, long retryAfterMillis) {
+    end(new CallResult.Refused(reason, Math.max(0, retryAfterMillis)), head.extraAttempts());
+  }
+
+  /** Gives up the call without an answer. */
+  void cancel() {
+    if (state == State.ENDED) {
+      return;
+    }
+    if (state == State.WAITING) {
+      upstream.gate.cancel(ticket, System.nanoTime());
+    } else {
+      if (exchange != null) {
+        exchange.cancel();
+      }
+      upstream.gate.complete(ticket, Completion.CANCELLED, System.nanoTime());
+    }
+    finish();
+  }
+
+  private void runIfAdmitted() {
+    if (state == State.ADMITTED) {
+      run();
+    }
+  }
+
+  private void run() {
+    state = State.RUNNING;
+    sentNanos = System.nanoTime();
+    with.metrics().gateWaitTime.update(sentNanos - startNanos, TimeUnit.NANOSECONDS);
+    long leftNanos = deadlineNanos - sentNanos;
+    if (leftNanos <= 0) {
+      upstream.gate.complete(ticket, Completion.CANCELLED, sentNanos);
+      end(new CallResult.Refused(RefusalReason.DEADLINE, 0), head.extraAttempts());
+      return;
+    }
+    callId = calls.parents().newId();
+    calls
+        .parents()
+        .put(
+            callId,
+            new ParentCalls.Parent(
+                head.account(), head.weight(), head.trafficClass(), deadlineNanos));
+    with.ledger().open(callId, head.extraAttempts());
+    Headers extra = calls.upstreamHeaders(head, callId, TimeUnit.NANOSECONDS.toMillis(leftNanos));
+    UpstreamRequest request =
+        new UpstreamRequest(head.method(), head.requestTarget(), head.headers(), extra, body);
+    exchange = upstream.pool.send(request, this::onUpstreamEnded);
+  }
+
+  private void onUpstreamEnded(CallResult result) {
+    long now = System.nanoTime();
+    with.metrics().upstreamTime.update(now - sentNanos, TimeUnit.NANOSECONDS);
+    upstream.gate.complete(ticket, completionOf(result), now);
+    end(result, closeLedger());
+  }
+
+  private void onDeadline() {
+    long now = System.nanoTime();
+    if (state == State.WAITING) {
+      if (upstream.gate.cancel(ticket, now)) {
+        end(new CallResult.Refused(RefusalReason.DEADLINE, 0), head.extraAttempts());
+      }
+      return;
+    }
+    boolean notRun = exchange == null || exchange.cancel();
+    upstream.gate.complete(ticket, Completion.TIMEOUT, now);
+    end(
+        notRun
+            ? new CallResult.Refused(RefusalReason.DEADLINE, 0)
+            : new CallResult.Failed(RefusalReason.UPSTREAM_TIMEOUT),
+        callId == null ? head.extraAttempts() : closeLedger());
+  }
+
+  private void end(CallResult result, int unusedAttempts) {
+    finish();
+    listener.onEnded(new CallEnding(result, unusedAttempts, upstream.gate.load()));
+  }
+
+  private int closeLedger() {
+    int unused = with.ledger().close(callId);
+    calls.parents().remove(callId);
+    callId = null;
+    return unused;
+  }
+
+  private void finish() {
+    state = State.ENDED;
+    if (deadline != null) {
+      deadline.cancel();
+    }
+    if (callId != null) {
+      closeLedger();
+    }
+    calls.upstreams().onCallEnded(upstream);
+  }
+
+  private static Completion completionOf(CallResult result) {
+    if (result instanceof CallResult.Answered answer) {
+      return answer.status() < 500 ? Completion.SUCCESS : Completion.FAILURE;
+    }
+    boolean shed =
+        result instanceof CallResult.Refused refused && refused.reason() == RefusalReason.OVERLOAD;
+    return shed ? Completion.SHED : Completion.FAILURE;
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
@@ -0,0 +1,96 @@
+package org.cornelspoke.daemon.traffic;
+
+import java.util.Optional;
+import org.cornelspoke.coordination.admission.GateLoad;
+import org.cornelspoke.model.CallId;
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.protocol.call.CallEnding;
+import org.cornelspoke.protocol.call.CallHead;
+import org.cornelspoke.protocol.call.CallResult;
+import org.cornelspoke.protocol.call.Headers;
+import org.cornelspoke.protocol.context.CallContext;
+import org.cornelspoke.protocol.context.ContextSigner;
+import org.cornelspoke.state.config.ContextSecret;
+import org.cornelspoke.transport.link.IncomingCall;
+import org.cornelspoke.transport.link.LinkCall;
+
+/** Starts calls at the local upstreams, from links and from this daemon's own edge. */
+final class LocalCalls {
+
+  private final Collaborators with;
+  private final LocalUpstreams upstreams;
+  private final ParentCalls parents;
+  private final ContextSigner signer;
+  private final CurrentView view;
+
+  LocalCalls(
+      Collaborators with,
+      LocalUpstreams upstreams,
+      ParentCalls parents,
+      ContextSigner signer,
+      CurrentView view) {
+    this.with = with;
+    this.upstreams = upstreams;
+    this.parents = parents;
+    this.signer = signer;
+    this.view = view;
+  }
+
+  /** Serves a call that arrived on a link. */
+  void onIncoming(IncomingCall call) {
+    view.get();
+    LocalCall local = start(call.head(), call.body(), call::respond);
+    if (local != null) {
+      call.onCancelled(local::cancel);
+    }
+  }
+
+  /** Returns the started call, or null if it was refused at once for lack of an upstream. */
+  LocalCall start(CallHead head, byte[] body, LinkCall.Listener listener) {
+    LocalUpstream upstream = upstreams.find(head.service());
+    CallResult refusal = null;
+    if (upstream == null) {
+      refusal = new CallResult.Refused(RefusalReason.NO_TARGET, 0);
+    } else if (head.remainingMillis() <= 0) {
+      refusal = new CallResult.Refused(RefusalReason.DEADLINE, 0);
+    }
+    if (refusal != null) {
+      GateLoad load = upstream == null ? GateLoad.IDLE : upstream.gate.load();
+      listener.onEnded(new CallEnding(refusal, head.extraAttempts(), load));
+      return null;
+    }
+    LocalCall call = new LocalCall(this, upstream, head, body, listener);
+    call.start();
+    return call;
+  }
+
+  Collaborators with() {
+    return with;
+  }
+
+  LocalUpstreams upstreams() {
+    return upstreams;
+  }
+
+  ParentCalls parents() {
+    return parents;
+  }
+
+  Headers upstreamHeaders(CallHead head, CallId callId, long leftMillis) {
+    Headers.Builder extra =
+        new Headers.Builder().add("Cornelspoke-Deadline-Millis", Long.toString(leftMillis));
+    Optional<ContextSecret> secret = view.signingSecret();
+    if (secret.isPresent()) {
+      CallContext context =
+          new CallContext(
+              callId,
+              head.account(),
+              head.weight(),
+              head.trafficClass(),
+              head.revision(),
+              System.currentTimeMillis() + leftMillis);
+      extra.add("Cornelspoke-Context", signer.sign(context, secret.get()));
+    }
+    return extra.build();
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -0,0 +1,27 @@
+package org.cornelspoke.daemon.traffic;
+
+import org.cornelspoke.coordination.admission.UpstreamGate;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.transport.http.UpstreamPool;
+import org.cornelspoke.util.TimerWheel;
+
+/** An upstream that has announced itself to this daemon. */
+final class LocalUpstream {
+
+  final ServiceName service;
+  final Endpoint address;
+  final UpstreamGate gate;
+  final UpstreamPool pool;
+  int slots;
+  boolean draining;
+  int inFlight;
+  TimerWheel.Timer lease;
+
+  LocalUpstream(ServiceName service, Endpoint address, UpstreamGate gate, UpstreamPool pool) {
+    this.service = service;
+    this.address = address;
+    this.gate = gate;
+    this.pool = pool;
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Timers.java
@@ -0,0 +1,46 @@
+package org.cornelspoke.daemon.traffic;
+
+import io.activej.eventloop.Eventloop;
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.util.TimerWheel;
+
+/** Drives a timer wheel from the event loop, only while a timer waits. */
+final class Timers {
+
+  private static final int TICK_MILLIS = 5;
+  private static final int BUCKETS = 512;
+
+  private final Eventloop reactor;
+  private final TimerWheel wheel =
+      new TimerWheel(TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS), BUCKETS, System.nanoTime());
+  private Runnable tickListener = () -> {};
+  private boolean ticking;
+
+  Timers(Eventloop reactor) {
+    this.reactor = reactor;
+  }
+
+  /** Sets what else runs on each tick. */
+  void onTick(Runnable listener) {
+    tickListener = listener;
+  }
+
+  TimerWheel.Timer schedule(long timeNanos, Runnable task) {
+    TimerWheel.Timer timer = wheel.schedule(timeNanos, task);
+    if (!ticking) {
+      ticking = true;
+      reactor.delay(TICK_MILLIS, this::tick);
+    }
+    return timer;
+  }
+
+  private void tick() {
+    wheel.advance(System.nanoTime());
+    tickListener.run();
+    if (wheel.size() > 0) {
+      reactor.delay(TICK_MILLIS, this::tick);
+    } else {
+      ticking = false;
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -0,0 +1,305 @@
+package org.cornelspoke.daemon.traffic;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.dedup.ClaimClient;
+import org.cornelspoke.coordination.dissemination.FleetViewSource;
+import org.cornelspoke.coordination.dissemination.TargetPublisher;
+import org.cornelspoke.coordination.quota.RateLimiter;
+import org.cornelspoke.coordination.retry.RetryLedger;
+import org.cornelspoke.coordination.retry.RetryThrottle;
+import org.cornelspoke.coordination.routing.TargetSelector;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.protocol.call.CallCodec;
+import org.cornelspoke.protocol.context.ContextSigner;
+import org.cornelspoke.transport.http.HttpServer;
+import org.cornelspoke.transport.link.LinkServer;
+import org.cornelspoke.util.Assert;
+
+/**
+ * The traffic path of a daemon as a service. It runs the event loop on a thread of its own; the
+ * collaborators that are not safe for use by several threads are called on that thread only.
+ */
+public final class TrafficDaemon {
+
+  private static final long HOUSEKEEPING_MILLIS = 100;
+  private static final long STOP_POLL_MILLIS = 20;
+  private static final long SWEEP_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Time for peers and callers to read the last answers and close; see {@link HttpServer}. */
+  private static final long LAST_ANSWERS_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  private final Collaborators with;
+  private final LocalUpstreams upstreams;
+  private final PeerLinks links;
+  private final CurrentView view;
+  private final EdgeHandler edgeHandler;
+  private final HttpServer edge;
+  private final HttpServer local;
+  private final LinkServer linkServer;
+  private final Thread thread;
+  private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+  private long lastSweepNanos = System.nanoTime();
+  private boolean stopping;
+  private long drainEndNanos;
+  private long stopEndNanos;
+
+  private TrafficDaemon(Collaborators with) {
+    this.with = with;
+    TrafficSettings settings = with.settings();
+    MetricRegistry registry = with.metrics().registry();
+    Eventloop reactor = with.reactor();
+    CallCodec codec = new CallCodec();
+    ContextSigner signer = new ContextSigner();
+    ParentCalls parents = new ParentCalls();
+    this.upstreams = new LocalUpstreams(with);
+    this.links = new PeerLinks(with, codec);
+    this.view = new CurrentView(with, upstreams, links);
+    LocalCalls localCalls = new LocalCalls(with, upstreams, parents, signer, view);
+    ForwardingParts forwarding =
+        new ForwardingParts(with, upstreams, localCalls, links, new SplittableRandom());
+    this.edgeHandler =
+        new EdgeHandler(new EdgeParts(with, forwarding, parents, new Digests()), view, signer);
+    this.edge =
+        new HttpServer(
+            reactor,
+            settings.edgeAddress().toSocketAddress(),
+            settings.maxBodyBytes(),
+            edgeHandler,
+            registry,
+            "edge");
+    this.local =
+        new HttpServer(
+            reactor,
+            settings.localAddress().toSocketAddress(),
+            LocalApi.MAX_BODY_BYTES,
+            new LocalApi(upstreams),
+            registry,
+            "local");
+    this.linkServer =
+        new LinkServer(
+            reactor,
+            settings.linkAddress().toSocketAddress(),
+            settings.daemonId().value(),
+            codec,
+            settings.maxBodyBytes(),
+            localCalls::onIncoming,
+            registry);
+    this.thread = new Thread(reactor, "traffic-" + settings.daemonId());
+  }
+
+  /**
+   * Returns a builder.
+   *
+   * @param reactor event loop that is not running; the daemon runs it on its own thread
+   */
+  public static Builder builder(TrafficSettings settings, Eventloop reactor) {
+    return new Builder(settings, reactor);
+  }
+
+  /**
+   * Starts the thread and listens on the three addresses.
+   *
+   * @throws IOException if an address is in use
+   */
+  public void start() throws IOException {
+    Eventloop reactor = with.reactor();
+    reactor.keepAlive(true);
+    thread.start();
+    try {
+      reactor.submit(this::listen).get();
+    } catch (ExecutionException e) {
+      reactor.execute(this::closeAll);
+      throw new IOException("can't listen", e.getCause());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted while starting", e);
+    }
+  }
+
+  /**
+   * Stops gracefully: registrations are withdrawn, links and callers are told, what runs is
+   * finished, and then everything is closed. Safe for use by any thread.
+   *
+   * @return completes when everything is closed
+   */
+  public CompletableFuture<Void> stop() {
+    with.reactor().execute(this::beginStop);
+    return stopped.copy();
+  }
+
+  /** Returns the address of the edge, with the port that the system chose if port 0 was given. */
+  public InetSocketAddress edgeAddress() {
+    return edge.boundAddress();
+  }
+
+  /** Returns the address for links of other daemons. */
+  public InetSocketAddress linkAddress() {
+    return linkServer.boundAddress();
+  }
+
+  /** Returns the address of the announcement API. */
+  public InetSocketAddress localAddress() {
+    return local.boundAddress();
+  }
+
+  private void listen() throws IOException {
+    linkServer.start();
+    upstreams.setLinkEndpoint(
+        new Endpoint(with.settings().linkAddress().ip(), linkServer.boundAddress().getPort()));
+    local.start();
+    edge.start();
+    with.timers().onTick(() -> upstreams.onTick(System.nanoTime()));
+    housekeeping();
+  }
+
+  private void housekeeping() {
+    long now = System.nanoTime();
+    view.get();
+    upstreams.onTick(now);
+    if (now - lastSweepNanos >= SWEEP_NANOS) {
+      lastSweepNanos = now;
+      edge.sweep(now);
+      local.sweep(now);
+      links.onTick(now);
+    }
+    with.reactor().delayBackground(HOUSEKEEPING_MILLIS, this::housekeeping);
+  }
+
+  private void beginStop() {
+    if (stopping) {
+      return;
+    }
+    stopping = true;
+    long now = System.nanoTime();
+    drainEndNanos = now + TimeUnit.MILLISECONDS.toNanos(with.settings().drainMillis());
+    stopEndNanos = now + TimeUnit.MILLISECONDS.toNanos(with.settings().stopTimeoutMillis());
+    upstreams.startStopping();
+    linkServer.goAway();
+    edge.startClosing();
+    local.startClosing();
+    awaitDrained();
+  }
+
+  private void awaitDrained() {
+    long now = System.nanoTime();
+    boolean drained = now >= drainEndNanos;
+    if (drained) {
+      edgeHandler.refuseNewRequests();
+    }
+    boolean finished = edge.serving() == 0 && upstreams.inFlight() == 0 && linkServer.isIdle();
+    if ((drained && finished) || now >= stopEndNanos) {
+      edge.stopListening();
+      local.stopListening();
+      stopEndNanos = now + LAST_ANSWERS_NANOS;
+      awaitClosed();
+    } else {
+      with.reactor().delay(STOP_POLL_MILLIS, this::awaitDrained);
+    }
+  }
+
+  /** Callers and peers close first, so that no unread byte makes the kernel drop an answer. */
+  private void awaitClosed() {
+    boolean closed = edge.connections() == 0 && linkServer.links() == 0;
+    if (closed || System.nanoTime() >= stopEndNanos) {
+      closeAll();
+    } else {
+      with.reactor().delay(STOP_POLL_MILLIS, this::awaitClosed);
+    }
+  }
+
+  private void closeAll() {
+    links.close();
+    linkServer.close();
+    edge.closeAll();
+    local.closeAll();
+    upstreams.close();
+    with.reactor().keepAlive(false);
+    with.reactor().breakEventloop();
+    stopped.complete(null);
+  }
+
+  /** Collects the collaborators; all of them are needed. Not safe for use by several threads. */
+  public static final class Builder {
+
+    private final TrafficSettings settings;
+    private final Eventloop reactor;
+    private FleetViewSource views;
+    private RateLimiter rateLimiter;
+    private ClaimClient claims;
+    private GateFactory gates;
+    private TargetSelector selector;
+    private RetryLedger ledger;
+    private RetryThrottle throttle;
+    private TargetPublisher publisher;
+    private MetricRegistry metrics;
+
+    private Builder(TrafficSettings settings, Eventloop reactor) {
+      this.settings = Assert.notNull(settings, "settings");
+      this.reactor = Assert.notNull(reactor, "reactor");
+    }
+
+    /** Sets where configuration comes from and where registrations go. */
+    public Builder withFleet(FleetViewSource newViews, TargetPublisher newPublisher) {
+      this.views = newViews;
+      this.publisher = newPublisher;
+      return this;
+    }
+
+    /** Sets the admission of requests. */
+    public Builder withAdmission(
+        RateLimiter newRateLimiter, ClaimClient newClaims, GateFactory newGates) {
+      this.rateLimiter = newRateLimiter;
+      this.claims = newClaims;
+      this.gates = newGates;
+      return this;
+    }
+
+    /** Sets the choice of targets. */
+    public Builder withSelector(TargetSelector newSelector) {
+      this.selector = newSelector;
+      return this;
+    }
+
+    /** Sets the bounds on repeated attempts. */
+    public Builder withRetries(RetryLedger newLedger, RetryThrottle newThrottle) {
+      this.ledger = newLedger;
+      this.throttle = newThrottle;
+      return this;
+    }
+
+    /** Sets where metrics are registered. */
+    public Builder withMetrics(MetricRegistry newMetrics) {
+      this.metrics = newMetrics;
+      return this;
+    }
+
+    /**
+     * Returns the daemon, not yet started.
+     *
+     * @throws IllegalArgumentException if a collaborator is missing
+     */
+    public TrafficDaemon build() {
+      return new TrafficDaemon(
+          new Collaborators(
+              reactor,
+              settings,
+              Assert.notNull(views, "views"),
+              Assert.notNull(rateLimiter, "rateLimiter"),
+              Assert.notNull(claims, "claims"),
+              Assert.notNull(gates, "gates"),
+              Assert.notNull(selector, "selector"),
+              Assert.notNull(ledger, "ledger"),
+              Assert.notNull(throttle, "throttle"),
+              Assert.notNull(publisher, "publisher"),
+              new TrafficMetrics(Assert.notNull(metrics, "metrics")),
+              new Timers(reactor)));
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
@@ -0,0 +1,51 @@
+package org.cornelspoke.daemon.traffic;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.EnumMap;
+import java.util.Map;
+import org.cornelspoke.model.RefusalReason;
+
+/** Metrics of the traffic path. Counters are used where other programs write a log line. */
+final class TrafficMetrics {
+
+  private final MetricRegistry registry;
+  private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
+
+  final Timer requestTime;
+  final Timer gateWaitTime;
+  final Timer upstreamTime;
+  final Counter answered;
+  final Counter attempts;
+  final Counter retries;
+  final Counter retriesThrottled;
+  final Counter abandoned;
+  final Counter leasesEnded;
+  final Counter forgedContexts;
+
+  TrafficMetrics(MetricRegistry registry) {
+    this.registry = registry;
+    for (RefusalReason reason : RefusalReason.values()) {
+      refusals.put(reason, registry.counter("edge.refused." + reason.code()));
+    }
+    this.requestTime = registry.timer("edge.request-time");
+    this.gateWaitTime = registry.timer("gate.wait-time");
+    this.upstreamTime = registry.timer("upstream.time");
+    this.answered = registry.counter("edge.answered");
+    this.attempts = registry.counter("edge.attempts");
+    this.retries = registry.counter("edge.retries");
+    this.retriesThrottled = registry.counter("edge.retries-throttled");
+    this.abandoned = registry.counter("edge.abandoned");
+    this.leasesEnded = registry.counter("local.leases-ended");
+    this.forgedContexts = registry.counter("edge.forged-contexts");
+  }
+
+  MetricRegistry registry() {
+    return registry;
+  }
+
+  void onRefused(RefusalReason reason) {
+    refusals.get(reason).inc();
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficSettings.java
@@ -0,0 +1,123 @@
+package org.cornelspoke.daemon.traffic;
+
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.util.Assert;
+
+/**
+ * Settings of the traffic path.
+ *
+ * @param edgeAddress where callers and nested calls of the upstream connect
+ * @param linkAddress where other daemons connect
+ * @param localAddress where the upstream announces itself
+ * @param shareWaitMillis longest wait for a rate token
+ * @param maxBodyBytes largest request or answer body
+ * @param drainMillis time for which a stopping daemon still takes requests, so that callers and
+ *     other daemons learn of the stop from answers and not from closed connections
+ * @param stopTimeoutMillis longest graceful stop; what runs after it is cut
+ */
+public record TrafficSettings(
+    DaemonId daemonId,
+    DataCentreId dataCentre,
+    Endpoint edgeAddress,
+    Endpoint linkAddress,
+    Endpoint localAddress,
+    StaleKeys staleKeys,
+    long shareWaitMillis,
+    int maxBodyBytes,
+    long drainMillis,
+    long stopTimeoutMillis) {
+
+  /** Checks every part. */
+  public TrafficSettings {
+    Assert.notNull(daemonId, "daemonId");
+    Assert.notNull(dataCentre, "dataCentre");
+    Assert.notNull(edgeAddress, "edgeAddress");
+    Assert.notNull(linkAddress, "linkAddress");
+    Assert.notNull(localAddress, "localAddress");
+    Assert.isTrue(
+        localAddress.toSocketAddress().getAddress().isLoopbackAddress(),
+        "localAddress must be a loopback address");
+    Assert.notNull(staleKeys, "staleKeys");
+    Assert.isTrue(shareWaitMillis >= 0, "shareWaitMillis must be 0 or more");
+    Assert.isTrue(
+        maxBodyBytes > 0 && maxBodyBytes <= 64 << 20,
+        "maxBodyBytes must be between 1 and 67108864");
+    Assert.isTrue(drainMillis >= 0, "drainMillis must be 0 or more");
+    Assert.isTrue(stopTimeoutMillis >= drainMillis, "stopTimeoutMillis must be >= drainMillis");
+  }
+
+  /** Returns a builder with the default values. */
+  public static Builder builder(DaemonId daemonId, DataCentreId dataCentre) {
+    return new Builder(daemonId, dataCentre);
+  }
+
+  /** Collects settings; addresses have no default. Not safe for use by several threads. */
+  public static final class Builder {
+
+    private final DaemonId daemonId;
+    private final DataCentreId dataCentre;
+    private Endpoint edgeAddress;
+    private Endpoint linkAddress;
+    private Endpoint localAddress;
+    private StaleKeys staleKeys = StaleKeys.REFUSE;
+    private long shareWaitMillis = 50;
+    private int maxBodyBytes = 8 << 20;
+    private long drainMillis = 2_000;
+    private long stopTimeoutMillis = 60_000;
+
+    private Builder(DaemonId daemonId, DataCentreId dataCentre) {
+      this.daemonId = daemonId;
+      this.dataCentre = dataCentre;
+    }
+
+    /** Sets the addresses. */
+    public Builder withAddresses(Endpoint edge, Endpoint link, Endpoint local) {
+      this.edgeAddress = edge;
+      this.linkAddress = link;
+      this.localAddress = local;
+      return this;
+    }
+
+    /** Sets the treatment of keys under a stale view. */
+    public Builder withStaleKeys(StaleKeys newStaleKeys) {
+      this.staleKeys = newStaleKeys;
+      return this;
+    }
+
+    /** Sets the longest wait for a rate token. */
+    public Builder withShareWaitMillis(long millis) {
+      this.shareWaitMillis = millis;
+      return this;
+    }
+
+    /** Sets the largest body. */
+    public Builder withMaxBodyBytes(int bytes) {
+      this.maxBodyBytes = bytes;
+      return this;
+    }
+
+    /** Sets the times of a graceful stop. */
+    public Builder withStopTimes(long newDrainMillis, long newStopTimeoutMillis) {
+      this.drainMillis = newDrainMillis;
+      this.stopTimeoutMillis = newStopTimeoutMillis;
+      return this;
+    }
+
+    /** Returns the settings. */
+    public TrafficSettings build() {
+      return new TrafficSettings(
+          daemonId,
+          dataCentre,
+          edgeAddress,
+          linkAddress,
+          localAddress,
+          staleKeys,
+          shareWaitMillis,
+          maxBodyBytes,
+          drainMillis,
+          stopTimeoutMillis);
+    }
+  }
+}
