--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/DataPathTest.java
@@ -0,0 +1,140 @@
+package org.cornelspoke.daemon.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.cornelspoke.daemon.traffic.RawClient.request;
+
+import org.cornelspoke.daemon.traffic.RawClient.Answer;
+import org.cornelspoke.model.PresetName;
+import org.cornelspoke.state.config.ActivePreset;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class DataPathTest {
+
+  private final TestFleet fleet = new TestFleet();
+
+  @AfterEach
+  void stop() throws Exception {
+    fleet.close();
+  }
+
+  /** Guards against a request that gets lost or changed on its way through two daemons. */
+  @Test
+  void requestTravelsThroughTwoDaemons() throws Exception {
+    try (StandInUpstream upstream =
+        new StandInUpstream(
+            (head, body, socket) ->
+                StandInUpstream.answer(
+                    socket,
+                    201,
+                    "got " + new String(body, UTF_8),
+                    "X-Answer: yes",
+                    "Keep-Alive: 5"))) {
+      fleet.startWith("target", "svc", upstream);
+      TrafficDaemon edge = fleet.start("edge");
+      TestFleet.await(() -> status(edge, request("GET", "/read/x", "", TestFleet.KEY)) == 201);
+      Answer answer =
+          RawClient.once(
+              edge.edgeAddress(),
+              request(
+                  "POST",
+                  "/fees/1?a=b",
+                  "hello",
+                  TestFleet.KEY,
+                  "X-Kept: 1",
+                  "Connection: x-hop",
+                  "X-Hop: 1",
+                  "Cornelspoke-Deadline-Millis: 5000"));
+      assertThat(answer.status()).isEqualTo(201);
+      assertThat(answer.body()).isEqualTo("got hello");
+      assertThat(answer.header("X-Answer")).isEqualTo("yes");
+      assertThat(answer.header("Keep-Alive")).isNull();
+      String head = upstream.heads.get(upstream.heads.size() - 1);
+      assertThat(head).startsWith("POST /fees/1?a=b HTTP/1.1\r\n");
+      assertThat(StandInUpstream.headerOf(head, "X-Kept")).isEqualTo("1");
+      assertThat(StandInUpstream.headerOf(head, "X-Hop")).isNull();
+      assertThat(head).doesNotContain("secret-key");
+      long left = Long.parseLong(StandInUpstream.headerOf(head, "Cornelspoke-Deadline-Millis"));
+      assertThat(left).isAtMost(5_000);
+      assertThat(StandInUpstream.headerOf(head, "Cornelspoke-Context")).isNotEmpty();
+    }
+  }
+
+  /** Guards against large bodies that are cut or reordered by the chunks of a link. */
+  @Test
+  void largeBodiesArriveWhole() throws Exception {
+    try (StandInUpstream upstream =
+        new StandInUpstream(
+            (head, body, socket) ->
+                StandInUpstream.answer(
+                    socket, 200, new String(body, UTF_8) + new String(body, UTF_8)))) {
+      fleet.startWith("target", "svc", upstream);
+      TrafficDaemon edge = fleet.start("edge");
+      fleet.awaitRoute(edge, "/open");
+      StringBuilder body = new StringBuilder();
+      for (int i = 0; body.length() < 400_000; i++) {
+        body.append(i).append(',');
+      }
+      Answer answer = RawClient.once(edge.edgeAddress(), request("POST", "/open", body.toString()));
+      assertThat(answer.body()).isEqualTo(body.toString() + body);
+    }
+  }
+
+  /** Guards against refusals with a wrong status, verdict or reason, or without Retry-After. */
+  @Test
+  void refusalsNameReasonAndVerdict() throws Exception {
+    TrafficDaemon edge = fleet.start("edge");
+    String read = request("GET", "/read", "", TestFleet.KEY);
+    assertRefusal(edge, request("GET", "/read", ""), 401, "key", null);
+    assertRefusal(edge, request("GET", "/read", "", "Authorization: Bearer x"), 401, "key", null);
+    assertRefusal(edge, request("GET", "/nowhere", ""), 404, "no-route", null);
+    assertRefusal(edge, read, 503, "no-target", "1");
+    assertRefusal(
+        edge,
+        request("GET", "/read", "", TestFleet.KEY, "Cornelspoke-Deadline-Millis: 0"),
+        504,
+        "deadline",
+        "1");
+    fleet.withinRate.set(false);
+    assertRefusal(edge, read, 429, "rate", "2");
+    fleet.replace(new ActivePreset(new PresetName("peak")));
+    assertRefusal(edge, request("GET", "/files", "", TestFleet.KEY), 503, "preset", "5");
+    fleet.fresh.set(false);
+    assertRefusal(edge, read, 503, "stale", "1");
+    assertRefusal(edge, request("GET", "/nowhere", ""), 503, "stale", "1");
+    assertThat(fleet.metrics.get("edge").counter("edge.refused.key").getCount()).isEqualTo(2);
+  }
+
+  /** Guards against a withdrawn key that keeps working on an open connection. */
+  @Test
+  void withdrawnKeyStopsOnAnOpenConnection() throws Exception {
+    try (StandInUpstream upstream = StandInUpstream.answering("ok")) {
+      TrafficDaemon daemon = fleet.startWith("target", "svc", upstream);
+      try (RawClient client = new RawClient(daemon.edgeAddress())) {
+        String read = request("GET", "/read", "", TestFleet.KEY);
+        assertThat(client.call(read).status()).isEqualTo(200);
+        fleet.withdrawKeys();
+        assertThat(client.call(read).status()).isEqualTo(401);
+      }
+    }
+  }
+
+  private static int status(TrafficDaemon daemon, String raw) {
+    try {
+      return RawClient.once(daemon.edgeAddress(), raw).status();
+    } catch (java.io.IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static void assertRefusal(
+      TrafficDaemon edge, String raw, int status, String reason, String retryAfter)
+      throws Exception {
+    Answer answer = RawClient.once(edge.edgeAddress(), raw);
+    assertThat(answer.status()).isEqualTo(status);
+    assertThat(answer.reason()).isEqualTo(reason);
+    assertThat(answer.verdict()).isEqualTo("not-run");
+    assertThat(answer.header("Retry-After")).isEqualTo(retryAfter);
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
@@ -0,0 +1,214 @@
+package org.cornelspoke.daemon.traffic;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cornelspoke.coordination.admission.Completion;
+import org.cornelspoke.coordination.admission.GateLoad;
+import org.cornelspoke.coordination.admission.GateRequest;
+import org.cornelspoke.coordination.admission.UpstreamGate;
+import org.cornelspoke.coordination.dedup.ClaimClient;
+import org.cornelspoke.coordination.retry.RetryLedger;
+import org.cornelspoke.coordination.retry.RetryThrottle;
+import org.cornelspoke.coordination.routing.TargetSelector;
+import org.cornelspoke.model.CallId;
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.TargetId;
+import org.cornelspoke.state.claim.ClaimKey;
+import org.cornelspoke.state.claim.ClaimOutcome;
+import org.cornelspoke.state.claim.StoredAnswer;
+import org.cornelspoke.state.config.Preset;
+import org.cornelspoke.state.registry.Target;
+import org.cornelspoke.state.registry.TargetState;
+
+/** The smallest collaborators with which the traffic path works. */
+final class Fakes {
+
+  private Fakes() {}
+
+  /** First come, first served, up to the announced slots. */
+  static final class SlotGate implements UpstreamGate {
+
+    private record Waiting(UpstreamGate.Listener listener) implements Ticket {}
+
+    private final Deque<Waiting> queue = new ArrayDeque<>();
+    private int slots;
+    private int inFlight;
+    private boolean draining;
+
+    SlotGate(int slots) {
+      this.slots = slots;
+    }
+
+    @Override
+    public Ticket submit(GateRequest request, UpstreamGate.Listener listener, long nowNanos) {
+      Waiting ticket = new Waiting(listener);
+      if (draining) {
+        listener.onRefused(RefusalReason.DRAINING, 1_000);
+      } else if (inFlight < slots) {
+        inFlight++;
+        listener.onAdmitted();
+      } else {
+        queue.add(ticket);
+      }
+      return ticket;
+    }
+
+    @Override
+    public void complete(Ticket ticket, Completion completion, long nowNanos) {
+      inFlight--;
+      if (!queue.isEmpty()) {
+        inFlight++;
+        queue.remove().listener().onAdmitted();
+      }
+    }
+
+    @Override
+    public boolean cancel(Ticket ticket, long nowNanos) {
+      return queue.removeIf(waiting -> waiting == ticket);
+    }
+
+    @Override
+    public void onTick(long nowNanos) {}
+
+    @Override
+    public void applyPreset(Preset preset) {}
+
+    @Override
+    public void setAnnouncedSlots(int newSlots) {
+      slots = newSlots;
+    }
+
+    @Override
+    public void setDraining(boolean newDraining) {
+      draining = newDraining;
+    }
+
+    @Override
+    public GateLoad load() {
+      return new GateLoad(inFlight, queue.size(), slots);
+    }
+  }
+
+  /** Takes the first target that was not tried, in the order of the view. */
+  static final class FirstSelector implements TargetSelector {
+
+    private Map<ServiceName, List<Target>> targets = Map.of();
+
+    @Override
+    public void setTargets(Map<ServiceName, List<Target>> newTargets, long nowNanos) {
+      targets = newTargets;
+    }
+
+    @Override
+    public Optional<Target> select(ServiceName service, Set<TargetId> excluded, long nowNanos) {
+      return targets.getOrDefault(service, List.of()).stream()
+          .filter(target -> target.state() == TargetState.UP && !excluded.contains(target.id()))
+          .findFirst();
+    }
+
+    @Override
+    public void onResult(TargetId target, AttemptResult result, long latencyNanos, long nowNanos) {}
+
+    @Override
+    public void onLoad(TargetId target, GateLoad load, long nowNanos) {}
+  }
+
+  /** Lends half of what is left, rounded up. */
+  static final class HalfLedger implements RetryLedger {
+
+    private final Map<CallId, Integer> left = new HashMap<>();
+
+    @Override
+    public void open(CallId call, int extraAttempts) {
+      left.put(call, extraAttempts);
+    }
+
+    @Override
+    public int borrow(CallId parent) {
+      int available = left.getOrDefault(parent, 0);
+      int lent = (available + 1) / 2;
+      left.computeIfPresent(parent, (call, value) -> value - lent);
+      return lent;
+    }
+
+    @Override
+    public void giveBack(CallId parent, int unusedAttempts) {
+      left.computeIfPresent(parent, (call, value) -> value + unusedAttempts);
+    }
+
+    @Override
+    public int close(CallId call) {
+      Integer unused = left.remove(call);
+      return unused == null ? 0 : unused;
+    }
+  }
+
+  /** Allows every retry. */
+  static final class OpenThrottle implements RetryThrottle {
+
+    @Override
+    public void onRequest(long nowNanos) {}
+
+    @Override
+    public boolean tryRetry(long nowNanos) {
+      return true;
+    }
+
+    @Override
+    public void setRatio(double ratio) {}
+  }
+
+  /** Keeps claims in memory; several daemons of a test share it. */
+  static final class MemoryClaims implements ClaimClient {
+
+    private record Claim(CallId attempt, String fingerprintHex, ClaimOutcome outcome) {}
+
+    private final Map<ClaimKey, Claim> claims = new HashMap<>();
+    volatile boolean available = true;
+
+    @Override
+    public synchronized void claim(
+        ClaimKey key,
+        CallId attempt,
+        String fingerprintHex,
+        long deadlineNanos,
+        ClaimClient.Listener listener) {
+      Claim claim = claims.get(key);
+      if (!available) {
+        listener.onOutcome(new ClaimOutcome.Unavailable());
+      } else if (claim == null) {
+        claims.put(key, new Claim(attempt, fingerprintHex, new ClaimOutcome.Running()));
+        listener.onOutcome(new ClaimOutcome.Granted());
+      } else if (!claim.fingerprintHex().equals(fingerprintHex)) {
+        listener.onOutcome(new ClaimOutcome.Mismatch());
+      } else {
+        listener.onOutcome(claim.outcome());
+      }
+    }
+
+    @Override
+    public synchronized void complete(ClaimKey key, CallId attempt, Optional<StoredAnswer> answer) {
+      ClaimOutcome outcome =
+          answer
+              .<ClaimOutcome>map(ClaimOutcome.Done::new)
+              .orElseGet(ClaimOutcome.DoneWithoutAnswer::new);
+      claims.computeIfPresent(
+          key, (k, claim) -> new Claim(attempt, claim.fingerprintHex(), outcome));
+    }
+
+    @Override
+    public synchronized void release(ClaimKey key, CallId attempt) {
+      claims.computeIfPresent(key, (k, claim) -> claim.attempt().equals(attempt) ? null : claim);
+    }
+
+    synchronized int size() {
+      return claims.size();
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -0,0 +1,249 @@
+package org.cornelspoke.daemon.traffic;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import org.cornelspoke.coordination.dissemination.FleetViewSource;
+import org.cornelspoke.coordination.dissemination.TargetPublisher;
+import org.cornelspoke.coordination.quota.RateLimiter;
+import org.cornelspoke.coordination.routing.TargetSelector;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.KeyId;
+import org.cornelspoke.model.PresetName;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.RouteId;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.TargetId;
+import org.cornelspoke.model.TrafficClass;
+import org.cornelspoke.state.config.Account;
+import org.cornelspoke.state.config.ActivePreset;
+import org.cornelspoke.state.config.ClassPolicy;
+import org.cornelspoke.state.config.ClientKey;
+import org.cornelspoke.state.config.ConfigEntity;
+import org.cornelspoke.state.config.ContextSecret;
+import org.cornelspoke.state.config.Preset;
+import org.cornelspoke.state.config.Route;
+import org.cornelspoke.state.registry.Target;
+import org.cornelspoke.state.view.FleetView;
+
+/** Daemons on free ports that share one view; an announced target is in it at once. */
+final class TestFleet implements AutoCloseable, FleetViewSource, TargetPublisher {
+
+  static final String KEY = "Authorization: Bearer secret-key";
+  static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
+
+  private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+  final AtomicBoolean fresh = new AtomicBoolean(true);
+  final AtomicBoolean withinRate = new AtomicBoolean(true);
+  final Fakes.MemoryClaims claims = new Fakes.MemoryClaims();
+  final Map<String, MetricRegistry> metrics = new ConcurrentHashMap<>();
+
+  private final Map<TargetId, Target> targets = new TreeMap<>((a, b) -> compare(a, b));
+  private final List<TrafficDaemon> daemons = new ArrayList<>();
+  private final List<ConfigEntity> entities = new ArrayList<>(defaultEntities());
+  private volatile FleetView view;
+
+  TestFleet() {
+    rebuild();
+  }
+
+  TrafficDaemon start(String name) throws IOException {
+    return start(name, new Fakes.FirstSelector());
+  }
+
+  TrafficDaemon start(String name, TargetSelector selector) throws IOException {
+    TrafficSettings settings =
+        TrafficSettings.builder(new DaemonId(name), new DataCentreId("here"))
+            .withAddresses(ANY_PORT, ANY_PORT, ANY_PORT)
+            .withMaxBodyBytes(1 << 20)
+            .withStopTimes(200, 20_000)
+            .build();
+    MetricRegistry registry = new MetricRegistry();
+    metrics.put(name, registry);
+    RateLimiter limiter =
+        (account, deadline, listener, now) -> {
+          if (withinRate.get()) {
+            listener.onGranted();
+          } else {
+            listener.onRefused(1_500);
+          }
+        };
+    TrafficDaemon daemon =
+        TrafficDaemon.builder(settings, Eventloop.create())
+            .withFleet(this, this)
+            .withAdmission(limiter, claims, (service, slots, now) -> new Fakes.SlotGate(slots))
+            .withSelector(selector)
+            .withRetries(new Fakes.HalfLedger(), new Fakes.OpenThrottle())
+            .withMetrics(registry)
+            .build();
+    daemon.start();
+    daemons.add(daemon);
+    return daemon;
+  }
+
+  /** Starts a daemon beside an upstream that it has announced. */
+  TrafficDaemon startWith(String name, String service, StandInUpstream upstream)
+      throws IOException {
+    TrafficDaemon daemon = start(name);
+    announce(daemon, service, upstream, 10);
+    return daemon;
+  }
+
+  static void announce(TrafficDaemon daemon, String service, StandInUpstream upstream, int slots)
+      throws IOException {
+    String body =
+        "{\"service\":\"%s\",\"address\":\"%s\",\"slots\":%d}"
+            .formatted(service, upstream.address(), slots);
+    int status = local(daemon, "/v1/announce", body).status();
+    if (status != 204) {
+      throw new AssertionError("announcement was answered with " + status);
+    }
+  }
+
+  static RawClient.Answer local(TrafficDaemon daemon, String path, String body) throws IOException {
+    return RawClient.once(daemon.localAddress(), RawClient.request("POST", path, body));
+  }
+
+  /** Waits until the daemon has sent a call over a link, so that its link is ready. */
+  void awaitRoute(TrafficDaemon edge, String target) {
+    await(
+        () -> {
+          try {
+            return RawClient.once(edge.edgeAddress(), RawClient.request("GET", target, "")).status()
+                == 200;
+          } catch (IOException e) {
+            return false;
+          }
+        });
+  }
+
+  static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + WAIT_NANOS;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("condition was not reached");
+      }
+      try {
+        Thread.sleep(5);
+      } catch (InterruptedException e) {
+        throw new AssertionError(e);
+      }
+    }
+  }
+
+  synchronized void replace(ConfigEntity... changed) {
+    for (ConfigEntity entity : changed) {
+      entities.removeIf(old -> old.entityId().equals(entity.entityId()));
+      entities.add(entity);
+    }
+    rebuild();
+  }
+
+  synchronized void withdrawKeys() {
+    entities.removeIf(entity -> entity instanceof ClientKey);
+    rebuild();
+  }
+
+  synchronized boolean isRegistered(String target) {
+    return targets.containsKey(new TargetId(target));
+  }
+
+  synchronized Target target(String target) {
+    return targets.get(new TargetId(target));
+  }
+
+  @Override
+  public FleetView current() {
+    return view;
+  }
+
+  @Override
+  public boolean isFresh(long nowNanos) {
+    return fresh.get();
+  }
+
+  @Override
+  public synchronized void publish(Target target) {
+    targets.put(target.id(), target);
+    rebuild();
+  }
+
+  @Override
+  public synchronized void withdraw(TargetId target) {
+    targets.remove(target);
+    rebuild();
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (TrafficDaemon daemon : daemons) {
+      daemon.stop().get(30, TimeUnit.SECONDS);
+    }
+  }
+
+  static Preset preset(String name, int retryBudget, boolean bulkRefused) {
+    Map<TrafficClass, ClassPolicy> classes = new HashMap<>();
+    Arrays.stream(TrafficClass.values())
+        .forEach(
+            each ->
+                classes.put(
+                    each,
+                    new ClassPolicy(1, 100, 1_000, bulkRefused && each == TrafficClass.BULK)));
+    return new Preset(new PresetName(name), retryBudget, 0.1, 0, classes);
+  }
+
+  static Route route(
+      String prefix, String service, TrafficClass trafficClass, boolean open, boolean repeatable) {
+    return new Route(
+        new RouteId(prefix.substring(1).replace('/', '-')),
+        Route.ANY_METHOD,
+        prefix,
+        new ServiceName(service),
+        trafficClass,
+        open,
+        repeatable,
+        10_000);
+  }
+
+  private void rebuild() {
+    Map<ServiceName, List<Target>> byService =
+        targets.values().stream().collect(Collectors.groupingBy(Target::service));
+    view = new FleetView(new Revision(1), entities, byService);
+  }
+
+  private static int compare(TargetId a, TargetId b) {
+    return a.value().compareTo(b.value());
+  }
+
+  private static Collection<ConfigEntity> defaultEntities() {
+    AccountId account = new AccountId("farm");
+    return List.of(
+        new Account(account, 1_000, 1_000, 1),
+        new ClientKey(new KeyId("key-1"), account, new Digests().of("secret-key")),
+        preset("ordinary", 2, false),
+        preset("peak", 2, true),
+        new ActivePreset(new PresetName("ordinary")),
+        new ContextSecret(1, "00112233445566778899aabbccddeeff"),
+        route("/open", "svc", TrafficClass.INTERACTIVE, true, true),
+        route("/read", "svc", TrafficClass.INTERACTIVE, false, true),
+        route("/fees", "svc", TrafficClass.CRITICAL, false, false),
+        route("/files", "svc", TrafficClass.BULK, false, true),
+        route("/deep", "deep", TrafficClass.BULK, false, true));
+  }
+}
