Test the strict HTTP parser and the upstream connections

Change: a test reproduces the fault with the library; tests of the project's own connections for surplus, idle data, truncated answers, closes, cancel and shed; tables of malformed heads and chunked bodies. Conclusion: the own connections are immune to the reproduced fault.

--- /dev/null
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamPoolTest.java
@@ -0,0 +1,298 @@
+package org.cornelspoke.transport.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.dns.DnsClient;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpRequest;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.protocol.call.CallResult;
+import org.cornelspoke.protocol.call.Headers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class UpstreamPoolTest {
+
+  private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+  private static final String FORGED = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+
+  private final Eventloop reactor = Eventloop.create();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final LinkedBlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
+  private ServerSocket server;
+  private UpstreamPool pool;
+
+  @BeforeEach
+  void start() throws Exception {
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    daemonThread(
+        () -> {
+          try {
+            while (true) {
+              accepted.add(server.accept());
+            }
+          } catch (IOException e) {
+            // The server socket was closed.
+          }
+        });
+    pool = newPool(server.getLocalPort());
+    reactor.keepAlive(true);
+    daemonThread(reactor);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    reactor.execute(reactor::breakEventloop);
+    server.close();
+  }
+
+  /**
+   * Reproduces the fault of the HTTP library because of which the project has its own connections:
+   * surplus bytes on a pooled connection become the answer of the next request.
+   */
+  @Test
+  void libraryGivesSurplusBytesToTheNextRequest() throws Exception {
+    HttpClient client =
+        onReactor(
+            () ->
+                HttpClient.builder(
+                        reactor, DnsClient.create(reactor, InetAddress.getLoopbackAddress()))
+                    .withKeepAliveTimeout(Duration.ofSeconds(10))
+                    .build());
+    CompletableFuture<String> first = libraryRequest(client);
+    Socket socket = accepted.take();
+    readRequest(socket);
+    write(socket, OK + "ok" + FORGED);
+    assertThat(first.get()).isEqualTo("ok");
+    // Nobody answers this request; what it gets is the rest of the first answer.
+    CompletableFuture<String> second = libraryRequest(client);
+    assertThat(second.get(10, TimeUnit.SECONDS)).isEqualTo("stale");
+  }
+
+  /** Guards against surplus bytes that become the answer of the next request. */
+  @Test
+  void surplusClosesTheConnection() throws Exception {
+    CompletableFuture<CallResult> first = send("GET");
+    Socket socket = accepted.take();
+    readRequest(socket);
+    write(socket, OK + "ok" + FORGED);
+    assertThat(bodyOf(first)).isEqualTo("ok");
+    assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    assertThat(metrics.counter("upstream.surplus-closes").getCount()).isEqualTo(1);
+    assertNextRequestIsAnsweredOn(accepted);
+  }
+
+  /** Guards against surplus bytes that arrive after the connection went back into the pool. */
+  @Test
+  void dataOnIdleConnectionClosesIt() throws Exception {
+    CompletableFuture<CallResult> first = send("GET");
+    Socket socket = accepted.take();
+    readRequest(socket);
+    write(socket, OK + "ok");
+    assertThat(bodyOf(first)).isEqualTo("ok");
+    write(socket, FORGED);
+    assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    assertThat(metrics.counter("upstream.idle-data-closes").getCount()).isEqualTo(1);
+    assertNextRequestIsAnsweredOn(accepted);
+  }
+
+  /** Guards against surplus that has arrived but was not read when the connection is taken. */
+  @Test
+  void unreadDataIsSeenBeforeReuse() throws Exception {
+    CompletableFuture<CallResult> first = send("GET");
+    Socket socket = accepted.take();
+    readRequest(socket);
+    write(socket, OK + "ok");
+    assertThat(bodyOf(first)).isEqualTo("ok");
+    CompletableFuture<CallResult> second = new CompletableFuture<>();
+    reactor
+        .submit(
+            () -> {
+              // The event loop is busy here, so it can't have read the surplus.
+              write(socket, FORGED);
+              Thread.sleep(50);
+              pool.send(request("GET"), second::complete);
+            })
+        .get();
+    Socket next = accepted.take();
+    readRequest(next);
+    write(next, OK + "no");
+    assertThat(bodyOf(second)).isEqualTo("no");
+  }
+
+  /** Guards against answers that are cut, malformed or without an end and count as complete. */
+  @Test
+  void incompleteAnswersMayHaveRun() throws Exception {
+    for (String answer :
+        List.of(
+            "",
+            "HTTP/1.1 200 OK\r\nContent-Le",
+            "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n123",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n\r\nno length",
+            "HTTP/1.1 20 OK\r\n\r\n",
+            "garbage\r\n\r\n")) {
+      CompletableFuture<CallResult> result = send("POST");
+      Socket socket = accepted.take();
+      readRequest(socket);
+      write(socket, answer);
+      socket.shutdownOutput();
+      assertThat(result.get()).isEqualTo(new CallResult.Failed(RefusalReason.UPSTREAM_FAILED));
+    }
+  }
+
+  /** Guards against a repeat of a request that a reused connection may have carried. */
+  @Test
+  void closeOfReusedConnectionMayHaveRun() throws Exception {
+    CompletableFuture<CallResult> first = send("POST");
+    Socket socket = accepted.take();
+    readRequest(socket);
+    write(socket, OK + "ok");
+    assertThat(bodyOf(first)).isEqualTo("ok");
+    CompletableFuture<CallResult> second = send("POST");
+    readRequest(socket);
+    socket.close();
+    assertThat(second.get()).isEqualTo(new CallResult.Failed(RefusalReason.UPSTREAM_FAILED));
+  }
+
+  /** Guards against proofs of "not run" that are reported as unknown outcomes. */
+  @Test
+  void refusedConnectionAndShedAreNotRun() throws Exception {
+    CompletableFuture<CallResult> shed = send("POST");
+    Socket socket = accepted.take();
+    readRequest(socket);
+    write(
+        socket,
+        "HTTP/1.1 503 X\r\nCornelspoke-Shed: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n");
+    assertThat(shed.get()).isEqualTo(new CallResult.Refused(RefusalReason.OVERLOAD, 3_000));
+    server.close();
+    int closedPort = server.getLocalPort();
+    CompletableFuture<CallResult> refused = new CompletableFuture<>();
+    reactor.execute(() -> newPool(closedPort).send(request("POST"), refused::complete));
+    assertThat(refused.get()).isEqualTo(new CallResult.Refused(RefusalReason.NO_TARGET, 0));
+  }
+
+  /** Guards against a late answer of a cancelled exchange that reaches the next request. */
+  @Test
+  void cancelClosesTheConnection() throws Exception {
+    List<CallResult> results = new ArrayList<>();
+    UpstreamExchange exchange = onReactor(() -> pool.send(request("POST"), results::add));
+    Socket socket = accepted.take();
+    readRequest(socket);
+    boolean notRun = onReactor(exchange::cancel);
+    assertThat(notRun).isFalse();
+    assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    assertNextRequestIsAnsweredOn(accepted);
+    assertThat(results).isEmpty();
+  }
+
+  /** Guards against interim, bodyless and close-delimited answers that are read with a body. */
+  @Test
+  void specialAnswersEndWhereTheyShould() throws Exception {
+    CompletableFuture<CallResult> head = send("HEAD");
+    Socket socket = accepted.take();
+    readRequest(socket);
+    write(socket, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+    CallResult.Answered answer = (CallResult.Answered) head.get();
+    assertThat(answer.headers().get("content-length")).isEqualTo("9");
+    CompletableFuture<CallResult> untilClose = send("GET");
+    readRequest(socket);
+    write(socket, "HTTP/1.0 200 OK\r\nCornelspoke-Verdict: not-run\r\n\r\nall of it");
+    socket.shutdownOutput();
+    assertThat(bodyOf(untilClose)).isEqualTo("all of it");
+    CallResult.Answered last = (CallResult.Answered) untilClose.get();
+    assertThat(last.headers().size()).isEqualTo(0);
+  }
+
+  private void assertNextRequestIsAnsweredOn(LinkedBlockingQueue<Socket> sockets) throws Exception {
+    CompletableFuture<CallResult> next = send("GET");
+    Socket socket = sockets.take();
+    readRequest(socket);
+    write(socket, OK + "no");
+    assertThat(bodyOf(next)).isEqualTo("no");
+  }
+
+  private <T> T onReactor(Callable<T> task) throws Exception {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    reactor.execute(
+        () -> {
+          try {
+            result.complete(task.call());
+          } catch (Exception e) {
+            result.completeExceptionally(e);
+          }
+        });
+    return result.get();
+  }
+
+  private UpstreamPool newPool(int port) {
+    // No spare connections, so that the order of accepted sockets is known.
+    return new UpstreamPool(reactor, new Endpoint("127.0.0.1", port), 1 << 20, 0, metrics);
+  }
+
+  private CompletableFuture<CallResult> send(String method) {
+    CompletableFuture<CallResult> result = new CompletableFuture<>();
+    reactor.execute(() -> pool.send(request(method), result::complete));
+    return result.orTimeout(20, TimeUnit.SECONDS);
+  }
+
+  private CompletableFuture<String> libraryRequest(HttpClient client) {
+    String url = "http://127.0.0.1:" + server.getLocalPort() + "/";
+    return reactor.submit(
+        () ->
+            client
+                .request(HttpRequest.get(url).build())
+                .then(response -> response.loadBody())
+                .map(body -> body.getString(ISO_8859_1)));
+  }
+
+  private static UpstreamRequest request(String method) {
+    Headers host = new Headers.Builder().add("Host", "a").build();
+    return new UpstreamRequest(method, "/", host, Headers.EMPTY, new byte[0]);
+  }
+
+  private static String bodyOf(CompletableFuture<CallResult> result) throws Exception {
+    return new String(((CallResult.Answered) result.get()).body(), ISO_8859_1);
+  }
+
+  private static void readRequest(Socket socket) throws IOException {
+    InputStream in = socket.getInputStream();
+    int tail = 0;
+    while (tail != 0x0d0a0d0a) {
+      int b = in.read();
+      if (b < 0) {
+        throw new IOException("no request");
+      }
+      tail = tail << 8 | b;
+    }
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(ISO_8859_1));
+    socket.getOutputStream().flush();
+  }
+
+  private static void daemonThread(Runnable task) {
+    Thread thread = new Thread(task, "test");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
