Add the replicated state: configuration, registry, claims and their codec

Cause: the control group needs a deterministic state machine for its log. Map iteration order never reaches encoded state or audit text, because Map.copyOf orders differently in each process.

--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/package-info.java
@@ -0,0 +1,2 @@
+/** MessagePack encoding of configuration, registry and claims, with every field checked. */
+package org.cornelspoke.state.codec;
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/BuiltInPresets.java
@@ -0,0 +1,56 @@
+package org.cornelspoke.state.config;
+
+import java.util.List;
+import java.util.Map;
+import org.cornelspoke.model.PresetName;
+import org.cornelspoke.model.TrafficClass;
+
+/** The presets that exist from the start. */
+public final class BuiltInPresets {
+
+  /** In force until an operator chooses another one. */
+  public static final PresetName ORDINARY = new PresetName("ordinary");
+
+  /** For days on which demand exceeds capacity. */
+  public static final PresetName PEAK = new PresetName("peak");
+
+  /** For days on which part of the upstreams is taken out of service. */
+  public static final PresetName MAINTENANCE = new PresetName("maintenance");
+
+  private static final long CRITICAL_QUEUE_TIMEOUT_MILLIS = 2_000;
+  private static final long INTERACTIVE_QUEUE_TIMEOUT_MILLIS = 1_000;
+  private static final long BULK_QUEUE_TIMEOUT_MILLIS = 500;
+
+  private BuiltInPresets() {}
+
+  /** Returns the presets with their initial values. */
+  static List<Preset> all() {
+    // Retries multiply load during an overload, so the presets for scarce capacity allow fewer.
+    return List.of(
+        preset(ORDINARY, 2, 0.10, 1_000, 0.9, 0.6, false),
+        preset(PEAK, 1, 0.05, 500, 0.7, 0.2, false),
+        preset(MAINTENANCE, 1, 0.05, 500, 0.6, 0.1, true));
+  }
+
+  private static Preset preset(
+      PresetName name,
+      int retryBudget,
+      double retryRatio,
+      long newestFirstAfterMillis,
+      double interactiveShare,
+      double bulkShare,
+      boolean bulkRefused) {
+    return new Preset(
+        name,
+        retryBudget,
+        retryRatio,
+        newestFirstAfterMillis,
+        Map.of(
+            TrafficClass.CRITICAL,
+            new ClassPolicy(1.0, 512, CRITICAL_QUEUE_TIMEOUT_MILLIS, false),
+            TrafficClass.INTERACTIVE,
+            new ClassPolicy(interactiveShare, 256, INTERACTIVE_QUEUE_TIMEOUT_MILLIS, false),
+            TrafficClass.BULK,
+            new ClassPolicy(bulkShare, 128, BULK_QUEUE_TIMEOUT_MILLIS, bulkRefused)));
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlanner.java
@@ -0,0 +1,157 @@
+package org.cornelspoke.state.config;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.OperatorId;
+
+/** The rules that a change must keep, checked against the entities of the current revision. */
+final class ChangePlanner {
+
+  private static final Pattern SHA256_HEX = Pattern.compile("[0-9a-f]{64}");
+  private static final int KEPT_SECRETS = 2;
+
+  private final EntityStore entities;
+
+  ChangePlanner(EntityStore entities) {
+    this.entities = entities;
+  }
+
+  ChangePlan plan(OperatorId operator, ConfigChange change) {
+    ChangePlan plan = plan(change);
+    EntityId operatorEntity = new EntityId(EntityKind.OPERATOR, operator.value());
+    // The first operator is created while there is none. Afterwards a change that was still on its
+    // way when its operator was deleted must not take effect.
+    if (!operators().isEmpty() && !exists(operatorEntity)) {
+      return ChangePlan.rejected(plan.entity(), "operator " + operator + " does not exist");
+    }
+    return plan;
+  }
+
+  private ChangePlan plan(ConfigChange change) {
+    if (change instanceof ConfigChange.CreateAccount create) {
+      EntityId id = create.account().entityId();
+      return exists(id)
+          ? ChangePlan.rejected(id, "the account exists already")
+          : ChangePlan.put(create.account());
+    }
+    if (change instanceof ConfigChange.SetAccount set) {
+      EntityId id = set.account().entityId();
+      return exists(id) ? ChangePlan.put(set.account()) : missing(id);
+    }
+    if (change instanceof ConfigChange.DeleteAccount delete) {
+      return deleteAccount(delete.account());
+    }
+    if (change instanceof ConfigChange.GiveKey give) {
+      return giveKey(give.key());
+    }
+    if (change instanceof ConfigChange.WithdrawKey withdraw) {
+      return removeExisting(new EntityId(EntityKind.CLIENT_KEY, withdraw.key().value()));
+    }
+    if (change instanceof ConfigChange.SetRoute set) {
+      return ChangePlan.put(set.route());
+    }
+    if (change instanceof ConfigChange.DeleteRoute delete) {
+      return removeExisting(new EntityId(EntityKind.ROUTE, delete.route().value()));
+    }
+    if (change instanceof ConfigChange.SetPreset set) {
+      return ChangePlan.put(set.preset());
+    }
+    if (change instanceof ConfigChange.UsePreset use) {
+      EntityId preset = new EntityId(EntityKind.PRESET, use.preset().value());
+      return exists(preset)
+          ? ChangePlan.put(new ActivePreset(use.preset()))
+          : ChangePlan.rejected(ActivePreset.ID, "preset " + use.preset() + " does not exist");
+    }
+    if (change instanceof ConfigChange.SetOperator set) {
+      return setOperator(set.operator());
+    }
+    if (change instanceof ConfigChange.DeleteOperator delete) {
+      return deleteOperator(delete.operator());
+    }
+    return rotateSecret(((ConfigChange.RotateContextSecret) change).secretHex());
+  }
+
+  private ChangePlan deleteAccount(AccountId account) {
+    EntityId id = new EntityId(EntityKind.ACCOUNT, account.value());
+    if (!exists(id)) {
+      return missing(id);
+    }
+    List<EntityId> removed = new ArrayList<>(List.of(id));
+    for (ConfigEntity key :
+        entities.live(e -> e instanceof ClientKey k && k.account().equals(account))) {
+      removed.add(key.entityId());
+    }
+    return ChangePlan.remove(id, removed);
+  }
+
+  private ChangePlan giveKey(ClientKey key) {
+    EntityId id = key.entityId();
+    if (!exists(new EntityId(EntityKind.ACCOUNT, key.account().value()))) {
+      return ChangePlan.rejected(id, "account " + key.account() + " does not exist");
+    }
+    if (exists(id)) {
+      return ChangePlan.rejected(id, "the key id is taken");
+    }
+    if (!SHA256_HEX.matcher(key.keyHashHex()).matches()) {
+      return ChangePlan.rejected(id, "keyHashHex must have 64 lower-case hexadecimal digits");
+    }
+    // Two keys with one hash would make the account of a request ambiguous (I3).
+    return entities.hasKeyHash(key.keyHashHex())
+        ? ChangePlan.rejected(id, "the key is in use under another key id")
+        : ChangePlan.put(key);
+  }
+
+  private ChangePlan setOperator(Operator operator) {
+    return SHA256_HEX.matcher(operator.tokenHashHex()).matches()
+        ? ChangePlan.put(operator)
+        : ChangePlan.rejected(
+            operator.entityId(), "tokenHashHex must have 64 lower-case hexadecimal digits");
+  }
+
+  private ChangePlan deleteOperator(OperatorId operator) {
+    EntityId id = new EntityId(EntityKind.OPERATOR, operator.value());
+    if (exists(id) && operators().size() == 1) {
+      return ChangePlan.rejected(id, "the last operator must stay");
+    }
+    return removeExisting(id);
+  }
+
+  private ChangePlan rotateSecret(String secretHex) {
+    List<ContextSecret> secrets =
+        entities.live(ContextSecret.class::isInstance).stream()
+            .map(ContextSecret.class::cast)
+            .sorted(Comparator.comparingInt(ContextSecret::number))
+            .toList();
+    int number = secrets.isEmpty() ? 1 : secrets.get(secrets.size() - 1).number() + 1;
+    EntityId id = new EntityId(EntityKind.CONTEXT_SECRET, Integer.toString(number));
+    if (secretHex == null || !SHA256_HEX.matcher(secretHex).matches()) {
+      return ChangePlan.rejected(id, "secretHex must have 64 lower-case hexadecimal digits");
+    }
+    List<EntityId> removed =
+        secrets.subList(0, Math.max(0, secrets.size() + 1 - KEPT_SECRETS)).stream()
+            .map(ContextSecret::entityId)
+            .toList();
+    return new ChangePlan(
+        id, List.of(new ContextSecret(number, secretHex)), removed, Optional.empty());
+  }
+
+  private List<ConfigEntity> operators() {
+    return entities.live(Operator.class::isInstance);
+  }
+
+  private ChangePlan removeExisting(EntityId id) {
+    return exists(id) ? ChangePlan.remove(id, List.of(id)) : missing(id);
+  }
+
+  private static ChangePlan missing(EntityId id) {
+    return ChangePlan.rejected(id, id + " does not exist");
+  }
+
+  private boolean exists(EntityId id) {
+    return entities.get(id).isPresent();
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/machine/ControlStateMachine.java
@@ -0,0 +1,94 @@
+package org.cornelspoke.state.machine;
+
+import org.cornelspoke.state.StateMachine;
+import org.cornelspoke.state.claim.ClaimTable;
+import org.cornelspoke.state.codec.CommandCodec;
+import org.cornelspoke.state.codec.ControlCommand;
+import org.cornelspoke.state.codec.ControlResult;
+import org.cornelspoke.state.codec.SnapshotCodec;
+import org.cornelspoke.state.config.ConfigState;
+import org.cornelspoke.state.registry.Registry;
+import org.cornelspoke.util.Assert;
+
+/**
+ * The state of the control group. Readers on the control thread use {@link #config}, {@link
+ * #registry} and {@link #claims} directly and must not change them.
+ *
+ * <p>A command that can't be decoded is an exception and not a result: it was proposed by a newer
+ * version, and a replica that skipped it would no longer be equal to the others.
+ */
+public final class ControlStateMachine implements StateMachine {
+
+  private final ConfigState config = new ConfigState();
+  private final Registry registry = new Registry();
+  private final ClaimTable claims = new ClaimTable();
+  private Runnable changeListener = () -> {};
+
+  /** Returns the configuration. */
+  public ConfigState config() {
+    return config;
+  }
+
+  /** Returns the registry. */
+  public Registry registry() {
+    return registry;
+  }
+
+  /** Returns the claims. */
+  public ClaimTable claims() {
+    return claims;
+  }
+
+  /** Sets what is called after configuration or registry may have changed. */
+  public void setChangeListener(Runnable listener) {
+    this.changeListener = Assert.notNull(listener, "listener");
+  }
+
+  @Override
+  public byte[] apply(long index, byte[] command) {
+    ControlCommand decoded = CommandCodec.decode(command);
+    byte[] result = CommandCodec.encodeResult(apply(decoded));
+    if (decoded instanceof ControlCommand.Change
+        || decoded instanceof ControlCommand.RegistryBatch) {
+      changeListener.run();
+    }
+    return result;
+  }
+
+  @Override
+  public byte[] snapshot() {
+    return SnapshotCodec.encode(
+        new SnapshotCodec.Parts(config.image(), registry.image(), claims.image()));
+  }
+
+  @Override
+  public void restore(byte[] snapshot) {
+    SnapshotCodec.Parts parts = SnapshotCodec.decode(snapshot);
+    config.restore(parts.config());
+    registry.restore(parts.registry());
+    claims.restore(parts.claims());
+    changeListener.run();
+  }
+
+  private ControlResult apply(ControlCommand command) {
+    if (command instanceof ControlCommand.Change change) {
+      return new ControlResult.Changed(config.apply(change.request()));
+    }
+    if (command instanceof ControlCommand.RegistryBatch batch) {
+      return new ControlResult.RegistryVersion(registry.apply(batch.changes()));
+    }
+    if (command instanceof ControlCommand.PlaceClaim place) {
+      return new ControlResult.Claimed(
+          claims.claim(
+              place.key(), place.attempt(), place.fingerprintHex(), place.timestampMillis()));
+    }
+    if (command instanceof ControlCommand.CompleteClaim complete) {
+      return new ControlResult.ClaimEnded(
+          claims.complete(
+              complete.key(), complete.attempt(), complete.answer(), complete.timestampMillis()));
+    }
+    ControlCommand.ReleaseClaim release = (ControlCommand.ReleaseClaim) command;
+    return new ControlResult.ClaimEnded(
+        claims.release(release.key(), release.attempt(), release.timestampMillis()));
+  }
+}
