--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/RelaySession.java
@@ -0,0 +1,56 @@
+package org.cornelspoke.coordination.dissemination;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.TargetId;
+import org.cornelspoke.state.registry.Target;
+
+/** One attached daemon; a handle for the methods of {@link RelaySessions}. */
+public final class RelaySession {
+
+  private final DaemonId daemon;
+  private final DataCentreId dataCentre;
+
+  /** Revision that the daemon has once it has received everything that was sent. */
+  Revision sent;
+
+  /** Registry versions, likewise. */
+  final Map<ServiceName, Long> sentVersions = new HashMap<>();
+
+  /** Announced targets; empty until the daemon has sent its first announcement. */
+  Optional<Map<TargetId, Target>> announced = Optional.empty();
+
+  Revision applied;
+  Optional<Long> freshAsOfNanos = Optional.empty();
+  long heardAtNanos;
+
+  RelaySession(ControlMessage.ControlHello hello, long nowNanos) {
+    this.daemon = hello.daemon();
+    this.dataCentre = hello.dataCentre();
+    this.sent = hello.applied();
+    this.applied = hello.applied();
+    this.heardAtNanos = nowNanos;
+  }
+
+  /** Returns the id of the daemon. */
+  public DaemonId daemon() {
+    return daemon;
+  }
+
+  /** Returns the data centre of the daemon. */
+  public DataCentreId dataCentre() {
+    return dataCentre;
+  }
+
+  void announce(Iterable<Target> targets) {
+    Map<TargetId, Target> all = new LinkedHashMap<>();
+    targets.forEach(target -> all.put(target.id(), target));
+    announced = Optional.of(all);
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/RelaySessions.java
@@ -0,0 +1,220 @@
+package org.cornelspoke.coordination.dissemination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.state.config.ConfigState;
+import org.cornelspoke.state.registry.Registry;
+import org.cornelspoke.state.registry.RegistryChange;
+import org.cornelspoke.state.registry.Target;
+import org.cornelspoke.util.Assert;
+
+/**
+ * The relay's side of dissemination: which daemons are attached, what they have been sent, and how
+ * old the relay's own proof of freshness is.
+ *
+ * <p>Daemons that need the same update get the same message objects, so that the caller can encode
+ * each of them once. Not safe for use by several threads; the control thread owns it.
+ */
+public final class RelaySessions {
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final VmId vm;
+  private final ConfigState config;
+  private final Registry registry;
+  private final Map<DaemonId, RelaySession> sessions = new LinkedHashMap<>();
+  private final Map<Revision, List<ControlMessage>> configUpdates = new HashMap<>();
+  private final Map<VersionKey, List<ControlMessage>> registryUpdates = new HashMap<>();
+  private Revision cachedRevision = Revision.NONE;
+  private long cachedVersion = -1;
+  private Optional<Long> freshAsOfNanos = Optional.empty();
+
+  private record VersionKey(ServiceName service, long from) {}
+
+  /** Creates an object without sessions over the applied state of the relay. */
+  public RelaySessions(VmId vm, ConfigState config, Registry registry) {
+    this.vm = Assert.notNull(vm, "vm");
+    this.config = Assert.notNull(config, "config");
+    this.registry = Assert.notNull(registry, "registry");
+  }
+
+  /** Attaches a daemon. A former session of the same daemon is replaced and no longer counts. */
+  public RelaySession attach(ControlMessage.ControlHello hello, long nowNanos) {
+    RelaySession session = new RelaySession(hello, nowNanos);
+    sessions.remove(hello.daemon());
+    sessions.put(hello.daemon(), session);
+    return session;
+  }
+
+  /** Detaches a daemon; returns false if the session was replaced by a later one. */
+  public boolean detach(RelaySession session) {
+    return sessions.remove(session.daemon(), session);
+  }
+
+  /** Returns the session of a daemon. */
+  public Optional<RelaySession> session(DaemonId daemon) {
+    return Optional.ofNullable(sessions.get(daemon));
+  }
+
+  /** Returns the attached sessions. */
+  public Collection<RelaySession> sessions() {
+    return List.copyOf(sessions.values());
+  }
+
+  /** Notes that a message of the daemon has arrived. */
+  public void heard(RelaySession session, long nowNanos) {
+    session.heardAtNanos = nowNanos;
+  }
+
+  /** Returns the sessions that have been silent for longer than the timeout. */
+  public List<RelaySession> silent(long timeoutNanos, long nowNanos) {
+    return sessions.values().stream()
+        .filter(session -> nowNanos - session.heardAtNanos > timeoutNanos)
+        .toList();
+  }
+
+  /** Replaces the subscription of a daemon. */
+  public void subscribe(RelaySession session, ControlMessage.Subscribe subscribe) {
+    session.sentVersions.clear();
+    session.sentVersions.putAll(subscribe.versions());
+  }
+
+  /** Replaces the targets that a daemon has announced. */
+  public void announce(RelaySession session, ControlMessage.Announce announce) {
+    session.announce(
+        announce.targets().stream()
+            .filter(target -> target.daemon().equals(session.daemon()))
+            .toList());
+  }
+
+  /** Removes targets from those that a daemon has announced. */
+  public void withdraw(RelaySession session, ControlMessage.Withdraw withdraw) {
+    session.announced.ifPresent(targets -> targets.keySet().removeAll(withdraw.targets()));
+  }
+
+  /**
+   * Returns what must be sent to bring the daemon up to the applied state, and counts it as sent. A
+   * daemon that is ahead of this relay gets nothing.
+   */
+  public List<ControlMessage> pending(RelaySession session) {
+    List<ControlMessage> messages = new ArrayList<>();
+    Revision revision = config.revision();
+    if (revision.isAfter(session.sent)) {
+      messages.addAll(configUpdate(session.sent));
+      session.sent = revision;
+    }
+    long version = registry.version();
+    session.sentVersions.replaceAll(
+        (service, from) -> {
+          // An unchanged service keeps its version, because the daemon checks it for gaps.
+          if (version <= from || (from > 0 && !registry.hasChanged(service, from))) {
+            return from;
+          }
+          messages.addAll(registryUpdate(service, from));
+          return version;
+        });
+    return messages;
+  }
+
+  /**
+   * Notes that the relay has applied everything that was committed at a moment after the time.
+   *
+   * @param askedAtNanos when the relay asked for the read index
+   */
+  public void confirmed(long askedAtNanos) {
+    if (freshAsOfNanos.isEmpty() || askedAtNanos - freshAsOfNanos.get() > 0) {
+      freshAsOfNanos = Optional.of(askedAtNanos);
+    }
+  }
+
+  /** Returns the time since the relay was proved to be current, or empty if it never was. */
+  public Optional<Long> ageNanos(long nowNanos) {
+    return freshAsOfNanos.map(asOf -> nowNanos - asOf);
+  }
+
+  /** Answers a freshness query: first what the daemon lacks, then the reply. */
+  public List<ControlMessage> answer(
+      RelaySession session, ControlMessage.FreshnessQuery query, long nowNanos) {
+    session.applied = query.applied();
+    session.freshAsOfNanos = query.ageNanos().map(age -> nowNanos - age);
+    List<ControlMessage> messages = new ArrayList<>(pending(session));
+    messages.add(
+        new ControlMessage.FreshnessReply(query.sequence(), config.revision(), ageNanos(nowNanos)));
+    return messages;
+  }
+
+  /**
+   * Returns the changes that make the registry equal to what attached daemons announce. They are
+   * returned again until they are applied, so a lost proposal needs no other repair.
+   *
+   * @param silenceNanos sessions that have been silent for longer are left out, because their
+   *     daemon may have announced something else to another relay
+   */
+  public List<RegistryChange> registryChanges(long silenceNanos, int limit, long nowNanos) {
+    List<RegistryChange> changes = new ArrayList<>();
+    for (RelaySession session : sessions.values()) {
+      if (session.announced.isPresent() && nowNanos - session.heardAtNanos <= silenceNanos) {
+        addChanges(session, changes);
+      }
+      if (changes.size() >= limit) {
+        return List.copyOf(changes.subList(0, limit));
+      }
+    }
+    return changes;
+  }
+
+  /** Returns the attached daemons. */
+  public List<DaemonStatus> statuses(long nowNanos) {
+    return sessions.values().stream()
+        .map(
+            session ->
+                new DaemonStatus(
+                    session.daemon(),
+                    session.dataCentre(),
+                    vm,
+                    session.applied,
+                    session.freshAsOfNanos.map(asOf -> (nowNanos - asOf) / NANOS_PER_MILLI)))
+        .toList();
+  }
+
+  private void addChanges(RelaySession session, List<RegistryChange> changes) {
+    var announced = session.announced.orElseThrow();
+    for (Target target : announced.values()) {
+      if (!registry.target(target.id()).equals(Optional.of(target))) {
+        changes.add(new RegistryChange.Register(target));
+      }
+    }
+    for (Target target : registry.targetsOf(session.daemon())) {
+      if (!announced.containsKey(target.id())) {
+        changes.add(new RegistryChange.Remove(target.id(), session.daemon()));
+      }
+    }
+  }
+
+  private List<ControlMessage> configUpdate(Revision from) {
+    if (!cachedRevision.equals(config.revision())) {
+      configUpdates.clear();
+      cachedRevision = config.revision();
+    }
+    return configUpdates.computeIfAbsent(from, f -> UpdateParts.of(config.updateFrom(f)));
+  }
+
+  private List<ControlMessage> registryUpdate(ServiceName service, long from) {
+    if (cachedVersion != registry.version()) {
+      registryUpdates.clear();
+      cachedVersion = registry.version();
+    }
+    return registryUpdates.computeIfAbsent(
+        new VersionKey(service, from),
+        key -> UpdateParts.of(registry.updateFrom(key.service(), key.from())));
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
@@ -0,0 +1,292 @@
+package org.cornelspoke.coordination.dissemination;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.TargetId;
+import org.cornelspoke.state.config.ConfigEntity;
+import org.cornelspoke.state.config.EntityId;
+import org.cornelspoke.state.registry.Target;
+import org.cornelspoke.state.view.FleetView;
+import org.cornelspoke.util.Assert;
+
+/**
+ * The daemon's side of dissemination: the applied configuration, which only moves up, the time up
+ * to which it is proved to be current, and the choice of the relay.
+ *
+ * <p>Not safe for use by several threads; the control thread owns it.
+ */
+public final class ViewTracker {
+
+  /**
+   * Part of the freshness bound after which the daemon leaves a relay that does not renew its
+   * freshness. The rest is left for reaching another relay before the bound ends.
+   */
+  private static final double MOVE_AFTER_PART = 2.0 / 3;
+
+  private final DaemonId daemon;
+  private final DataCentreId dataCentre;
+  private final long moveAfterNanos;
+  private final RelayChoice choice;
+  private final Set<ServiceName> chosenServices;
+
+  private Map<EntityId, ConfigEntity> entities = new HashMap<>();
+  private Revision applied = Revision.NONE;
+  private final Map<ServiceName, ServiceTargets> services = new HashMap<>();
+  private Map<EntityId, ConfigEntity> partialEntities;
+  private Revision partialRevision;
+  private final Map<ServiceName, Map<TargetId, Target>> partialTargets = new HashMap<>();
+  private FleetView view = FleetView.EMPTY;
+  private boolean changed;
+
+  private final Map<Long, Long> queries = new LinkedHashMap<>();
+  private long sequence;
+  private Optional<Long> freshAsOfNanos = Optional.empty();
+  private int relay = -1;
+  private boolean connected;
+  private long connectedAtNanos;
+
+  private record ServiceTargets(long version, Map<TargetId, Target> targets) {}
+
+  /**
+   * Creates a tracker without configuration and relay.
+   *
+   * @param relays number of relays; they are numbered from 0 in the order of the settings
+   * @param chosenServices services whose targets are wanted; empty for every routed service
+   * @param freshnessBoundNanos age at which a view counts as stale
+   */
+  public ViewTracker(
+      DaemonId daemon,
+      DataCentreId dataCentre,
+      int relays,
+      Set<ServiceName> chosenServices,
+      long freshnessBoundNanos,
+      RandomGenerator random) {
+    this.daemon = Assert.notNull(daemon, "daemon");
+    this.dataCentre = Assert.notNull(dataCentre, "dataCentre");
+    Assert.isTrue(relays >= 1, "relays must be 1 or more");
+    Assert.isTrue(freshnessBoundNanos > 0, "freshnessBoundNanos must be positive");
+    this.chosenServices = Set.copyOf(chosenServices);
+    this.moveAfterNanos = (long) (freshnessBoundNanos * MOVE_AFTER_PART);
+    this.choice = new RelayChoice(relays, random);
+  }
+
+  /**
+   * Returns the relay to connect to, or empty if there is a connection or the backoff lasts. The
+   * caller must report the outcome by {@link #connected} or {@link #disconnected}.
+   */
+  public OptionalInt nextRelay(long nowNanos) {
+    if (relay >= 0) {
+      return OptionalInt.empty();
+    }
+    relay = choice.next(nowNanos);
+    return relay < 0 ? OptionalInt.empty() : OptionalInt.of(relay);
+  }
+
+  /** Returns the first messages for a relay that has just been reached. */
+  public List<ControlMessage> connected(long nowNanos) {
+    connected = true;
+    connectedAtNanos = nowNanos;
+    queries.clear();
+    dropParts();
+    return List.of(
+        new ControlMessage.ControlHello(daemon, dataCentre, applied),
+        subscription(),
+        query(nowNanos));
+  }
+
+  /** Notes that the relay was not reached, was lost, or was left. */
+  public void disconnected(long nowNanos) {
+    if (relay >= 0) {
+      choice.failed(relay, nowNanos);
+    }
+    relay = -1;
+    connected = false;
+    queries.clear();
+    dropParts();
+  }
+
+  /** Returns true if there is a connection that does not keep the daemon fresh. */
+  public boolean mustMove(long nowNanos) {
+    if (!connected) {
+      return false;
+    }
+    long since =
+        freshAsOfNanos.isPresent() && freshAsOfNanos.get() - connectedAtNanos > 0
+            ? freshAsOfNanos.get()
+            : connectedAtNanos;
+    return nowNanos - since > moveAfterNanos;
+  }
+
+  /** Returns the next freshness query. */
+  public ControlMessage.FreshnessQuery query(long nowNanos) {
+    queries.put(++sequence, nowNanos);
+    return new ControlMessage.FreshnessQuery(
+        sequence, applied, freshAsOfNanos.map(asOf -> nowNanos - asOf));
+  }
+
+  /**
+   * Applies a message of the current relay.
+   *
+   * @return false if the relay is unusable and must be left
+   */
+  public boolean receive(ControlMessage message, long nowNanos) {
+    if (message instanceof ControlMessage.ConfigSnapshot snapshot) {
+      return applySnapshot(snapshot);
+    }
+    if (message instanceof ControlMessage.ConfigDelta delta) {
+      return applyDelta(delta);
+    }
+    if (message instanceof ControlMessage.RegistryDelta delta) {
+      return applyTargets(delta);
+    }
+    if (message instanceof ControlMessage.FreshnessReply reply) {
+      return applyFreshness(reply);
+    }
+    return true;
+  }
+
+  /** Returns the view of what has been applied. */
+  public FleetView view() {
+    if (changed) {
+      changed = false;
+      Map<ServiceName, List<Target>> targets = new HashMap<>();
+      services.forEach((name, s) -> targets.put(name, List.copyOf(s.targets().values())));
+      view = new FleetView(applied, entities.values(), targets);
+    }
+    return view;
+  }
+
+  /** Returns the time up to which the view is proved to be current. */
+  public Optional<Long> freshAsOfNanos() {
+    return freshAsOfNanos;
+  }
+
+  /**
+   * Returns a new subscription if the configuration names other services than those that are
+   * subscribed to.
+   */
+  public Optional<ControlMessage.Subscribe> changedSubscription() {
+    Set<ServiceName> wanted = wantedServices();
+    if (wanted.equals(services.keySet())) {
+      return Optional.empty();
+    }
+    return Optional.of(subscription());
+  }
+
+  private ControlMessage.Subscribe subscription() {
+    Set<ServiceName> wanted = wantedServices();
+    if (services.keySet().retainAll(wanted)) {
+      changed = true;
+    }
+    wanted.forEach(service -> services.putIfAbsent(service, new ServiceTargets(0, Map.of())));
+    Map<ServiceName, Long> versions = new HashMap<>();
+    services.forEach((service, targets) -> versions.put(service, targets.version()));
+    return new ControlMessage.Subscribe(versions);
+  }
+
+  private Set<ServiceName> wantedServices() {
+    return chosenServices.isEmpty() ? Set.copyOf(view().routedServices()) : chosenServices;
+  }
+
+  private boolean applySnapshot(ControlMessage.ConfigSnapshot snapshot) {
+    if (!snapshot.revision().isAfter(applied)) {
+      return true;
+    }
+    if (snapshot.first()) {
+      partialEntities = new HashMap<>();
+      partialRevision = snapshot.revision();
+    } else if (partialEntities == null || !snapshot.revision().equals(partialRevision)) {
+      return false;
+    }
+    snapshot.live().forEach(entity -> partialEntities.put(entity.entityId(), entity));
+    finishConfig(snapshot.revision(), snapshot.last());
+    return true;
+  }
+
+  private boolean applyDelta(ControlMessage.ConfigDelta delta) {
+    if (!delta.to().isAfter(applied)) {
+      return true;
+    }
+    if (delta.from().isAfter(applied) || applied.equals(Revision.NONE)) {
+      return false;
+    }
+    if (partialEntities == null || !delta.to().equals(partialRevision)) {
+      partialEntities = new HashMap<>(entities);
+      partialRevision = delta.to();
+    }
+    delta.live().forEach(entity -> partialEntities.put(entity.entityId(), entity));
+    delta.removed().forEach(partialEntities::remove);
+    finishConfig(delta.to(), delta.last());
+    return true;
+  }
+
+  private void finishConfig(Revision revision, boolean last) {
+    if (last) {
+      entities = partialEntities;
+      applied = revision;
+      partialEntities = null;
+      changed = true;
+    }
+  }
+
+  private boolean applyTargets(ControlMessage.RegistryDelta delta) {
+    ServiceTargets known = services.get(delta.service());
+    if (known == null || delta.to() < known.version()) {
+      return true;
+    }
+    if (!delta.full() && delta.from() > known.version()) {
+      return false;
+    }
+    Map<TargetId, Target> targets =
+        partialTargets.computeIfAbsent(
+            delta.service(), s -> delta.full() ? new HashMap<>() : new HashMap<>(known.targets()));
+    delta.live().forEach(target -> targets.put(target.id(), target));
+    delta.removed().forEach(targets::remove);
+    if (delta.last()) {
+      services.put(delta.service(), new ServiceTargets(delta.to(), targets));
+      partialTargets.remove(delta.service());
+      changed = true;
+    }
+    return true;
+  }
+
+  private boolean applyFreshness(ControlMessage.FreshnessReply reply) {
+    Long askedAt = queries.remove(reply.sequence());
+    if (askedAt == null) {
+      return true;
+    }
+    queries.keySet().removeIf(older -> older < reply.sequence());
+    if (reply.ageNanos().isEmpty() || reply.ageNanos().get() > moveAfterNanos) {
+      return false;
+    }
+    if (reply.revision().isAfter(applied)) {
+      // Everything up to the revision was sent before, so something is missing here.
+      return false;
+    }
+    if (applied.isAfter(reply.revision())) {
+      // The relay lags behind another one. It may catch up before mustMove says otherwise.
+      return true;
+    }
+    long asOf = askedAt - reply.ageNanos().get();
+    if (freshAsOfNanos.isEmpty() || asOf - freshAsOfNanos.get() > 0) {
+      freshAsOfNanos = Optional.of(asOf);
+    }
+    choice.succeeded(relay);
+    return true;
+  }
+
+  private void dropParts() {
+    partialEntities = null;
+    partialTargets.clear();
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/control/ControlCodec.java
@@ -0,0 +1,268 @@
+package org.cornelspoke.protocol.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelspoke.coordination.dissemination.ControlMessage;
+import org.cornelspoke.coordination.dissemination.DaemonStatus;
+import org.cornelspoke.model.CallId;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.TargetId;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.state.claim.StoredAnswer;
+import org.cornelspoke.state.codec.ClaimCodec;
+import org.cornelspoke.state.codec.EntityCodec;
+import org.cornelspoke.state.codec.MalformedMessageException;
+import org.cornelspoke.state.codec.MessageReader;
+import org.cornelspoke.state.codec.MessageWriter;
+import org.cornelspoke.state.codec.TargetCodec;
+import org.cornelspoke.state.config.ConfigEntity;
+import org.cornelspoke.state.config.EntityId;
+import org.cornelspoke.state.registry.Target;
+
+/**
+ * Encodes control messages as {@code [type, correlation, fields...]}. The correlation is 0 in
+ * messages that need no answer. Stateless.
+ */
+public final class ControlCodec {
+
+  private static final String MAGIC = "cornelspoke-control";
+  private static final int PROTOCOL_VERSION = 1;
+
+  private ControlCodec() {}
+
+  /** Encodes a message. */
+  public static byte[] encode(ControlMessage message) {
+    MessageWriter out = new MessageWriter();
+    if (!writeSession(out, message) && !writeUpdate(out, message)) {
+      writeClaim(out, message);
+    }
+    return out.toByteArray();
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @throws MalformedMessageException if the bytes are not a message that this version knows
+   */
+  public static ControlMessage decode(byte[] frame) {
+    return MessageReader.decode(frame, ControlCodec::read);
+  }
+
+  private static MessageWriter head(MessageWriter out, MessageType type, long correlation) {
+    return out.array(type.fields()).number(type.code()).number(correlation);
+  }
+
+  private static boolean writeSession(MessageWriter out, ControlMessage message) {
+    if (message instanceof ControlMessage.ControlHello hello) {
+      head(out, MessageType.CONTROL_HELLO, 0).text(MAGIC).number(PROTOCOL_VERSION);
+      out.text(hello.daemon().value()).text(hello.dataCentre().value());
+      out.number(hello.applied().number());
+    } else if (message instanceof ControlMessage.PeerHello hello) {
+      head(out, MessageType.PEER_HELLO, 0).text(MAGIC).number(PROTOCOL_VERSION);
+      out.text(hello.vm().value());
+    } else if (message instanceof ControlMessage.FreshnessQuery query) {
+      head(out, MessageType.FRESHNESS_QUERY, query.sequence());
+      out.number(query.applied().number()).optional(query.ageNanos(), out::number);
+    } else if (message instanceof ControlMessage.FreshnessReply reply) {
+      head(out, MessageType.FRESHNESS_REPLY, reply.sequence());
+      out.number(reply.revision().number()).optional(reply.ageNanos(), out::number);
+    } else if (message instanceof ControlMessage.ShareEnvelope share) {
+      head(out, MessageType.SHARE_ENVELOPE, 0).bytes(share.content());
+    } else if (message instanceof ControlMessage.StatusQuery query) {
+      head(out, MessageType.STATUS_QUERY, query.correlation());
+    } else if (message instanceof ControlMessage.StatusReply reply) {
+      head(out, MessageType.STATUS_REPLY, reply.correlation()).flag(reply.last());
+      out.list(reply.daemons(), (DaemonStatus status) -> writeStatus(out, status));
+    } else if (message instanceof ControlMessage.AttachmentReport report) {
+      head(out, MessageType.ATTACHMENT_REPORT, 0);
+      out.list(report.daemons(), (DaemonId daemon) -> out.text(daemon.value()));
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private static boolean writeUpdate(MessageWriter out, ControlMessage message) {
+    if (message instanceof ControlMessage.Subscribe subscribe) {
+      head(out, MessageType.SUBSCRIBE, 0).array(subscribe.versions().size());
+      subscribe
+          .versions()
+          .forEach((service, version) -> out.array(2).text(service.value()).number(version));
+    } else if (message instanceof ControlMessage.ConfigDelta delta) {
+      head(out, MessageType.CONFIG_DELTA, 0).number(delta.from().number());
+      out.number(delta.to().number()).flag(delta.last());
+      out.list(delta.live(), (ConfigEntity entity) -> EntityCodec.write(out, entity));
+      out.list(delta.removed(), (EntityId id) -> EntityCodec.writeId(out, id));
+    } else if (message instanceof ControlMessage.ConfigSnapshot snapshot) {
+      head(out, MessageType.CONFIG_SNAPSHOT, 0).number(snapshot.revision().number());
+      out.flag(snapshot.first()).flag(snapshot.last());
+      out.list(snapshot.live(), (ConfigEntity entity) -> EntityCodec.write(out, entity));
+    } else if (message instanceof ControlMessage.RegistryDelta delta) {
+      head(out, MessageType.REGISTRY_DELTA, 0).text(delta.service().value());
+      out.number(delta.from()).number(delta.to()).flag(delta.full()).flag(delta.last());
+      out.list(delta.live(), (Target target) -> TargetCodec.write(out, target));
+      out.list(delta.removed(), (TargetId id) -> out.text(id.value()));
+    } else if (message instanceof ControlMessage.Announce announce) {
+      head(out, MessageType.ANNOUNCE, 0);
+      out.list(announce.targets(), (Target target) -> TargetCodec.write(out, target));
+    } else if (message instanceof ControlMessage.Withdraw withdraw) {
+      head(out, MessageType.WITHDRAW, 0);
+      out.list(withdraw.targets(), (TargetId id) -> out.text(id.value()));
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private static void writeClaim(MessageWriter out, ControlMessage message) {
+    if (message instanceof ControlMessage.ClaimRequest request) {
+      head(out, MessageType.CLAIM_REQUEST, request.correlation());
+      ClaimCodec.writeKey(out, request.key());
+      out.text(request.attempt().value()).text(request.fingerprintHex());
+      out.number(request.timeoutMillis());
+    } else if (message instanceof ControlMessage.ClaimReply reply) {
+      head(out, MessageType.CLAIM_REPLY, reply.correlation());
+      ClaimCodec.writeOutcome(out, reply.outcome());
+    } else if (message instanceof ControlMessage.ClaimComplete complete) {
+      head(out, MessageType.CLAIM_COMPLETE, complete.correlation());
+      ClaimCodec.writeKey(out, complete.key());
+      out.text(complete.attempt().value());
+      out.optional(complete.answer(), (StoredAnswer answer) -> ClaimCodec.writeAnswer(out, answer));
+    } else if (message instanceof ControlMessage.ClaimRelease release) {
+      head(out, MessageType.CLAIM_RELEASE, release.correlation());
+      ClaimCodec.writeKey(out, release.key());
+      out.text(release.attempt().value());
+    } else if (message instanceof ControlMessage.ClaimEndReply reply) {
+      head(out, MessageType.CLAIM_END_REPLY, reply.correlation());
+    }
+  }
+
+  private static ControlMessage read(MessageReader in) {
+    int size = in.arraySize();
+    MessageType type = MessageType.of(in.integer());
+    if (size != type.fields()) {
+      throw new MalformedMessageException(
+          type + " must have " + type.fields() + " fields: " + size);
+    }
+    long correlation = in.number();
+    return switch (type) {
+      case CONTROL_HELLO -> readHello(in);
+      case PEER_HELLO -> {
+        checkMagic(in);
+        yield new ControlMessage.PeerHello(new VmId(in.text()));
+      }
+      case SUBSCRIBE -> readSubscribe(in);
+      case FRESHNESS_QUERY ->
+          new ControlMessage.FreshnessQuery(correlation, new Revision(in.number()), readAge(in));
+      case FRESHNESS_REPLY ->
+          new ControlMessage.FreshnessReply(correlation, new Revision(in.number()), readAge(in));
+      case CONFIG_DELTA ->
+          new ControlMessage.ConfigDelta(
+              new Revision(in.number()),
+              new Revision(in.number()),
+              in.flag(),
+              in.list(() -> EntityCodec.read(in)),
+              in.list(() -> EntityCodec.readId(in)));
+      case CONFIG_SNAPSHOT ->
+          new ControlMessage.ConfigSnapshot(
+              new Revision(in.number()), in.flag(), in.flag(), in.list(() -> EntityCodec.read(in)));
+      case REGISTRY_DELTA ->
+          new ControlMessage.RegistryDelta(
+              new ServiceName(in.text()),
+              in.number(),
+              in.number(),
+              in.flag(),
+              in.flag(),
+              in.list(() -> TargetCodec.read(in)),
+              readTargetIds(in));
+      case ANNOUNCE -> new ControlMessage.Announce(in.list(() -> TargetCodec.read(in)));
+      case WITHDRAW -> new ControlMessage.Withdraw(readTargetIds(in));
+      case SHARE_ENVELOPE -> new ControlMessage.ShareEnvelope(in.bytes());
+      case STATUS_QUERY -> new ControlMessage.StatusQuery(correlation);
+      case STATUS_REPLY ->
+          new ControlMessage.StatusReply(correlation, in.flag(), in.list(() -> readStatus(in)));
+      case ATTACHMENT_REPORT ->
+          new ControlMessage.AttachmentReport(in.list(() -> new DaemonId(in.text())));
+      default -> readClaim(type, correlation, in);
+    };
+  }
+
+  private static ControlMessage readClaim(MessageType type, long correlation, MessageReader in) {
+    return switch (type) {
+      case CLAIM_REQUEST ->
+          new ControlMessage.ClaimRequest(
+              correlation, ClaimCodec.readKey(in), new CallId(in.text()), in.text(), in.number());
+      case CLAIM_REPLY -> new ControlMessage.ClaimReply(correlation, ClaimCodec.readOutcome(in));
+      case CLAIM_COMPLETE ->
+          new ControlMessage.ClaimComplete(
+              correlation,
+              ClaimCodec.readKey(in),
+              new CallId(in.text()),
+              in.optional(() -> ClaimCodec.readAnswer(in)));
+      case CLAIM_RELEASE ->
+          new ControlMessage.ClaimRelease(
+              correlation, ClaimCodec.readKey(in), new CallId(in.text()));
+      case CLAIM_END_REPLY -> new ControlMessage.ClaimEndReply(correlation);
+      default -> throw new IllegalStateException("not a claim message: " + type);
+    };
+  }
+
+  private static ControlMessage.ControlHello readHello(MessageReader in) {
+    checkMagic(in);
+    return new ControlMessage.ControlHello(
+        new DaemonId(in.text()), new DataCentreId(in.text()), new Revision(in.number()));
+  }
+
+  private static void checkMagic(MessageReader in) {
+    if (!in.text().equals(MAGIC)) {
+      throw new MalformedMessageException("the peer does not speak the control protocol");
+    }
+    int version = in.integer();
+    if (version != PROTOCOL_VERSION) {
+      throw MessageReader.unknownType("protocol version", version);
+    }
+  }
+
+  private static ControlMessage.Subscribe readSubscribe(MessageReader in) {
+    Map<ServiceName, Long> versions = new HashMap<>();
+    int size = in.arraySize();
+    for (int i = 0; i < size; i++) {
+      in.array(2);
+      versions.put(new ServiceName(in.text()), in.number());
+    }
+    return new ControlMessage.Subscribe(versions);
+  }
+
+  private static Optional<Long> readAge(MessageReader in) {
+    Optional<Long> age = in.optional(in::number);
+    if (age.isPresent() && age.get() < 0) {
+      throw new MalformedMessageException("age must be 0 or more: " + age.get());
+    }
+    return age;
+  }
+
+  private static List<TargetId> readTargetIds(MessageReader in) {
+    return in.list(() -> new TargetId(in.text()));
+  }
+
+  private static void writeStatus(MessageWriter out, DaemonStatus status) {
+    out.array(5).text(status.daemon().value()).text(status.dataCentre().value());
+    out.text(status.relay().value()).number(status.applied().number());
+    out.optional(status.freshnessAgeMillis(), out::number);
+  }
+
+  private static DaemonStatus readStatus(MessageReader in) {
+    in.array(5);
+    return new DaemonStatus(
+        new DaemonId(in.text()),
+        new DataCentreId(in.text()),
+        new VmId(in.text()),
+        new Revision(in.number()),
+        readAge(in));
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/control/MessageType.java
@@ -0,0 +1,52 @@
+package org.cornelspoke.protocol.control;
+
+import org.cornelspoke.state.codec.MessageReader;
+
+/** Types of control messages. The codes are used in encoded form and must never change. */
+enum MessageType {
+  CONTROL_HELLO(1, 7),
+  PEER_HELLO(2, 5),
+  SUBSCRIBE(3, 3),
+  FRESHNESS_QUERY(4, 4),
+  FRESHNESS_REPLY(5, 4),
+  CONFIG_DELTA(6, 7),
+  CONFIG_SNAPSHOT(7, 6),
+  REGISTRY_DELTA(8, 9),
+  ANNOUNCE(9, 3),
+  WITHDRAW(10, 3),
+  SHARE_ENVELOPE(11, 3),
+  CLAIM_REQUEST(12, 6),
+  CLAIM_REPLY(13, 3),
+  CLAIM_COMPLETE(14, 5),
+  CLAIM_RELEASE(15, 4),
+  CLAIM_END_REPLY(16, 2),
+  STATUS_QUERY(17, 2),
+  STATUS_REPLY(18, 4),
+  ATTACHMENT_REPORT(19, 3);
+
+  private final int code;
+  private final int fields;
+
+  MessageType(int code, int fields) {
+    this.code = code;
+    this.fields = fields;
+  }
+
+  int code() {
+    return code;
+  }
+
+  /** Returns the number of array elements, type and correlation included. */
+  int fields() {
+    return fields;
+  }
+
+  static MessageType of(int code) {
+    for (MessageType type : values()) {
+      if (type.code == code) {
+        return type;
+      }
+    }
+    throw MessageReader.unknownType("control message", code);
+  }
+}
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/registry/Registry.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/registry/Registry.java
@@ -29,6 +29,7 @@
   private final Map<TargetId, RegistryImage.Entry> targets = new HashMap<>();
   private final Map<ServiceName, Map<TargetId, RegistryImage.Entry>> services = new HashMap<>();
   private final Map<DaemonId, Map<TargetId, Target>> daemons = new HashMap<>();
+  private final Map<ServiceName, Long> latestVersions = new HashMap<>();
   private final Deque<RegistryImage.Entry> tombstones = new ArrayDeque<>();
   private int tombstoneCount;
   private long tombstoneFloor;
@@ -45,13 +46,9 @@
     return version;
   }
 
-  /** Returns the version of a service's latest change, or 0 if it never had a target. */
-  public long version(ServiceName service) {
-    long latest = 0;
-    for (RegistryImage.Entry entry : services.getOrDefault(service, Map.of()).values()) {
-      latest = Math.max(latest, entry.version());
-    }
-    return latest;
+  /** Returns true if a copy of the service's targets at the version may be out of date. */
+  public boolean hasChanged(ServiceName service, long from) {
+    return from < tombstoneFloor || latestVersions.getOrDefault(service, 0L) > from;
   }
 
   /** Returns the target, or empty if it is not registered. */
@@ -101,6 +98,7 @@
     targets.clear();
     services.clear();
     daemons.clear();
+    latestVersions.clear();
     tombstones.clear();
     tombstoneCount = 0;
     tombstoneFloor = image.tombstoneFloor();
@@ -158,6 +156,7 @@
       tombstoneCount--;
     }
     service.put(entry.id(), entry);
+    latestVersions.merge(entry.service(), entry.version(), Math::max);
     if (entry.target().isPresent()) {
       targets.put(entry.id(), entry);
       daemons
