--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -0,0 +1,410 @@
+package org.cornelspoke.daemon.controlclient;
+
+import io.activej.reactor.Reactor;
+import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.cornelspoke.coordination.dedup.ClaimClient;
+import org.cornelspoke.coordination.dissemination.ControlMessage;
+import org.cornelspoke.coordination.dissemination.FleetViewSource;
+import org.cornelspoke.coordination.dissemination.TargetPublisher;
+import org.cornelspoke.coordination.dissemination.ViewTracker;
+import org.cornelspoke.model.CallId;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.TargetId;
+import org.cornelspoke.protocol.control.ControlCodec;
+import org.cornelspoke.state.claim.ClaimKey;
+import org.cornelspoke.state.claim.StoredAnswer;
+import org.cornelspoke.state.registry.Target;
+import org.cornelspoke.state.view.FleetView;
+import org.cornelspoke.transport.link.FrameConnection;
+import org.cornelspoke.transport.link.FrameListener;
+import org.cornelspoke.util.Assert;
+
+/**
+ * Keeps a daemon attached to a relay and gives traffic threads the latest view.
+ *
+ * <p>Runs on the control thread, which is the thread of its reactor. {@link #current}, {@link
+ * #isFresh}, {@link #publish} and {@link #withdraw} may be called by any thread, the methods of
+ * {@link ClaimClient} by any reactor thread, all others on the control thread only.
+ */
+public final class ControlClient implements FleetViewSource, ClaimClient, TargetPublisher {
+
+  private static final System.Logger LOGGER = System.getLogger(ControlClient.class.getName());
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final long TICK_MILLIS = 100;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+  /** Several queries fit into the bound, so that a slow answer does not end freshness. */
+  private static final int QUERIES_PER_BOUND = 6;
+
+  /** A relay closes the connection of a daemon that is silent for 3 s. */
+  private static final long MAX_QUERY_MILLIS = 500;
+
+  private final NioReactor reactor;
+  private final List<InetSocketAddress> relays;
+  private final long freshnessBoundNanos;
+  private final long queryNanos;
+  private final LongSupplier nanoClock;
+  private final Optional<ShareListener> shareListener;
+  private final ViewTracker tracker;
+  private final ClaimCalls claims;
+  private final Map<TargetId, Target> published = new LinkedHashMap<>();
+  private RelayLink link;
+  private ScheduledRunnable nextTick;
+  private boolean running;
+  private boolean publicationScheduled;
+  private long queriedAtNanos;
+  private long receivedBytes;
+  private long sentBytes;
+
+  private volatile Publication publication = new Publication(FleetView.EMPTY, Optional.empty());
+
+  /** What traffic threads see; replaced as a whole. */
+  private record Publication(FleetView view, Optional<Long> freshAsOfNanos) {}
+
+  private ControlClient(Builder builder) {
+    this.reactor = Assert.notNull(builder.reactor, "reactor");
+    this.relays = List.copyOf(builder.relays);
+    this.freshnessBoundNanos = builder.freshnessBoundMillis * NANOS_PER_MILLI;
+    this.queryNanos =
+        Math.min(freshnessBoundNanos / QUERIES_PER_BOUND, MAX_QUERY_MILLIS * NANOS_PER_MILLI);
+    this.nanoClock = builder.nanoClock;
+    this.shareListener = Optional.ofNullable(builder.shareListener);
+    this.tracker =
+        new ViewTracker(
+            builder.daemon,
+            builder.dataCentre,
+            relays.size(),
+            builder.services,
+            freshnessBoundNanos,
+            builder.random);
+    this.claims = new ClaimCalls(reactor, nanoClock, this::send);
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Starts to look for a relay. */
+  public void start() {
+    Assert.isTrue(!running, "start must be called once");
+    running = true;
+    tick();
+  }
+
+  /** Closes the connection. The last view stays readable and ages. */
+  public void stop() {
+    running = false;
+    if (nextTick != null) {
+      nextTick.cancel();
+    }
+    if (link != null) {
+      link.close();
+    }
+  }
+
+  @Override
+  public FleetView current() {
+    return publication.view();
+  }
+
+  @Override
+  public boolean isFresh(long nowNanos) {
+    Optional<Long> asOf = publication.freshAsOfNanos();
+    return asOf.isPresent() && nowNanos - asOf.get() <= freshnessBoundNanos;
+  }
+
+  /** Returns the age of the proof of freshness, empty before the first one. */
+  public Optional<Long> freshnessAgeNanos(long nowNanos) {
+    return publication.freshAsOfNanos().map(asOf -> nowNanos - asOf);
+  }
+
+  @Override
+  public void claim(
+      ClaimKey key,
+      CallId attempt,
+      String fingerprintHex,
+      long deadlineNanos,
+      ClaimClient.Listener listener) {
+    Reactor caller = Reactor.getCurrentReactor();
+    reactor.execute(
+        () ->
+            claims.claim(
+                key,
+                attempt,
+                fingerprintHex,
+                deadlineNanos,
+                outcome -> caller.execute(() -> listener.onOutcome(outcome))));
+  }
+
+  @Override
+  public void complete(ClaimKey key, CallId attempt, Optional<StoredAnswer> answer) {
+    reactor.execute(
+        () -> claims.end(id -> new ControlMessage.ClaimComplete(id, key, attempt, answer)));
+  }
+
+  @Override
+  public void release(ClaimKey key, CallId attempt) {
+    reactor.execute(() -> claims.end(id -> new ControlMessage.ClaimRelease(id, key, attempt)));
+  }
+
+  @Override
+  public void publish(Target target) {
+    reactor.execute(
+        () -> {
+          if (!target.equals(published.put(target.id(), target))) {
+            send(new ControlMessage.Announce(List.copyOf(published.values())));
+          }
+        });
+  }
+
+  @Override
+  public void withdraw(TargetId target) {
+    reactor.execute(
+        () -> {
+          if (published.remove(target) != null) {
+            send(new ControlMessage.Withdraw(List.of(target)));
+          }
+        });
+  }
+
+  /** Sends a message about rate shares to the current relay; returns false if there is none. */
+  public boolean sendShare(byte[] message) {
+    if (link == null || link.connection == null) {
+      return false;
+    }
+    send(new ControlMessage.ShareEnvelope(message));
+    return true;
+  }
+
+  /** Returns true while there is a connection to a relay. */
+  public boolean isAttached() {
+    return link != null && link.connection != null;
+  }
+
+  /** Returns the bytes of all frames received, without the length prefixes. */
+  public long receivedBytes() {
+    return receivedBytes;
+  }
+
+  /** Returns the bytes of all frames sent, without the length prefixes. */
+  public long sentBytes() {
+    return sentBytes;
+  }
+
+  private void tick() {
+    if (!running) {
+      return;
+    }
+    long now = nanoClock.getAsLong();
+    if (link != null && tracker.mustMove(now)) {
+      LOGGER.log(Level.INFO, "leaving relay {0}: it renews no freshness", link.address);
+      link.close();
+    }
+    if (link == null) {
+      OptionalInt relay = tracker.nextRelay(now);
+      if (relay.isPresent()) {
+        link = new RelayLink(relays.get(relay.getAsInt()));
+        link.connect();
+      }
+    } else if (link.connection != null && now - queriedAtNanos >= queryNanos) {
+      queriedAtNanos = now;
+      send(tracker.query(now));
+    }
+    claims.onTick();
+    nextTick = reactor.delayBackground(TICK_MILLIS, this::tick);
+  }
+
+  private void send(ControlMessage message) {
+    if (isAttached()) {
+      byte[] frame = ControlCodec.encode(message);
+      sentBytes += frame.length;
+      link.connection.send(frame);
+    }
+  }
+
+  private void receive(ControlMessage message) {
+    if (message instanceof ControlMessage.ClaimReply reply) {
+      claims.onReply(reply);
+    } else if (message instanceof ControlMessage.ClaimEndReply reply) {
+      claims.onEndReply(reply);
+    } else if (message instanceof ControlMessage.ShareEnvelope share) {
+      shareListener.ifPresent(listener -> listener.onMessage(share.content()));
+    } else {
+      if (!tracker.receive(message, nanoClock.getAsLong())) {
+        LOGGER.log(Level.INFO, "leaving relay {0}: it is behind", link.address);
+        link.close();
+      }
+      schedulePublication();
+    }
+  }
+
+  /** Several messages of one read are published together. */
+  private void schedulePublication() {
+    if (!publicationScheduled) {
+      publicationScheduled = true;
+      reactor.postLast(
+          () -> {
+            publicationScheduled = false;
+            publication = new Publication(tracker.view(), tracker.freshAsOfNanos());
+            tracker.changedSubscription().ifPresent(this::send);
+          });
+    }
+  }
+
+  /** One connection attempt and the connection that it leads to. */
+  private final class RelayLink implements FrameListener {
+
+    private final InetSocketAddress address;
+    private FrameConnection connection;
+    private boolean closed;
+
+    RelayLink(InetSocketAddress address) {
+      this.address = address;
+    }
+
+    void connect() {
+      FrameConnection.connect(reactor, address, CONNECT_TIMEOUT)
+          .whenResult(this::onConnected)
+          .whenException(e -> onClosed(e));
+    }
+
+    void close() {
+      if (connection != null) {
+        connection.close();
+      } else {
+        onClosed(new IllegalStateException("stopped while connecting"));
+      }
+    }
+
+    @Override
+    public void onFrame(byte[] frame) {
+      receivedBytes += frame.length;
+      receive(ControlCodec.decode(frame));
+    }
+
+    @Override
+    public void onClosed(Exception cause) {
+      if (closed) {
+        return;
+      }
+      closed = true;
+      boolean attached = connection != null;
+      connection = null;
+      link = null;
+      tracker.disconnected(nanoClock.getAsLong());
+      if (attached) {
+        LOGGER.log(Level.INFO, "detached from relay {0}: {1}", address, cause.getMessage());
+        shareListener.ifPresent(ShareListener::onDetached);
+      }
+    }
+
+    private void onConnected(FrameConnection opened) {
+      if (closed) {
+        opened.close();
+        return;
+      }
+      connection = opened;
+      opened.start(this);
+      long now = nanoClock.getAsLong();
+      queriedAtNanos = now;
+      tracker.connected(now).forEach(ControlClient.this::send);
+      // An empty announcement removes what an earlier process of this daemon has announced.
+      send(new ControlMessage.Announce(List.copyOf(published.values())));
+      claims.onAttached();
+      LOGGER.log(Level.INFO, "attached to relay {0}", address);
+      shareListener.ifPresent(ShareListener::onAttached);
+    }
+  }
+
+  /** Builds a {@link ControlClient}. */
+  public static final class Builder {
+
+    private NioReactor reactor;
+    private DaemonId daemon;
+    private DataCentreId dataCentre;
+    private List<InetSocketAddress> relays = List.of();
+    private Set<ServiceName> services = Set.of();
+    private long freshnessBoundMillis = 3_000;
+    private ShareListener shareListener;
+    private LongSupplier nanoClock = System::nanoTime;
+    private RandomGenerator random = new SplittableRandom();
+
+    private Builder() {}
+
+    /** Sets the event loop of the control thread. */
+    public Builder withReactor(NioReactor value) {
+      this.reactor = value;
+      return this;
+    }
+
+    /** Sets the id of this daemon. */
+    public Builder withDaemon(DaemonId value) {
+      this.daemon = value;
+      return this;
+    }
+
+    /** Sets the data centre of this daemon. */
+    public Builder withDataCentre(DataCentreId value) {
+      this.dataCentre = value;
+      return this;
+    }
+
+    /** Sets the relay addresses in order of preference. */
+    public Builder withRelays(List<InetSocketAddress> value) {
+      this.relays = List.copyOf(value);
+      return this;
+    }
+
+    /** Sets the services whose targets are wanted; without them, every routed service. */
+    public Builder withServices(Set<ServiceName> value) {
+      this.services = Set.copyOf(value);
+      return this;
+    }
+
+    /** Sets the age at which a view counts as stale. */
+    public Builder withFreshnessBoundMillis(long value) {
+      Assert.isTrue(value > 0, "freshnessBoundMillis must be positive");
+      this.freshnessBoundMillis = value;
+      return this;
+    }
+
+    /** Sets the receiver of messages about rate shares. */
+    public Builder withShareListener(ShareListener value) {
+      this.shareListener = value;
+      return this;
+    }
+
+    /** Sets the monotonic clock. */
+    public Builder withNanoClock(LongSupplier value) {
+      this.nanoClock = value;
+      return this;
+    }
+
+    /** Sets the source of jitter. */
+    public Builder withRandom(RandomGenerator value) {
+      this.random = value;
+      return this;
+    }
+
+    /** Builds the client. */
+    public ControlClient build() {
+      return new ControlClient(this);
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/PeerLinks.java
@@ -0,0 +1,115 @@
+package org.cornelspoke.daemon.relay;
+
+import io.activej.reactor.nio.NioReactor;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.cornelspoke.coordination.dissemination.ControlMessage;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.protocol.control.ControlCodec;
+import org.cornelspoke.transport.link.FrameConnection;
+import org.cornelspoke.transport.link.FrameListener;
+
+/** Connections that this relay opens to other relays, made when the first message is sent. */
+final class PeerLinks {
+
+  private static final System.Logger LOGGER = System.getLogger(PeerLinks.class.getName());
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
+
+  /** Messages that wait for a connection; reports and queries are repeated by their senders. */
+  private static final int MAX_WAITING = 100;
+
+  private final NioReactor reactor;
+  private final VmId self;
+  private final Map<VmId, InetSocketAddress> addresses;
+  private final BiConsumer<VmId, ControlMessage> receiver;
+  private final Map<VmId, Link> links = new HashMap<>();
+  private boolean stopped;
+
+  PeerLinks(
+      NioReactor reactor,
+      VmId self,
+      Map<VmId, InetSocketAddress> addresses,
+      BiConsumer<VmId, ControlMessage> receiver) {
+    this.reactor = reactor;
+    this.self = self;
+    this.addresses = Map.copyOf(addresses);
+    this.receiver = receiver;
+  }
+
+  Set<VmId> peers() {
+    return addresses.keySet();
+  }
+
+  /** Returns false if the peer is unknown or too many messages wait for a connection. */
+  boolean send(VmId peer, ControlMessage message) {
+    if (stopped || !addresses.containsKey(peer)) {
+      return false;
+    }
+    return links.computeIfAbsent(peer, Link::new).send(message);
+  }
+
+  void stop() {
+    stopped = true;
+    List.copyOf(links.values()).forEach(Link::close);
+  }
+
+  private final class Link implements FrameListener {
+
+    private final VmId peer;
+    private final List<ControlMessage> waiting = new ArrayList<>();
+    private FrameConnection connection;
+
+    Link(VmId peer) {
+      this.peer = peer;
+      FrameConnection.connect(reactor, addresses.get(peer), CONNECT_TIMEOUT)
+          .whenResult(this::onConnected)
+          .whenException(e -> onClosed(e));
+    }
+
+    boolean send(ControlMessage message) {
+      if (connection != null) {
+        connection.send(ControlCodec.encode(message));
+        return true;
+      }
+      return waiting.size() < MAX_WAITING && waiting.add(message);
+    }
+
+    void close() {
+      links.remove(peer, this);
+      if (connection != null) {
+        connection.close();
+      }
+    }
+
+    @Override
+    public void onFrame(byte[] frame) {
+      receiver.accept(peer, ControlCodec.decode(frame));
+    }
+
+    @Override
+    public void onClosed(Exception cause) {
+      if (links.remove(peer, this) && connection != null) {
+        LOGGER.log(Level.INFO, "lost the link to relay {0}: {1}", peer, cause.getMessage());
+      }
+    }
+
+    private void onConnected(FrameConnection opened) {
+      connection = opened;
+      opened.start(this);
+      if (stopped) {
+        opened.close();
+        return;
+      }
+      opened.send(ControlCodec.encode(new ControlMessage.PeerHello(self)));
+      waiting.forEach(this::send);
+      waiting.clear();
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RegistryWriter.java
@@ -0,0 +1,121 @@
+package org.cornelspoke.daemon.relay;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.cornelspoke.coordination.consensus.ReplicatedLog;
+import org.cornelspoke.coordination.dissemination.AttachmentTracker;
+import org.cornelspoke.coordination.dissemination.RelaySessions;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.state.codec.CommandCodec;
+import org.cornelspoke.state.codec.ControlCommand;
+import org.cornelspoke.state.registry.Registry;
+import org.cornelspoke.state.registry.RegistryChange;
+
+/**
+ * Proposes registry changes in batches, one batch at a time. A batch that fails is not repeated:
+ * the next one is computed from the registry as it is then.
+ */
+final class RegistryWriter {
+
+  /** Keeps a batch well below the frame size of 1 MiB. */
+  private static final int MAX_BATCH = 1_000;
+
+  private final ReplicatedLog log;
+  private final Registry registry;
+  private final RelaySessions sessions;
+  private final AttachmentTracker attachments;
+  private final long silenceNanos;
+  private final LongSupplier nanoClock;
+  private boolean batchInFlight;
+  private boolean expiryInFlight;
+
+  RegistryWriter(
+      ReplicatedLog log,
+      Registry registry,
+      RelaySessions sessions,
+      AttachmentTracker attachments,
+      long silenceNanos,
+      LongSupplier nanoClock) {
+    this.log = log;
+    this.registry = registry;
+    this.sessions = sessions;
+    this.attachments = attachments;
+    this.silenceNanos = silenceNanos;
+    this.nanoClock = nanoClock;
+  }
+
+  /** Proposes what attached daemons have announced. */
+  void writeAnnounced() {
+    if (batchInFlight) {
+      return;
+    }
+    List<RegistryChange> changes =
+        sessions.registryChanges(silenceNanos, MAX_BATCH, nanoClock.getAsLong());
+    if (!changes.isEmpty()) {
+      batchInFlight = true;
+      propose(changes, () -> batchInFlight = false);
+    }
+  }
+
+  /** Proposes the removal of targets without a daemon, if this member leads. */
+  void removeExpired(Collection<DaemonId> attachedHere) {
+    if (!log.isLeader()) {
+      attachments.follow();
+      return;
+    }
+    attachments.lead(log.term(), nanoClock.getAsLong());
+    attachments.report(attachedHere, nanoClock.getAsLong());
+    if (expiryInFlight || attachments.expired(registry, nanoClock.getAsLong()).isEmpty()) {
+      return;
+    }
+    expiryInFlight = true;
+    long term = log.term();
+    // A member that was deposed behind a partition has had no reports, and its proposals are
+    // forwarded once it hears of its successor. So leadership is proved before the removal.
+    log.readIndex(
+        new ReplicatedLog.ReadListener() {
+          @Override
+          public void onCurrent(long index) {
+            expiryInFlight = false;
+            if (log.isLeader() && log.term() == term) {
+              proposeExpired();
+            }
+          }
+
+          @Override
+          public void onUnavailable(String cause) {
+            expiryInFlight = false;
+          }
+        });
+  }
+
+  private void proposeExpired() {
+    List<RegistryChange> due = attachments.expired(registry, nanoClock.getAsLong());
+    if (!due.isEmpty()) {
+      expiryInFlight = true;
+      propose(due.subList(0, Math.min(MAX_BATCH, due.size())), () -> expiryInFlight = false);
+    }
+  }
+
+  private void propose(List<RegistryChange> changes, Runnable done) {
+    log.propose(
+        CommandCodec.encode(new ControlCommand.RegistryBatch(changes)),
+        new ReplicatedLog.ProposalListener() {
+          @Override
+          public void onCommitted(long index, byte[] result) {
+            done.run();
+          }
+
+          @Override
+          public void onNotAppended(String cause) {
+            done.run();
+          }
+
+          @Override
+          public void onUnknown(String cause) {
+            done.run();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -0,0 +1,480 @@
+package org.cornelspoke.daemon.relay;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.cornelspoke.coordination.consensus.ReplicatedLog;
+import org.cornelspoke.coordination.dissemination.AttachmentTracker;
+import org.cornelspoke.coordination.dissemination.ControlMessage;
+import org.cornelspoke.coordination.dissemination.DaemonStatus;
+import org.cornelspoke.coordination.dissemination.RelaySession;
+import org.cornelspoke.coordination.dissemination.RelaySessions;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.protocol.control.ControlCodec;
+import org.cornelspoke.state.machine.ControlStateMachine;
+import org.cornelspoke.transport.link.FrameConnection;
+import org.cornelspoke.transport.link.FrameServer;
+import org.cornelspoke.util.Assert;
+
+/**
+ * Serves the daemons that are attached to this control VM, and other relays.
+ *
+ * <p>Belongs to the control thread, which is the thread of its reactor; every method must be called
+ * there.
+ */
+public final class RelayServer {
+
+  private static final System.Logger LOGGER = System.getLogger(RelayServer.class.getName());
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final long TICK_MILLIS = 50;
+
+  /** A fifteenth of the usual freshness bound; adds at most this much to every daemon's age. */
+  private static final long READ_INDEX_MILLIS = 200;
+
+  /** A read index without an answer for this long is asked again. */
+  private static final long READ_INDEX_TIMEOUT_MILLIS = 1_000;
+
+  /** Daemons send a query every 500 ms, so this is the loss of several in a row. */
+  private static final long SESSION_SILENCE_MILLIS = 3_000;
+
+  private static final int STATUSES_PER_MESSAGE = 1_000;
+
+  private final NioReactor reactor;
+  private final ReplicatedLog log;
+  private final ControlStateMachine machine;
+  private final Optional<ShareEndpoint> shareEndpoint;
+  private final LongSupplier nanoClock;
+  private final long reportMillis;
+  private final RelaySessions sessions;
+  private final AttachmentTracker attachments;
+  private final RegistryWriter registryWriter;
+  private final ClaimService claims;
+  private final PeerLinks peers;
+  private final FrameServer server;
+  private final IdentityHashMap<RelaySession, FrameConnection> connections =
+      new IdentityHashMap<>();
+  private final Set<FrameConnection> peerConnections = new HashSet<>();
+  private final Map<Long, StatusCollector> statusCollectors = new HashMap<>();
+  private long statusCorrelation;
+  private ScheduledRunnable nextTick;
+  private boolean running;
+  private boolean flushScheduled;
+  private long readAskedAtNanos;
+  private boolean readOutstanding;
+  private long reportedAtNanos;
+  private long sentBytes;
+
+  private RelayServer(Builder builder) {
+    this.reactor = Assert.notNull(builder.reactor, "reactor");
+    this.log = Assert.notNull(builder.log, "log");
+    this.machine = Assert.notNull(builder.machine, "machine");
+    this.shareEndpoint = Optional.ofNullable(builder.shareEndpoint);
+    this.nanoClock = builder.nanoClock;
+    long leaseNanos = builder.targetLeaseMillis * NANOS_PER_MILLI;
+    // Several reports fit into a lease, so that a lost one removes nothing.
+    this.reportMillis = Math.max(TICK_MILLIS, builder.targetLeaseMillis / 10);
+    this.sessions =
+        new RelaySessions(Assert.notNull(builder.vm, "vm"), machine.config(), machine.registry());
+    this.attachments = new AttachmentTracker(leaseNanos);
+    this.registryWriter =
+        new RegistryWriter(
+            log,
+            machine.registry(),
+            sessions,
+            attachments,
+            SESSION_SILENCE_MILLIS * NANOS_PER_MILLI,
+            nanoClock);
+    this.claims =
+        new ClaimService(
+            new RetryingLog(reactor, log, nanoClock), nanoClock, builder.wallClockMillis);
+    this.peers = new PeerLinks(reactor, builder.vm, builder.peers, this::receiveFromPeer);
+    this.server =
+        new FrameServer(
+            reactor,
+            Assert.notNull(builder.relayAddress, "relayAddress"),
+            connection -> connection.start(new RelayConnection(this, connection)));
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /**
+   * Starts to listen and to prove freshness.
+   *
+   * @throws IOException if the relay address is in use
+   */
+  public void start() throws IOException {
+    server.start();
+    running = true;
+    machine.setChangeListener(this::scheduleFlush);
+    tick();
+  }
+
+  /** Stops listening and closes every connection; daemons move to other relays. */
+  public void stop() {
+    running = false;
+    if (nextTick != null) {
+      nextTick.cancel();
+    }
+    machine.setChangeListener(() -> {});
+    server.stop();
+    peers.stop();
+    List.copyOf(connections.values()).forEach(FrameConnection::close);
+    List.copyOf(peerConnections).forEach(FrameConnection::close);
+  }
+
+  /** Returns the address in use, with the port that the system chose if port 0 was given. */
+  public InetSocketAddress boundAddress() {
+    return server.boundAddress();
+  }
+
+  /** Sends a message about rate shares; returns false if the daemon is not attached here. */
+  public boolean sendShare(DaemonId daemon, byte[] message) {
+    Optional<RelaySession> session = sessions.session(daemon);
+    session.ifPresent(s -> send(connections.get(s), new ControlMessage.ShareEnvelope(message)));
+    return session.isPresent();
+  }
+
+  /** Sends a message about rate shares to another relay; returns false if it can't be sent. */
+  public boolean sendShareToPeer(VmId vm, byte[] message) {
+    return peers.send(vm, new ControlMessage.ShareEnvelope(message));
+  }
+
+  /** Returns the daemons that are attached to this relay. */
+  public List<DaemonStatus> attachedDaemons() {
+    return sessions.statuses(nanoClock.getAsLong());
+  }
+
+  /** Returns the time since this relay was proved to be current, or empty if it never was. */
+  public Optional<Long> ageNanos() {
+    return sessions.ageNanos(nanoClock.getAsLong());
+  }
+
+  /** Returns the bytes of all frames sent to daemons, without the length prefixes. */
+  public long sentBytes() {
+    return sentBytes;
+  }
+
+  /**
+   * Asks every other relay for its daemons.
+   *
+   * @return the answers that arrived within the timeout, by relay
+   */
+  Promise<Map<VmId, List<DaemonStatus>>> peerDaemons(long timeoutMillis) {
+    long correlation = ++statusCorrelation;
+    StatusCollector collector = new StatusCollector(peers.peers());
+    statusCollectors.put(correlation, collector);
+    for (VmId peer : peers.peers()) {
+      peers.send(peer, new ControlMessage.StatusQuery(correlation));
+    }
+    reactor.delayBackground(
+        timeoutMillis,
+        () -> {
+          statusCollectors.remove(correlation);
+          collector.finish();
+        });
+    return collector.promise;
+  }
+
+  Set<VmId> peerIds() {
+    return peers.peers();
+  }
+
+  RelaySession attach(ControlMessage.ControlHello hello, FrameConnection connection) {
+    sessions.session(hello.daemon()).ifPresent(former -> connections.get(former).close());
+    RelaySession session = sessions.attach(hello, nanoClock.getAsLong());
+    connections.put(session, connection);
+    shareEndpoint.ifPresent(endpoint -> endpoint.onAttached(hello.daemon()));
+    return session;
+  }
+
+  void detach(RelaySession session) {
+    connections.remove(session);
+    if (sessions.detach(session)) {
+      shareEndpoint.ifPresent(endpoint -> endpoint.onDetached(session.daemon()));
+    }
+  }
+
+  void attachPeer(FrameConnection connection) {
+    peerConnections.add(connection);
+  }
+
+  void detachPeer(FrameConnection connection) {
+    peerConnections.remove(connection);
+  }
+
+  void receive(RelaySession session, FrameConnection connection, ControlMessage message) {
+    sessions.heard(session, nanoClock.getAsLong());
+    if (message instanceof ControlMessage.FreshnessQuery query) {
+      sendAll(connection, sessions.answer(session, query, nanoClock.getAsLong()));
+    } else if (message instanceof ControlMessage.Subscribe subscribe) {
+      sessions.subscribe(session, subscribe);
+      sendAll(connection, sessions.pending(session));
+    } else if (message instanceof ControlMessage.Announce announce) {
+      sessions.announce(session, announce);
+      registryWriter.writeAnnounced();
+    } else if (message instanceof ControlMessage.Withdraw withdraw) {
+      sessions.withdraw(session, withdraw);
+      registryWriter.writeAnnounced();
+    } else if (message instanceof ControlMessage.ShareEnvelope share) {
+      shareEndpoint.ifPresent(e -> e.onMessage(session.daemon(), share.content()));
+    } else if (message instanceof ControlMessage.ClaimRequest request) {
+      claims.place(request, reply -> send(connection, reply));
+    } else if (message instanceof ControlMessage.ClaimComplete complete) {
+      claims.complete(complete, reply -> send(connection, reply));
+    } else if (message instanceof ControlMessage.ClaimRelease release) {
+      claims.release(release, reply -> send(connection, reply));
+    } else {
+      throw new IllegalArgumentException(
+          "a daemon must not send " + message.getClass().getSimpleName());
+    }
+  }
+
+  void receiveFromPeer(VmId vm, FrameConnection connection, ControlMessage message) {
+    if (message instanceof ControlMessage.StatusQuery query) {
+      List<DaemonStatus> all = attachedDaemons();
+      for (int from = 0; from == 0 || from < all.size(); from += STATUSES_PER_MESSAGE) {
+        int to = Math.min(all.size(), from + STATUSES_PER_MESSAGE);
+        send(
+            connection,
+            new ControlMessage.StatusReply(
+                query.correlation(), to == all.size(), all.subList(from, to)));
+      }
+    } else if (message instanceof ControlMessage.AttachmentReport report) {
+      attachments.report(report.daemons(), nanoClock.getAsLong());
+    } else {
+      receiveFromPeer(vm, message);
+    }
+  }
+
+  private void receiveFromPeer(VmId vm, ControlMessage message) {
+    if (message instanceof ControlMessage.ShareEnvelope share) {
+      shareEndpoint.ifPresent(endpoint -> endpoint.onPeerMessage(vm, share.content()));
+    } else if (message instanceof ControlMessage.StatusReply reply) {
+      StatusCollector collector = statusCollectors.get(reply.correlation());
+      if (collector != null) {
+        collector.add(vm, reply);
+      }
+    } else {
+      throw new IllegalArgumentException(
+          "a relay must not send " + message.getClass().getSimpleName());
+    }
+  }
+
+  private void tick() {
+    if (!running) {
+      return;
+    }
+    long now = nanoClock.getAsLong();
+    proveFreshness(now);
+    registryWriter.writeAnnounced();
+    for (RelaySession silent : sessions.silent(SESSION_SILENCE_MILLIS * NANOS_PER_MILLI, now)) {
+      LOGGER.log(Level.INFO, "daemon {0} is silent; closing its connection", silent.daemon());
+      connections.get(silent).close();
+    }
+    if (now - reportedAtNanos >= reportMillis * NANOS_PER_MILLI) {
+      reportedAtNanos = now;
+      reportAttached();
+    }
+    nextTick = reactor.delayBackground(TICK_MILLIS, this::tick);
+  }
+
+  private void proveFreshness(long now) {
+    long sinceMillis = (now - readAskedAtNanos) / NANOS_PER_MILLI;
+    if (sinceMillis < (readOutstanding ? READ_INDEX_TIMEOUT_MILLIS : READ_INDEX_MILLIS)) {
+      return;
+    }
+    readAskedAtNanos = now;
+    readOutstanding = true;
+    log.readIndex(
+        new ReplicatedLog.ReadListener() {
+          @Override
+          public void onCurrent(long index) {
+            sessions.confirmed(now);
+            done();
+          }
+
+          @Override
+          public void onUnavailable(String cause) {
+            done();
+          }
+
+          private void done() {
+            if (readAskedAtNanos == now) {
+              readOutstanding = false;
+            }
+          }
+        });
+  }
+
+  private void reportAttached() {
+    List<DaemonId> attached = sessions.sessions().stream().map(RelaySession::daemon).toList();
+    if (!log.isLeader() && !attached.isEmpty()) {
+      log.leader().ifPresent(vm -> peers.send(vm, new ControlMessage.AttachmentReport(attached)));
+    }
+    registryWriter.removeExpired(attached);
+  }
+
+  private void scheduleFlush() {
+    if (!flushScheduled) {
+      flushScheduled = true;
+      reactor.postLast(this::flush);
+    }
+  }
+
+  private void flush() {
+    flushScheduled = false;
+    // Daemons at the same revision get the same message objects, which are encoded once.
+    IdentityHashMap<ControlMessage, byte[]> encoded = new IdentityHashMap<>();
+    for (RelaySession session : sessions.sessions()) {
+      FrameConnection connection = connections.get(session);
+      if (connection == null) {
+        continue;
+      }
+      for (ControlMessage message : sessions.pending(session)) {
+        byte[] frame = encoded.computeIfAbsent(message, ControlCodec::encode);
+        sentBytes += frame.length;
+        connection.send(frame);
+      }
+    }
+  }
+
+  private void sendAll(FrameConnection connection, List<ControlMessage> messages) {
+    messages.forEach(message -> send(connection, message));
+  }
+
+  private void send(FrameConnection connection, ControlMessage message) {
+    byte[] frame = ControlCodec.encode(message);
+    sentBytes += frame.length;
+    connection.send(frame);
+  }
+
+  /** Gathers the answers of other relays to one status query. */
+  private static final class StatusCollector {
+
+    final SettablePromise<Map<VmId, List<DaemonStatus>>> promise = new SettablePromise<>();
+    private final Map<VmId, List<DaemonStatus>> parts = new HashMap<>();
+    private final Map<VmId, List<DaemonStatus>> complete = new HashMap<>();
+    private final int expected;
+
+    StatusCollector(Set<VmId> peers) {
+      this.expected = peers.size();
+      if (expected == 0) {
+        finish();
+      }
+    }
+
+    void add(VmId vm, ControlMessage.StatusReply reply) {
+      parts.computeIfAbsent(vm, v -> new ArrayList<>()).addAll(reply.daemons());
+      if (reply.last()) {
+        complete.put(vm, parts.remove(vm));
+      }
+      if (complete.size() == expected) {
+        finish();
+      }
+    }
+
+    void finish() {
+      promise.trySet(Map.copyOf(complete));
+    }
+  }
+
+  /** Builds a {@link RelayServer}. */
+  public static final class Builder {
+
+    private NioReactor reactor;
+    private VmId vm;
+    private InetSocketAddress relayAddress;
+    private Map<VmId, InetSocketAddress> peers = Map.of();
+    private ReplicatedLog log;
+    private ControlStateMachine machine;
+    private ShareEndpoint shareEndpoint;
+    private long targetLeaseMillis = 10_000;
+    private LongSupplier nanoClock = System::nanoTime;
+    private LongSupplier wallClockMillis = System::currentTimeMillis;
+
+    private Builder() {}
+
+    /** Sets the event loop of the control thread. */
+    public Builder withReactor(NioReactor value) {
+      this.reactor = value;
+      return this;
+    }
+
+    /** Sets the id of this control VM. */
+    public Builder withVm(VmId value) {
+      this.vm = value;
+      return this;
+    }
+
+    /** Sets the address that daemons and other relays connect to. */
+    public Builder withRelayAddress(InetSocketAddress value) {
+      this.relayAddress = value;
+      return this;
+    }
+
+    /** Sets the relay addresses of the other control VMs. */
+    public Builder withPeers(Map<VmId, InetSocketAddress> value) {
+      this.peers = Map.copyOf(value);
+      return this;
+    }
+
+    /** Sets the log. */
+    public Builder withLog(ReplicatedLog value) {
+      this.log = value;
+      return this;
+    }
+
+    /** Sets the state machine that the log drives. */
+    public Builder withMachine(ControlStateMachine value) {
+      this.machine = value;
+      return this;
+    }
+
+    /** Sets the receiver of messages about rate shares. */
+    public Builder withShareEndpoint(ShareEndpoint value) {
+      this.shareEndpoint = value;
+      return this;
+    }
+
+    /** Sets the time after which the targets of a vanished daemon are removed. */
+    public Builder withTargetLeaseMillis(long value) {
+      Assert.isTrue(value > 0, "targetLeaseMillis must be positive");
+      this.targetLeaseMillis = value;
+      return this;
+    }
+
+    /** Sets the monotonic clock. */
+    public Builder withNanoClock(LongSupplier value) {
+      this.nanoClock = value;
+      return this;
+    }
+
+    /** Sets the clock that stamps commands. */
+    public Builder withWallClockMillis(LongSupplier value) {
+      this.wallClockMillis = value;
+      return this;
+    }
+
+    /** Builds the server. */
+    public RelayServer build() {
+      return new RelayServer(this);
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RetryingLog.java
@@ -0,0 +1,138 @@
+package org.cornelspoke.daemon.relay;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.Reactor;
+import java.util.function.LongSupplier;
+import org.cornelspoke.coordination.consensus.ReplicatedLog;
+
+/**
+ * Repeats proposals and reads until a deadline. A command is proposed again after an unknown
+ * outcome, so it must have an id that makes its second application harmless.
+ */
+final class RetryingLog {
+
+  /** About a tenth of an election, so that little time is lost after one. */
+  private static final long RETRY_MILLIS = 100;
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final Reactor reactor;
+  private final ReplicatedLog log;
+  private final LongSupplier nanoClock;
+
+  RetryingLog(Reactor reactor, ReplicatedLog log, LongSupplier nanoClock) {
+    this.reactor = reactor;
+    this.log = log;
+    this.nanoClock = nanoClock;
+  }
+
+  /** Fails with {@link ProposalFailedException}. */
+  Promise<byte[]> propose(byte[] command, long deadlineNanos) {
+    Proposal proposal = new Proposal(command, deadlineNanos);
+    proposal.start();
+    return proposal.promise;
+  }
+
+  /** Completes once the applied state is current; fails with {@link UnavailableException}. */
+  Promise<Void> readCurrent(long deadlineNanos) {
+    SettablePromise<Void> promise = new SettablePromise<>();
+    atDeadline(
+        deadlineNanos,
+        () -> promise.trySetException(new UnavailableException("no answer before the deadline")));
+    read(promise, deadlineNanos);
+    return promise;
+  }
+
+  private void read(SettablePromise<Void> promise, long deadlineNanos) {
+    if (promise.isComplete()) {
+      return;
+    }
+    log.readIndex(
+        new ReplicatedLog.ReadListener() {
+          @Override
+          public void onCurrent(long index) {
+            promise.trySet(null);
+          }
+
+          @Override
+          public void onUnavailable(String cause) {
+            if (isPast(deadlineNanos)) {
+              promise.trySetException(new UnavailableException(cause));
+            } else {
+              reactor.delayBackground(RETRY_MILLIS, () -> read(promise, deadlineNanos));
+            }
+          }
+        });
+  }
+
+  private void atDeadline(long deadlineNanos, Runnable action) {
+    long millis = Math.max(0, (deadlineNanos - nanoClock.getAsLong()) / NANOS_PER_MILLI);
+    reactor.delayBackground(millis, action);
+  }
+
+  private boolean isPast(long deadlineNanos) {
+    return nanoClock.getAsLong() + RETRY_MILLIS * NANOS_PER_MILLI - deadlineNanos >= 0;
+  }
+
+  private final class Proposal implements ReplicatedLog.ProposalListener {
+
+    private final SettablePromise<byte[]> promise = new SettablePromise<>();
+    private final byte[] command;
+    private final long deadlineNanos;
+    private boolean maybeCommitted;
+    private boolean outstanding;
+    private String lastCause = "no answer before the deadline";
+
+    Proposal(byte[] command, long deadlineNanos) {
+      this.command = command;
+      this.deadlineNanos = deadlineNanos;
+    }
+
+    void start() {
+      atDeadline(deadlineNanos, this::fail);
+      propose();
+    }
+
+    @Override
+    public void onCommitted(long index, byte[] result) {
+      outstanding = false;
+      promise.trySet(result);
+    }
+
+    @Override
+    public void onNotAppended(String cause) {
+      outstanding = false;
+      retry(cause);
+    }
+
+    @Override
+    public void onUnknown(String cause) {
+      outstanding = false;
+      maybeCommitted = true;
+      retry(cause);
+    }
+
+    private void propose() {
+      if (!promise.isComplete()) {
+        outstanding = true;
+        log.propose(command, this);
+      }
+    }
+
+    private void retry(String cause) {
+      lastCause = cause;
+      if (isPast(deadlineNanos)) {
+        fail();
+      } else {
+        reactor.delayBackground(RETRY_MILLIS, this::propose);
+      }
+    }
+
+    private void fail() {
+      if (!promise.isComplete()) {
+        promise.setException(new ProposalFailedException(maybeCommitted || outstanding, lastCause));
+      }
+    }
+  }
+}
