--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -0,0 +1,296 @@
+package org.cornelspoke.coordination.admission;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.model.TrafficClass;
+import org.cornelspoke.state.config.Preset;
+import org.cornelspoke.util.Assert;
+
+/**
+ * Gate with strict class priority, fair queueing over accounts inside a class and an adaptive
+ * concurrency limit.
+ *
+ * <p>A class may be admitted only while it and the classes below it hold less than its slot share
+ * of the limit, which keeps slots free for the classes above. The queue of a class may use the room
+ * of the classes below; when the room is used up, the least valuable waiting request is refused in
+ * favour of a more valuable one.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class DefaultUpstreamGate implements UpstreamGate {
+
+  private static final TrafficClass[] CLASSES = TrafficClass.values();
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final long MIN_RETRY_AFTER_MILLIS = 50;
+  private static final long MAX_RETRY_AFTER_MILLIS = 30_000;
+  private static final long DRAINING_RETRY_AFTER_MILLIS = 1_000;
+
+  /**
+   * Part of the mean service time that must be left of a request. Service times vary, so a request
+   * with somewhat less than the mean still has a good chance.
+   */
+  private static final double NEEDED_SERVICE_PART = 0.6;
+
+  private final ConcurrencyLimit limit;
+  private final Map<TrafficClass, ClassQueue> queues = new EnumMap<>(TrafficClass.class);
+  private long newestFirstAfterNanos;
+  private boolean draining;
+  private int inFlight;
+
+  /**
+   * Creates a gate without requests.
+   *
+   * @param preset the preset in force
+   * @param limit the concurrency limit, created with the announced slots
+   */
+  public DefaultUpstreamGate(Preset preset, ConcurrencyLimit limit) {
+    Assert.notNull(preset, "preset");
+    this.limit = Assert.notNull(limit, "limit");
+    for (TrafficClass trafficClass : CLASSES) {
+      queues.put(trafficClass, new ClassQueue(preset.policyOf(trafficClass)));
+    }
+    applyPreset(preset);
+  }
+
+  @Override
+  public Ticket submit(GateRequest request, Listener listener, long nowNanos) {
+    Assert.notNull(request, "request");
+    Assert.notNull(listener, "listener");
+    ClassQueue queue = queues.get(request.trafficClass());
+    GateEntry entry =
+        new GateEntry(
+            request, listener, nowNanos + queue.policy().queueTimeoutMillis() * NANOS_PER_MILLI);
+    if (draining) {
+      refuse(entry, RefusalReason.DRAINING, DRAINING_RETRY_AFTER_MILLIS);
+    } else if (queue.policy().refused()) {
+      refuse(entry, RefusalReason.PRESET, MAX_RETRY_AFTER_MILLIS);
+    } else if (entry.remainingNanos(nowNanos) <= 0) {
+      refuse(entry, RefusalReason.DEADLINE, retryAfterMillis());
+    } else if (hasFreeSlot(request.trafficClass()) && queue.waiting() == 0) {
+      admitNew(queue, entry, nowNanos);
+    } else {
+      enqueue(queue, entry, nowNanos);
+    }
+    return entry;
+  }
+
+  @Override
+  public void complete(Ticket ticket, Completion completion, long nowNanos) {
+    GateEntry entry = (GateEntry) ticket;
+    if (entry.state() != GateEntry.State.ADMITTED) {
+      throw new IllegalStateException("ticket is not admitted: " + entry.state());
+    }
+    entry.end();
+    limit.onCompleted(entry.heldNanos(nowNanos), inFlight, completion, nowNanos);
+    queues.get(entry.request().trafficClass()).onCompleted(entry, completion, nowNanos);
+    inFlight--;
+    dispatch(nowNanos);
+  }
+
+  @Override
+  public boolean cancel(Ticket ticket, long nowNanos) {
+    GateEntry entry = (GateEntry) ticket;
+    if (entry.state() != GateEntry.State.WAITING) {
+      return false;
+    }
+    entry.end();
+    queues.get(entry.request().trafficClass()).onCancelled(entry);
+    return true;
+  }
+
+  @Override
+  public void onTick(long nowNanos) {
+    List<GateEntry> expired = new ArrayList<>();
+    for (ClassQueue queue : queues.values()) {
+      if (queue.waiting() > 0) {
+        expired.addAll(queue.removeExpired(nowNanos, neededServiceNanos(queue)));
+      }
+    }
+    for (GateEntry entry : expired) {
+      refuse(
+          entry,
+          entry.waitHasEnded(nowNanos) ? RefusalReason.OVERLOAD : RefusalReason.DEADLINE,
+          retryAfterMillis());
+    }
+    dispatch(nowNanos);
+  }
+
+  @Override
+  public void applyPreset(Preset preset) {
+    Assert.notNull(preset, "preset");
+    newestFirstAfterNanos = preset.newestFirstAfterMillis() * NANOS_PER_MILLI;
+    queues.forEach((trafficClass, queue) -> queue.setPolicy(preset.policyOf(trafficClass)));
+  }
+
+  @Override
+  public void setAnnouncedSlots(int slots) {
+    limit.setAnnouncedSlots(slots);
+  }
+
+  @Override
+  public void setDraining(boolean draining) {
+    this.draining = draining;
+  }
+
+  @Override
+  public GateLoad load() {
+    return new GateLoad(inFlight, waiting(), limit.limit());
+  }
+
+  private void admitNew(ClassQueue queue, GateEntry entry, long nowNanos) {
+    // A gate without work admits any request, so that an outdated service time is measured anew.
+    if (inFlight > 0 && entry.remainingNanos(nowNanos) < neededServiceNanos(queue)) {
+      queue.onDeadlineRefusal();
+      refuse(entry, RefusalReason.DEADLINE, retryAfterMillis());
+      return;
+    }
+    admit(queue, entry, nowNanos);
+  }
+
+  private void enqueue(ClassQueue queue, GateEntry entry, long nowNanos) {
+    double waitNanos = expectedWaitNanos(queue, entry.request(), nowNanos);
+    if (entry.remainingNanos(nowNanos) < waitNanos + neededServiceNanos(queue)) {
+      queue.onDeadlineRefusal();
+      refuse(entry, RefusalReason.DEADLINE, retryAfterMillis());
+      return;
+    }
+    if (waitNanos > (double) queue.policy().queueTimeoutMillis() * NANOS_PER_MILLI) {
+      refuse(entry, RefusalReason.OVERLOAD, retryAfterMillis());
+      return;
+    }
+    if (queueIsFull(entry.request().trafficClass())) {
+      GateEntry evicted = evictFor(entry.request(), nowNanos);
+      if (evicted == null) {
+        refuse(entry, RefusalReason.OVERLOAD, retryAfterMillis());
+        return;
+      }
+      queue.add(entry, nowNanos);
+      refuse(evicted, RefusalReason.OVERLOAD, retryAfterMillis());
+    } else {
+      queue.add(entry, nowNanos);
+    }
+    dispatch(nowNanos);
+  }
+
+  /** Returns true if the class may not add a waiting request to its own room and that below. */
+  private boolean queueIsFull(TrafficClass trafficClass) {
+    int waiting = 0;
+    int room = 0;
+    for (int i = CLASSES.length - 1; i >= 0; i--) {
+      ClassQueue queue = queues.get(CLASSES[i]);
+      waiting += queue.waiting();
+      room += queue.policy().queueLimit();
+      if (!trafficClass.outranks(CLASSES[i]) && waiting >= room) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Removes a waiting request that is worth less than the new one, or returns null. */
+  private GateEntry evictFor(GateRequest request, long nowNanos) {
+    for (int i = CLASSES.length - 1; i >= 0; i--) {
+      if (CLASSES[i].outranks(request.trafficClass())) {
+        break;
+      }
+      ClassQueue queue = queues.get(CLASSES[i]);
+      if (queue.waiting() == 0) {
+        continue;
+      }
+      boolean newestFirst = queue.newestFirst(newestFirstAfterNanos, nowNanos);
+      boolean sameClass = CLASSES[i] == request.trafficClass();
+      if (sameClass && !newestFirst && queue.isLongest(request)) {
+        return null;
+      }
+      return queue.pollLeastValuable(newestFirst);
+    }
+    return null;
+  }
+
+  private void dispatch(long nowNanos) {
+    for (TrafficClass trafficClass : CLASSES) {
+      ClassQueue queue = queues.get(trafficClass);
+      while (queue.waiting() > 0 && hasFreeSlot(trafficClass)) {
+        GateEntry entry = queue.pollNext(queue.newestFirst(newestFirstAfterNanos, nowNanos));
+        boolean tooLate =
+            entry.remainingNanos(nowNanos) <= 0
+                || (inFlight > 0 && entry.remainingNanos(nowNanos) < neededServiceNanos(queue));
+        if (tooLate) {
+          queue.onDeadlineRefusal();
+          refuse(entry, RefusalReason.DEADLINE, retryAfterMillis());
+        } else {
+          admit(queue, entry, nowNanos);
+        }
+      }
+    }
+  }
+
+  private void admit(ClassQueue queue, GateEntry entry, long nowNanos) {
+    double expectedNanos = queue.serviceNanos();
+    entry.admit(expectedNanos, nowNanos);
+    queue.onAdmitted(entry.request(), expectedNanos);
+    inFlight++;
+    entry.listener().onAdmitted();
+  }
+
+  private static void refuse(GateEntry entry, RefusalReason reason, long retryAfterMillis) {
+    entry.end();
+    entry.listener().onRefused(reason, retryAfterMillis);
+  }
+
+  private boolean hasFreeSlot(TrafficClass trafficClass) {
+    int total = limit.limit();
+    if (inFlight >= total) {
+      return false;
+    }
+    int held = 0;
+    for (TrafficClass other : CLASSES) {
+      if (!other.outranks(trafficClass)) {
+        held += queues.get(other).inFlight();
+      }
+    }
+    double share = queues.get(trafficClass).policy().slotShare();
+    return held < Math.max(1, Math.floor(share * total));
+  }
+
+  private double neededServiceNanos(ClassQueue queue) {
+    return queue.serviceNanos() * NEEDED_SERVICE_PART;
+  }
+
+  private double expectedWaitNanos(ClassQueue queue, GateRequest request, long nowNanos) {
+    double aheadNanos = 0;
+    for (TrafficClass other : CLASSES) {
+      if (!other.outranks(request.trafficClass())) {
+        continue;
+      }
+      ClassQueue higher = queues.get(other);
+      aheadNanos += higher.waiting() * higher.serviceNanos();
+    }
+    boolean newestFirst = queue.newestFirst(newestFirstAfterNanos, nowNanos);
+    double ahead = newestFirst ? 0 : queue.expectedAhead(request);
+    double slots = Math.max(1, queue.policy().slotShare() * limit.limit());
+    return (aheadNanos + (ahead + 1) * queue.serviceNanos()) / slots;
+  }
+
+  private long retryAfterMillis() {
+    double workNanos = 0;
+    double serviceNanos = 0;
+    for (ClassQueue queue : queues.values()) {
+      workNanos += queue.waiting() * queue.serviceNanos();
+      serviceNanos = Math.max(serviceNanos, queue.serviceNanos());
+    }
+    double millis = ((workNanos / limit.limit()) + serviceNanos) / NANOS_PER_MILLI;
+    return (long) Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(MIN_RETRY_AFTER_MILLIS, millis));
+  }
+
+  private int waiting() {
+    int waiting = 0;
+    for (ClassQueue queue : queues.values()) {
+      waiting += queue.waiting();
+    }
+    return waiting;
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/retry/DefaultRetryLedger.java
@@ -0,0 +1,74 @@
+package org.cornelspoke.coordination.retry;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.cornelspoke.model.CallId;
+import org.cornelspoke.util.Assert;
+
+/**
+ * Keeps the budgets of the open calls in memory.
+ *
+ * <p>A call never holds more than it was opened with: attempts that are given back are accepted
+ * only up to what was lent, so a repeated or forged return adds nothing. Not safe for use by
+ * several threads.
+ */
+public final class DefaultRetryLedger implements RetryLedger {
+
+  private final Map<CallId, Budget> budgets = new HashMap<>();
+
+  /**
+   * Registers a call.
+   *
+   * @throws IllegalArgumentException if the call is open already or the budget is negative
+   */
+  @Override
+  public void open(CallId call, int extraAttempts) {
+    Assert.notNull(call, "call");
+    Assert.isTrue(extraAttempts >= 0, "extraAttempts must be 0 or more");
+    Assert.isTrue(!budgets.containsKey(call), "call must not be open already");
+    budgets.put(call, new Budget(extraAttempts));
+  }
+
+  @Override
+  public int borrow(CallId parent) {
+    Budget budget = budgets.get(parent);
+    if (budget == null) {
+      return 0;
+    }
+    int lent = (budget.left + 1) / 2;
+    budget.left -= lent;
+    budget.lent += lent;
+    return lent;
+  }
+
+  @Override
+  public void giveBack(CallId parent, int unusedAttempts) {
+    Budget budget = budgets.get(parent);
+    if (budget == null) {
+      return;
+    }
+    int returned = Math.max(0, Math.min(unusedAttempts, budget.lent));
+    budget.lent -= returned;
+    budget.left += returned;
+  }
+
+  @Override
+  public int close(CallId call) {
+    Budget budget = budgets.remove(call);
+    return budget == null ? 0 : budget.left;
+  }
+
+  /** Returns the number of open calls. */
+  public int openCalls() {
+    return budgets.size();
+  }
+
+  private static final class Budget {
+    private int left;
+    private int lent;
+
+    private Budget(int left) {
+      this.left = left;
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/retry/DefaultRetryThrottle.java
@@ -0,0 +1,66 @@
+package org.cornelspoke.coordination.retry;
+
+import org.cornelspoke.util.Assert;
+
+/**
+ * Allows {@code ratio} extra attempts per request plus one per second, so that a daemon with little
+ * traffic may still retry. Unused attempts are kept up to a bound; a long quiet time therefore does
+ * not allow a burst of retries later.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class DefaultRetryThrottle implements RetryThrottle {
+
+  /** Extra attempts that can be saved up; about one second of retries at 100 requests/s and 10%. */
+  private static final double MAX_SAVED = 10;
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private double ratio;
+  private double saved;
+  private double savedMinimum = 1;
+  private long minimumAsOfNanos;
+  private boolean started;
+
+  /**
+   * Creates a throttle.
+   *
+   * @param ratio extra attempts per request, between 0 and 1
+   */
+  public DefaultRetryThrottle(double ratio) {
+    setRatio(ratio);
+  }
+
+  @Override
+  public void onRequest(long nowNanos) {
+    saved = Math.min(MAX_SAVED, saved + ratio);
+  }
+
+  @Override
+  public boolean tryRetry(long nowNanos) {
+    refillMinimum(nowNanos);
+    if (saved >= 1) {
+      saved -= 1;
+      return true;
+    }
+    if (savedMinimum >= 1) {
+      savedMinimum -= 1;
+      return true;
+    }
+    return false;
+  }
+
+  @Override
+  public void setRatio(double ratio) {
+    Assert.isTrue(ratio >= 0 && ratio <= 1, "ratio must be between 0 and 1");
+    this.ratio = ratio;
+  }
+
+  private void refillMinimum(long nowNanos) {
+    if (started) {
+      savedMinimum = Math.min(1, savedMinimum + (nowNanos - minimumAsOfNanos) / NANOS_PER_SECOND);
+    }
+    started = true;
+    minimumAsOfNanos = nowNanos;
+  }
+}
