--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -0,0 +1,192 @@
+package org.cornelspoke.coordination.quota;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.function.Consumer;
+import org.cornelspoke.coordination.quota.ShareMessage.Grant;
+import org.cornelspoke.coordination.quota.ShareMessage.Recall;
+import org.cornelspoke.coordination.quota.ShareMessage.Reset;
+import org.cornelspoke.model.AccountId;
+
+/** One account at a daemon: its share, the requests that wait for a token, and the demand. */
+final class HeldAccount {
+
+  /** Tokens kept on a voluntary recall, as time of the present demand. */
+  private static final double KEEP_SECONDS = 0.03;
+
+  private static final int MAX_WAITING = 10_000;
+  private static final double MILLIS_PER_SECOND = 1e3;
+  private static final long MIN_RETRY_AFTER_MILLIS = 100;
+  private static final long MAX_RETRY_AFTER_MILLIS = 30_000;
+
+  private record Waiter(long deadlineNanos, RateLimiter.Listener listener) {}
+
+  private final ShareTimes times;
+  private final TokenBucket bucket;
+  private final ShareLink link;
+  private final DemandMeter demand;
+  private final Deque<Waiter> waiters = new ArrayDeque<>();
+  private TokenBucket formerBucket;
+  private long formerEndNanos;
+  private long lastArrivalNanos;
+  private long sessionUsed;
+
+  HeldAccount(AccountId account, ShareTimes times, Consumer<ShareMessage> toOwner, long nowNanos) {
+    this.times = times;
+    bucket = new TokenBucket(nowNanos);
+    link = new ShareLink(account, bucket, toOwner);
+    demand = new DemandMeter(nowNanos);
+    lastArrivalNanos = nowNanos;
+  }
+
+  void onConnected(long session, long nowNanos) {
+    dropEndedLeases(nowNanos);
+    sessionUsed = link.open(session);
+  }
+
+  void onDisconnected() {
+    link.close();
+  }
+
+  void onGrant(Grant grant, long nowNanos) {
+    dropEndedLeases(nowNanos);
+    if (!link.isCurrent(grant)) {
+      return;
+    }
+    link.onGrant(grant, nowNanos);
+    dropEndedLeases(nowNanos);
+    serve(nowNanos);
+  }
+
+  void onRecall(Recall recall, long nowNanos) {
+    dropEndedLeases(nowNanos);
+    if (!link.isCurrent(recall)) {
+      return;
+    }
+    serve(nowNanos);
+    double keep = recall.keep().levelTokens();
+    if (!recall.forced()) {
+      keep = Math.max(keep, waiters.size() + demand.perSecond(nowNanos) * KEEP_SECONDS);
+    }
+    link.onRecall(recall, keep, nowNanos);
+  }
+
+  /**
+   * Starts anew. The owner promised not to reissue the share before the lease ends, so it remains
+   * usable until then; this bridges the restart of an owner.
+   */
+  void onReset(Reset reset, long nowNanos) {
+    dropEndedLeases(nowNanos);
+    if (!link.isCurrent(reset)) {
+      return;
+    }
+    if (link.hasLease(nowNanos)) {
+      formerBucket = new TokenBucket(nowNanos);
+      formerBucket.add(bucket.share(nowNanos), nowNanos);
+      formerEndNanos = link.leaseEndNanos();
+    }
+    bucket.clear(nowNanos);
+    sessionUsed = link.dropLease();
+    report(nowNanos);
+  }
+
+  void onTick(long nowNanos) {
+    dropEndedLeases(nowNanos);
+    serve(nowNanos);
+    for (Iterator<Waiter> all = waiters.iterator(); all.hasNext(); ) {
+      Waiter waiter = all.next();
+      if (nowNanos - waiter.deadlineNanos() >= 0) {
+        all.remove();
+        waiter.listener().onRefused(retryAfterMillis());
+      }
+    }
+    if (isUnused(nowNanos)) {
+      link.giveUp(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE, nowNanos);
+      bucket.clear(nowNanos);
+      sessionUsed = link.dropLease();
+      return;
+    }
+    if (demand.windowIsOlderThan(times.reportNanos(), nowNanos)) {
+      demand.roll(nowNanos);
+      report(nowNanos);
+    }
+    askIfWaiting(nowNanos);
+  }
+
+  void acquire(long deadlineNanos, RateLimiter.Listener listener, long nowNanos) {
+    dropEndedLeases(nowNanos);
+    demand.onArrival();
+    lastArrivalNanos = nowNanos;
+    if (waiters.isEmpty() && tryTake(nowNanos)) {
+      listener.onGranted();
+      return;
+    }
+    if (nowNanos - deadlineNanos >= 0 || waiters.size() >= MAX_WAITING) {
+      listener.onRefused(retryAfterMillis());
+      return;
+    }
+    waiters.add(new Waiter(deadlineNanos, listener));
+    serve(nowNanos);
+    askIfWaiting(nowNanos);
+  }
+
+  TokenShare held(long nowNanos) {
+    dropEndedLeases(nowNanos);
+    return bucket.share(nowNanos);
+  }
+
+  /** Returns true if the object may be forgotten. */
+  boolean isIdle(long nowNanos) {
+    return isUnused(nowNanos) && formerBucket == null;
+  }
+
+  long nextSession() {
+    return sessionUsed + 1;
+  }
+
+  private boolean isUnused(long nowNanos) {
+    return waiters.isEmpty() && nowNanos - lastArrivalNanos >= times.idleNanos();
+  }
+
+  private void askIfWaiting(long nowNanos) {
+    if (!waiters.isEmpty() && link.mayAsk(nowNanos)) {
+      report(nowNanos);
+    }
+  }
+
+  private void serve(long nowNanos) {
+    while (!waiters.isEmpty() && tryTake(nowNanos)) {
+      waiters.poll().listener().onGranted();
+    }
+  }
+
+  private boolean tryTake(long nowNanos) {
+    if (formerBucket != null && formerBucket.tryTake(nowNanos)) {
+      return true;
+    }
+    return link.hasLease(nowNanos) && bucket.tryTake(nowNanos);
+  }
+
+  private void dropEndedLeases(long nowNanos) {
+    if (formerBucket != null && nowNanos - formerEndNanos >= 0) {
+      formerBucket = null;
+    }
+    if (link.leaseHasEnded(nowNanos)) {
+      bucket.clear(nowNanos);
+      sessionUsed = link.dropLease();
+    }
+  }
+
+  private void report(long nowNanos) {
+    link.report(bucket.share(nowNanos), demand.perSecond(nowNanos), waiters.size(), nowNanos);
+  }
+
+  private long retryAfterMillis() {
+    double millis =
+        bucket.rate() > 0
+            ? MILLIS_PER_SECOND * (waiters.size() + 1) / bucket.rate()
+            : MILLIS_PER_SECOND;
+    return (long) Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(MIN_RETRY_AFTER_MILLIS, millis));
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
@@ -0,0 +1,177 @@
+package org.cornelspoke.coordination.quota;
+
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.cornelspoke.coordination.quota.ShareMessage.Grant;
+import org.cornelspoke.coordination.quota.ShareMessage.Recall;
+import org.cornelspoke.coordination.quota.ShareMessage.Report;
+import org.cornelspoke.coordination.quota.ShareMessage.Reset;
+import org.cornelspoke.coordination.quota.ShareMessage.Return;
+import org.cornelspoke.model.AccountId;
+
+/** One account at a relay: a link to the leader and a book of the daemons over one bucket. */
+final class RelayedAccount {
+
+  /** Leases given end this much earlier than the relay's own, since clock speeds differ. */
+  private static final double LEASE_PART = 0.98;
+
+  private final ShareTimes times;
+  private final TokenBucket spare;
+  private final ShareLink link;
+  private final ShareBook book;
+  private TokenShare forcedKeep;
+  private long lastReportFromHolderNanos;
+  private long sessionUsed;
+
+  RelayedAccount(
+      AccountId account,
+      ShareTimes times,
+      Consumer<ShareMessage> toOwner,
+      BiConsumer<String, ShareMessage> toHolder,
+      long nowNanos) {
+    this.times = times;
+    spare = new TokenBucket(nowNanos);
+    link = new ShareLink(account, spare, toOwner);
+    book = new ShareBook(account, spare, toHolder, this::leaseNanos);
+    lastReportFromHolderNanos = nowNanos;
+  }
+
+  void onConnected(long session, long nowNanos) {
+    dropEndedLease(nowNanos);
+    forcedKeep = null;
+    sessionUsed = link.open(session);
+  }
+
+  void onDisconnected() {
+    link.close();
+  }
+
+  void onGrant(Grant grant, long nowNanos) {
+    dropEndedLease(nowNanos);
+    if (!link.isCurrent(grant)) {
+      return;
+    }
+    link.onGrant(grant, nowNanos);
+    dropEndedLease(nowNanos);
+    book.serveWaiting(nowNanos);
+  }
+
+  void onRecall(Recall recall, long nowNanos) {
+    dropEndedLease(nowNanos);
+    if (!link.isCurrent(recall)) {
+      return;
+    }
+    if (recall.forced()) {
+      forcedKeep = recall.keep();
+      returnForced(nowNanos);
+      return;
+    }
+    book.serveWaiting(nowNanos);
+    double keepLevel = Math.max(recall.keep().levelTokens(), book.waiting());
+    double level = Math.max(0, spare.level(nowNanos) - keepLevel);
+    double burst = Math.max(level, book.burst() - recall.keep().burstTokens());
+    double rate = book.rate() - recall.keep().rateTokensPerSecond();
+    link.giveUp(rate, burst, level, nowNanos);
+    book.recallFromSatisfied(nowNanos);
+  }
+
+  /** Starts anew; the daemons learn it by a reset of their own and use their leases up. */
+  void onReset(Reset reset, long nowNanos) {
+    if (link.isCurrent(reset)) {
+      dropAll(nowNanos);
+      report(nowNanos);
+    }
+  }
+
+  void onReport(String holder, Report report, long nowNanos) {
+    prepare(nowNanos);
+    lastReportFromHolderNanos = nowNanos;
+    book.onReport(holder, report, false, nowNanos);
+    serve(nowNanos);
+  }
+
+  void onReturn(String holder, Return returned, long nowNanos) {
+    prepare(nowNanos);
+    book.onReturn(holder, returned, nowNanos);
+    returnForced(nowNanos);
+    serve(nowNanos);
+  }
+
+  void onTick(long nowNanos) {
+    prepare(nowNanos);
+    returnForced(nowNanos);
+    serve(nowNanos);
+    if (link.reportIsOlderThan(times.reportNanos(), nowNanos)) {
+      report(nowNanos);
+    }
+  }
+
+  /** Returns true if no daemon has used the account for a while and nothing is issued. */
+  boolean isIdle(long nowNanos) {
+    if (nowNanos - lastReportFromHolderNanos < times.idleNanos() || !book.isEmpty()) {
+      return false;
+    }
+    link.giveUp(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE, nowNanos);
+    sessionUsed = link.dropLease();
+    return true;
+  }
+
+  long nextSession() {
+    return sessionUsed + 1;
+  }
+
+  private long leaseNanos(long nowNanos) {
+    long remainingNanos = link.hasLease(nowNanos) ? link.leaseEndNanos() - nowNanos : 0;
+    return (long) (Math.min(times.leaseNanos(), remainingNanos) * LEASE_PART);
+  }
+
+  private void prepare(long nowNanos) {
+    dropEndedLease(nowNanos);
+    book.releaseExpired(nowNanos);
+  }
+
+  private void serve(long nowNanos) {
+    book.serveWaiting(nowNanos);
+    if (book.waiting() > 0 && link.mayAsk(nowNanos)) {
+      report(nowNanos);
+    }
+  }
+
+  /** Returns what a forced recall asked for, as far as the daemons have given it up. */
+  private void returnForced(long nowNanos) {
+    if (forcedKeep == null) {
+      return;
+    }
+    double rate = book.rate() - forcedKeep.rateTokensPerSecond();
+    double burst = book.burst() - forcedKeep.burstTokens();
+    if (rate > 0 || burst > 0) {
+      link.giveUp(rate, burst, 0, nowNanos);
+    }
+    double missingRate = book.rate() - forcedKeep.rateTokensPerSecond();
+    double missingBurst = book.burst() - forcedKeep.burstTokens();
+    if (missingRate <= 0 && missingBurst <= 0) {
+      forcedKeep = null;
+    } else {
+      book.recallForced(missingRate, missingBurst, nowNanos);
+    }
+  }
+
+  private void report(long nowNanos) {
+    TokenShare held =
+        new TokenShare(book.rate(), book.burst(), Math.min(book.burst(), book.level(nowNanos)));
+    link.report(held, book.demandPerSecond(), book.waiting(), nowNanos);
+  }
+
+  private void dropEndedLease(long nowNanos) {
+    if (link.leaseHasEnded(nowNanos)) {
+      dropAll(nowNanos);
+    }
+  }
+
+  private void dropAll(long nowNanos) {
+    book.clear();
+    spare.clear(nowNanos);
+    forcedKeep = null;
+    sessionUsed = link.dropLease();
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
@@ -0,0 +1,355 @@
+package org.cornelspoke.coordination.quota;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.LongUnaryOperator;
+import org.cornelspoke.coordination.quota.ShareMessage.Grant;
+import org.cornelspoke.coordination.quota.ShareMessage.Recall;
+import org.cornelspoke.coordination.quota.ShareMessage.Report;
+import org.cornelspoke.coordination.quota.ShareMessage.Reset;
+import org.cornelspoke.coordination.quota.ShareMessage.Return;
+import org.cornelspoke.model.AccountId;
+
+/**
+ * An owner's side of one account: the spare capacity in its own bucket, what each holder has, and
+ * what was lost and waits for the end of its lease.
+ *
+ * <p>Rates follow demand. Most of the burst stays spare and moves to holders with waiting requests
+ * together with its tokens; holders that have more than they need are asked to return it.
+ */
+final class ShareBook {
+
+  /** Rate given above the demand, so that tokens saved by a holder recover after a short peak. */
+  private static final double RATE_HEADROOM = 1.05;
+
+  /** Part of the burst that holders may keep; the rest serves peaks of any holder. */
+  private static final double HELD_BURST_PART = 0.6;
+
+  /** Time of demand that a holder's burst covers in addition to random variation. */
+  private static final double BURST_SECONDS = 0.12;
+
+  private static final double BURST_DEVIATIONS = 2;
+
+  /** Deviations from the wanted share that are not worth a message. */
+  private static final double RATE_TOLERANCE = 0.02;
+
+  private static final double EXCESS_RATE = 1.2;
+  private static final double EXCESS_BURST = 1.5;
+  private static final double LOW_LEVEL_PART = 0.25;
+  private static final long RECALL_NANOS = 20_000_000L;
+  private static final double ROUNDING = 1e-7;
+
+  /** Time that a holder without a share stays on record while its owner has no lease. */
+  private static final long UNANSWERED_NANOS = 1_000_000_000L;
+
+  private record LostShare(double rate, double burst, long reissueNanos) {}
+
+  private final AccountId account;
+  private final TokenBucket spare;
+  private final BiConsumer<String, ShareMessage> out;
+  private final LongUnaryOperator leaseNanosAt;
+  private final Map<String, ShareChild> children = new LinkedHashMap<>();
+  private final List<LostShare> lost = new ArrayList<>();
+
+  /**
+   * Creates a book without holders.
+   *
+   * @param spare the owner's own bucket
+   * @param out sends a message to a holder
+   * @param leaseNanosAt length of a lease given at a time; 0 if none can be given
+   */
+  ShareBook(
+      AccountId account,
+      TokenBucket spare,
+      BiConsumer<String, ShareMessage> out,
+      LongUnaryOperator leaseNanosAt) {
+    this.account = account;
+    this.spare = spare;
+    this.out = out;
+    this.leaseNanosAt = leaseNanosAt;
+  }
+
+  /**
+   * Takes a report, renews the lease and gives the holder what it needs.
+   *
+   * @param adopting true if shares that are not on record were issued by an earlier leader
+   */
+  void onReport(String holder, Report report, boolean adopting, long nowNanos) {
+    ShareChild child = children.get(holder);
+    if (child != null && report.session() < child.session()) {
+      return;
+    }
+    if (child == null || report.session() > child.session()) {
+      child = startSession(holder, child, report, adopting);
+      if (child == null) {
+        out.accept(holder, new Reset(account, report.session()));
+        return;
+      }
+    }
+    if (!child.accept(report.sequence())) {
+      return;
+    }
+    child.onReport(report, nowNanos);
+    if (leaseNanosAt.applyAsLong(nowNanos) <= 0) {
+      // The report is answered by the first grant after a lease has come from above.
+      child.renew(nowNanos + UNANSWERED_NANOS);
+      return;
+    }
+    grant(child, adopting ? TokenShare.EMPTY : takeFor(child, nowNanos), nowNanos);
+    if (!adopting) {
+      recallExcess(child, nowNanos);
+    }
+  }
+
+  /** Takes a returned part into the spare capacity. */
+  void onReturn(String holder, Return message, long nowNanos) {
+    ShareChild child = children.get(holder);
+    if (child != null && child.session() == message.session() && child.accept(message.sequence())) {
+      spare.add(child.onReturned(message.returned()), nowNanos);
+    }
+  }
+
+  /** Reissues, without tokens, what holders lost and whose leases have ended. */
+  void releaseExpired(long nowNanos) {
+    for (Iterator<ShareChild> all = children.values().iterator(); all.hasNext(); ) {
+      ShareChild child = all.next();
+      if (nowNanos - child.expiresNanos() >= 0) {
+        all.remove();
+        spare.add(new TokenShare(child.rate(), child.burst(), 0), nowNanos);
+      }
+    }
+    for (Iterator<LostShare> all = lost.iterator(); all.hasNext(); ) {
+      LostShare share = all.next();
+      if (nowNanos - share.reissueNanos() >= 0) {
+        all.remove();
+        spare.add(new TokenShare(share.rate(), share.burst(), 0), nowNanos);
+      }
+    }
+  }
+
+  /**
+   * Gives spare tokens to holders with waiting requests and recalls more if they do not suffice.
+   */
+  void serveWaiting(long nowNanos) {
+    if (leaseNanosAt.applyAsLong(nowNanos) <= 0) {
+      return;
+    }
+    boolean unserved = false;
+    for (ShareChild child : children.values()) {
+      int tokens = (int) Math.min(child.waiting(), spare.level(nowNanos));
+      if (tokens > 0) {
+        grant(child, spare.remove(0, tokens, tokens, nowNanos), nowNanos);
+      }
+      unserved |= child.waiting() > 0;
+    }
+    if (unserved) {
+      recallFromSatisfied(nowNanos);
+    }
+  }
+
+  /** Asks holders without waiting requests for the tokens that they do not need now. */
+  void recallFromSatisfied(long nowNanos) {
+    for (ShareChild child : children.values()) {
+      if (child.waiting() == 0
+          && child.highestLevel(nowNanos) >= 1
+          && child.mayRecall(RECALL_NANOS, nowNanos)) {
+        recall(child, new TokenShare(child.rate(), child.burst(), 0), false, nowNanos);
+      }
+    }
+  }
+
+  /** Adapts the spare capacity to a new total and recalls what is missing from the holders. */
+  void settle(double totalRate, double totalBurst, long nowNanos) {
+    double missingRate = totalRate - rate();
+    double missingBurst = totalBurst - burst();
+    spare.add(new TokenShare(Math.max(0, missingRate), Math.max(0, missingBurst), 0), nowNanos);
+    if (missingRate >= -ROUNDING && missingBurst >= -ROUNDING) {
+      return;
+    }
+    spare.remove(-missingRate, -missingBurst, 0, nowNanos);
+    recallForced(rate() - totalRate, burst() - totalBurst, nowNanos);
+  }
+
+  /** Recalls the given amounts from the holders, from each in proportion to what it has. */
+  void recallForced(double missingRate, double missingBurst, long nowNanos) {
+    double issuedRate = children.values().stream().mapToDouble(ShareChild::rate).sum();
+    double issuedBurst = children.values().stream().mapToDouble(ShareChild::burst).sum();
+    double keepRate = part(issuedRate - missingRate, issuedRate);
+    double keepBurst = part(issuedBurst - missingBurst, issuedBurst);
+    if (keepRate >= 1 - ROUNDING && keepBurst >= 1 - ROUNDING) {
+      return;
+    }
+    for (ShareChild child : children.values()) {
+      if (child.mayRecall(RECALL_NANOS, nowNanos)) {
+        double burst = child.burst() * keepBurst;
+        recall(child, new TokenShare(child.rate() * keepRate, burst, burst), true, nowNanos);
+      }
+    }
+  }
+
+  /** Forgets all holders, whose leases end by themselves. */
+  void clear() {
+    children.clear();
+    lost.clear();
+  }
+
+  boolean isEmpty() {
+    return children.isEmpty() && lost.isEmpty();
+  }
+
+  /** Returns the rate of this owner and its holders together. */
+  double rate() {
+    double sum = spare.rate();
+    for (ShareChild child : children.values()) {
+      sum += child.rate();
+    }
+    for (LostShare share : lost) {
+      sum += share.rate();
+    }
+    return sum;
+  }
+
+  /** Returns the burst of this owner and its holders together. */
+  double burst() {
+    double sum = spare.burst();
+    for (ShareChild child : children.values()) {
+      sum += child.burst();
+    }
+    for (LostShare share : lost) {
+      sum += share.burst();
+    }
+    return sum;
+  }
+
+  /** Returns spare and reported tokens, an estimate. */
+  double level(long nowNanos) {
+    double sum = spare.level(nowNanos);
+    for (ShareChild child : children.values()) {
+      sum += Math.min(child.burst(), child.reportedLevel());
+    }
+    return sum;
+  }
+
+  double demandPerSecond() {
+    double sum = 0;
+    for (ShareChild child : children.values()) {
+      sum += child.demandPerSecond();
+    }
+    return sum;
+  }
+
+  int waiting() {
+    int sum = 0;
+    for (ShareChild child : children.values()) {
+      sum += child.waiting();
+    }
+    return sum;
+  }
+
+  /** Sends a grant, which also renews the lease from the time of the last report. */
+  private void grant(ShareChild child, TokenShare added, long nowNanos) {
+    long leaseNanos = leaseNanosAt.applyAsLong(nowNanos);
+    child.onGranted(added);
+    child.renew(nowNanos + ShareTimes.expiryNanos(leaseNanos));
+    out.accept(
+        child.holder(),
+        new Grant(account, child.session(), child.reportSequence(), leaseNanos, added));
+  }
+
+  private ShareChild startSession(
+      String holder, ShareChild former, Report report, boolean adopting) {
+    TokenShare held = report.held();
+    boolean holdsNothing = held.rateTokensPerSecond() == 0 && held.burstTokens() == 0;
+    if (report.sequence() != 1 || (former == null && !holdsNothing && !adopting)) {
+      return null;
+    }
+    ShareChild child = new ShareChild(holder, report.session());
+    if (former != null) {
+      boolean onRecord =
+          held.rateTokensPerSecond() <= former.rate() + ROUNDING
+              && held.burstTokens() <= former.burst() + ROUNDING;
+      if (!onRecord && !adopting) {
+        return null;
+      }
+      double lostRate = Math.max(0, former.rate() - held.rateTokensPerSecond());
+      double lostBurst = Math.max(0, former.burst() - held.burstTokens());
+      if (lostRate > ROUNDING || lostBurst > ROUNDING) {
+        lost.add(new LostShare(lostRate, lostBurst, former.expiresNanos()));
+      }
+    }
+    child.adopt(held);
+    children.put(holder, child);
+    return child;
+  }
+
+  /** Takes out of the spare capacity what brings the holder to its wanted share. */
+  private TokenShare takeFor(ShareChild child, long nowNanos) {
+    double level = spare.level(nowNanos);
+    double wantedRate = wantedRate(child);
+    double wantedBurst = wantedBurst(child);
+    double rate = wantedRate - child.rate();
+    if (rate < wantedRate * RATE_TOLERANCE) {
+      rate = 0;
+    }
+    double burst = Math.max(0, wantedBurst - child.burst());
+    double tokens = spare.burst() > 0 ? burst * Math.min(1, level / spare.burst()) : 0;
+    if (child.waiting() > 0) {
+      tokens = Math.max(tokens, Math.min(child.waiting(), Math.floor(level)));
+    }
+    if (child.reportedLevel() < wantedBurst * LOW_LEVEL_PART) {
+      tokens = Math.max(tokens, Math.min(wantedBurst / 2, level / children.size()));
+    }
+    return spare.remove(rate, Math.max(burst, tokens), tokens, nowNanos);
+  }
+
+  private void recallExcess(ShareChild child, long nowNanos) {
+    double wantedRate = wantedRate(child);
+    double wantedBurst = wantedBurst(child);
+    boolean excess =
+        child.rate() > wantedRate * EXCESS_RATE + ROUNDING
+            || child.burst() > wantedBurst * EXCESS_BURST + 1;
+    if (excess && child.mayRecall(RECALL_NANOS, nowNanos)) {
+      double keepBurst = Math.min(child.burst(), wantedBurst);
+      recall(
+          child,
+          new TokenShare(Math.min(child.rate(), wantedRate), keepBurst, keepBurst),
+          false,
+          nowNanos);
+    }
+  }
+
+  private void recall(ShareChild child, TokenShare keep, boolean forced, long nowNanos) {
+    child.onRecalled(nowNanos);
+    out.accept(child.holder(), new Recall(account, child.session(), keep, forced));
+  }
+
+  private double wantedRate(ShareChild child) {
+    // A holder that can't keep a whole token is served token by token from the spare capacity.
+    if (wantedBurst(child) < 1) {
+      return 0;
+    }
+    double total = rate();
+    double demand = demandPerSecond();
+    return demand * RATE_HEADROOM <= total
+        ? child.demandPerSecond() * RATE_HEADROOM
+        : total * child.demandPerSecond() / demand;
+  }
+
+  private double wantedBurst(ShareChild child) {
+    double demand = child.demandPerSecond();
+    if (demand <= 0) {
+      return 0;
+    }
+    double needed =
+        demand * BURST_SECONDS + BURST_DEVIATIONS * Math.sqrt(demand * BURST_SECONDS) + 1;
+    return Math.min(needed, HELD_BURST_PART * burst() * demand / demandPerSecond());
+  }
+
+  private static double part(double kept, double all) {
+    return all <= 0 ? 1 : Math.max(0, Math.min(1, kept / all));
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareChild.java
@@ -0,0 +1,118 @@
+package org.cornelspoke.coordination.quota;
+
+/** What an owner has issued to one holder, and what the holder last reported. */
+final class ShareChild {
+
+  private final String holder;
+  private final long session;
+  private long sequence;
+  private long reportSequence;
+  private double rate;
+  private double burst;
+  private double demandPerSecond;
+  private int waiting;
+  private double level;
+  private long levelAsOfNanos;
+  private long expiresNanos;
+  private long recalledNanos;
+  private boolean recalled;
+
+  ShareChild(String holder, long session) {
+    this.holder = holder;
+    this.session = session;
+  }
+
+  String holder() {
+    return holder;
+  }
+
+  long session() {
+    return session;
+  }
+
+  /** Returns true if the sequence number is new; repeated messages are ignored. */
+  boolean accept(long newSequence) {
+    if (newSequence <= sequence) {
+      return false;
+    }
+    sequence = newSequence;
+    return true;
+  }
+
+  /** Returns the sequence of the last report. */
+  long reportSequence() {
+    return reportSequence;
+  }
+
+  void adopt(TokenShare held) {
+    rate = held.rateTokensPerSecond();
+    burst = held.burstTokens();
+  }
+
+  void onReport(ShareMessage.Report report, long nowNanos) {
+    reportSequence = report.sequence();
+    demandPerSecond = report.demandPerSecond();
+    waiting = report.waiting();
+    level = report.held().levelTokens();
+    levelAsOfNanos = nowNanos;
+  }
+
+  void onGranted(TokenShare added) {
+    rate += added.rateTokensPerSecond();
+    burst += added.burstTokens();
+    level += added.levelTokens();
+    waiting = Math.max(0, waiting - (int) added.levelTokens());
+  }
+
+  /** Takes a return into account and returns the part of it that was on record. */
+  TokenShare onReturned(TokenShare returned) {
+    TokenShare known = returned.part(rate, burst, returned.levelTokens());
+    rate -= known.rateTokensPerSecond();
+    burst -= known.burstTokens();
+    level = Math.max(0, level - known.levelTokens());
+    return known;
+  }
+
+  /** Returns true if the last recall is at least the interval ago. */
+  boolean mayRecall(long intervalNanos, long nowNanos) {
+    return !recalled || nowNanos - recalledNanos >= intervalNanos;
+  }
+
+  void onRecalled(long nowNanos) {
+    recalled = true;
+    recalledNanos = nowNanos;
+  }
+
+  double rate() {
+    return rate;
+  }
+
+  double burst() {
+    return burst;
+  }
+
+  double demandPerSecond() {
+    return demandPerSecond;
+  }
+
+  int waiting() {
+    return waiting;
+  }
+
+  double reportedLevel() {
+    return level;
+  }
+
+  /** Returns the level that the holder has if nothing arrived since its last report. */
+  double highestLevel(long nowNanos) {
+    return Math.min(burst, level + rate * (nowNanos - levelAsOfNanos) / 1e9);
+  }
+
+  void renew(long newExpiresNanos) {
+    expiresNanos = newExpiresNanos;
+  }
+
+  long expiresNanos() {
+    return expiresNanos;
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
@@ -0,0 +1,159 @@
+package org.cornelspoke.coordination.quota;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+import org.cornelspoke.coordination.quota.ShareMessage.Grant;
+import org.cornelspoke.coordination.quota.ShareMessage.Recall;
+import org.cornelspoke.coordination.quota.ShareMessage.Report;
+import org.cornelspoke.coordination.quota.ShareMessage.Return;
+import org.cornelspoke.model.AccountId;
+
+/**
+ * A holder's side of the conversation with the owner about one account: session, sequence numbers
+ * and lease. What is held lies in the bucket given to it.
+ */
+final class ShareLink {
+
+  /** Shortest time between two requests for more; a round trip to the owner takes about as long. */
+  private static final long MIN_ASK_NANOS = 5_000_000L;
+
+  /** Longest time; the owner remembers the waiting requests, so asking more often helps little. */
+  private static final long MAX_ASK_NANOS = 80_000_000L;
+
+  private record SentReport(long sequence, long sentNanos) {}
+
+  private final AccountId account;
+  private final TokenBucket bucket;
+  private final Consumer<ShareMessage> toOwner;
+  private final Deque<SentReport> unanswered = new ArrayDeque<>();
+  private boolean connected;
+  private long session;
+  private long sequence;
+  private boolean leased;
+  private long leaseEndNanos;
+  private long lastReportNanos;
+  private long askNanos = MIN_ASK_NANOS;
+  private SentReport answered;
+
+  ShareLink(AccountId account, TokenBucket bucket, Consumer<ShareMessage> toOwner) {
+    this.account = account;
+    this.bucket = bucket;
+    this.toOwner = toOwner;
+  }
+
+  /** Starts a session with a number greater than any before and returns the number. */
+  long open(long minSession) {
+    connected = true;
+    startSession(Math.max(minSession, session + 1));
+    return session;
+  }
+
+  /** Stops sending; what is held stays usable until the lease ends. */
+  void close() {
+    connected = false;
+    startSession(session + 1);
+  }
+
+  boolean isConnected() {
+    return connected;
+  }
+
+  boolean hasLease(long nowNanos) {
+    return leased && nowNanos - leaseEndNanos < 0;
+  }
+
+  /** Returns true if a lease has ended and was not yet dropped. */
+  boolean leaseHasEnded(long nowNanos) {
+    return leased && nowNanos - leaseEndNanos >= 0;
+  }
+
+  long leaseEndNanos() {
+    return leaseEndNanos;
+  }
+
+  /** Returns true if the session has not sent a report yet or the last one is older. */
+  boolean reportIsOlderThan(long ageNanos, long nowNanos) {
+    return sequence == 0 || nowNanos - lastReportNanos >= ageNanos;
+  }
+
+  /** Returns true if the owner may be asked for waiting requests outside of the usual interval. */
+  boolean mayAsk(long nowNanos) {
+    return reportIsOlderThan(askNanos, nowNanos);
+  }
+
+  /**
+   * Ends the lease and starts a session that holds nothing. The caller empties the bucket.
+   *
+   * @return the number of the new session
+   */
+  long dropLease() {
+    leased = false;
+    startSession(session + 1);
+    return session;
+  }
+
+  void report(TokenShare held, double demandPerSecond, int waiting, long nowNanos) {
+    if (!connected) {
+      return;
+    }
+    sequence++;
+    unanswered.add(new SentReport(sequence, nowNanos));
+    lastReportNanos = nowNanos;
+    if (waiting > 0) {
+      askNanos = Math.min(MAX_ASK_NANOS, 2 * askNanos);
+    }
+    toOwner.accept(new Report(account, session, sequence, held, demandPerSecond, waiting));
+  }
+
+  boolean isCurrent(ShareMessage message) {
+    return connected && message.session() == session;
+  }
+
+  /** Adds a grant to the bucket and renews the lease. */
+  void onGrant(Grant grant, long nowNanos) {
+    while (!unanswered.isEmpty() && unanswered.peek().sequence() <= grant.acknowledged()) {
+      answered = unanswered.poll();
+    }
+    if (answered != null && answered.sequence() == grant.acknowledged()) {
+      long end = answered.sentNanos() + grant.leaseNanos();
+      if (!leased || end - leaseEndNanos > 0) {
+        leaseEndNanos = end;
+        leased = true;
+      }
+    }
+    if (grant.added().levelTokens() >= 1) {
+      askNanos = MIN_ASK_NANOS;
+    }
+    bucket.add(grant.added(), nowNanos);
+  }
+
+  /**
+   * Returns what exceeds the amounts to keep.
+   *
+   * @param keepLevel tokens to keep
+   */
+  void onRecall(Recall recall, double keepLevel, long nowNanos) {
+    TokenShare held = bucket.share(nowNanos);
+    double level = Math.max(0, held.levelTokens() - keepLevel);
+    double burst = Math.max(level, held.burstTokens() - recall.keep().burstTokens());
+    giveUp(
+        held.rateTokensPerSecond() - recall.keep().rateTokensPerSecond(), burst, level, nowNanos);
+  }
+
+  /** Takes a part out of the bucket and returns it to the owner. */
+  void giveUp(double rate, double burst, double level, long nowNanos) {
+    if (connected && sequence > 0) {
+      TokenShare returned = bucket.remove(rate, burst, level, nowNanos);
+      sequence++;
+      toOwner.accept(new Return(account, session, sequence, returned));
+    }
+  }
+
+  private void startSession(long newSession) {
+    session = newSession;
+    sequence = 0;
+    unanswered.clear();
+    answered = null;
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
@@ -0,0 +1,112 @@
+package org.cornelspoke.coordination.quota;
+
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.util.Assert;
+
+/**
+ * Message between the holder of rate shares and their owner.
+ *
+ * <p>A session is one uninterrupted conversation about one account. Within it messages arrive in
+ * order and once. The number of a later session of the same holder is greater; messages of another
+ * session are ignored, so nothing from before a lost connection takes effect after it.
+ */
+public sealed interface ShareMessage {
+
+  /** Returns the account. */
+  AccountId account();
+
+  /** Returns the session that the message belongs to. */
+  long session();
+
+  /**
+   * Holder to owner: renews the lease and reports use. The first report of a session has sequence 1
+   * and states what the holder holds.
+   *
+   * @param sequence number of the message in the session, from 1
+   * @param held rate, burst and level held, with all that was passed on to others
+   * @param demandPerSecond requests per second that arrive at the holder
+   * @param waiting requests that wait for a token
+   */
+  record Report(
+      AccountId account,
+      long session,
+      long sequence,
+      TokenShare held,
+      double demandPerSecond,
+      int waiting)
+      implements ShareMessage {
+
+    /** Checks the parts. */
+    public Report {
+      Assert.notNull(account, "account");
+      Assert.notNull(held, "held");
+      Assert.isTrue(sequence >= 1, "sequence must be 1 or more");
+      Assert.isTrue(
+          demandPerSecond >= 0 && Double.isFinite(demandPerSecond),
+          "demandPerSecond must be 0 or more");
+      Assert.isTrue(waiting >= 0, "waiting must be 0 or more");
+    }
+  }
+
+  /**
+   * Owner to holder: adds to the share and answers a report.
+   *
+   * @param acknowledged sequence of the report that is answered, or 0 if none is
+   * @param leaseNanos length of the lease, from the time when that report was sent
+   * @param added what the holder gets in addition
+   */
+  record Grant(
+      AccountId account, long session, long acknowledged, long leaseNanos, TokenShare added)
+      implements ShareMessage {
+
+    /** Checks the parts. */
+    public Grant {
+      Assert.notNull(account, "account");
+      Assert.notNull(added, "added");
+      Assert.isTrue(acknowledged >= 0, "acknowledged must be 0 or more");
+      Assert.isTrue(leaseNanos >= 0, "leaseNanos must be 0 or more");
+    }
+  }
+
+  /** Owner to holder: the owner has no record of the share; the session is over. */
+  record Reset(AccountId account, long session) implements ShareMessage {
+
+    /** Checks the parts. */
+    public Reset {
+      Assert.notNull(account, "account");
+    }
+  }
+
+  /**
+   * Owner to holder: return what exceeds the given amounts.
+   *
+   * @param keep what the holder may keep
+   * @param forced false if the holder may also keep what it needs at this moment
+   */
+  record Recall(AccountId account, long session, TokenShare keep, boolean forced)
+      implements ShareMessage {
+
+    /** Checks the parts. */
+    public Recall {
+      Assert.notNull(account, "account");
+      Assert.notNull(keep, "keep");
+    }
+  }
+
+  /**
+   * Holder to owner: gives up a part of the share. Every recall is answered, if only with nothing.
+   *
+   * @param sequence number of the message in the session
+   * @param returned what the holder has given up
+   */
+  record Return(AccountId account, long session, long sequence, TokenShare returned)
+      implements ShareMessage {
+
+    /** Checks the parts. */
+    public Return {
+      Assert.notNull(account, "account");
+      Assert.notNull(returned, "returned");
+      Assert.isTrue(sequence >= 1, "sequence must be 1 or more");
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareRelay.java
@@ -0,0 +1,109 @@
+package org.cornelspoke.coordination.quota;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.cornelspoke.coordination.quota.ShareMessage.Grant;
+import org.cornelspoke.coordination.quota.ShareMessage.Recall;
+import org.cornelspoke.coordination.quota.ShareMessage.Report;
+import org.cornelspoke.coordination.quota.ShareMessage.Reset;
+import org.cornelspoke.coordination.quota.ShareMessage.Return;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.util.Assert;
+
+/**
+ * The middle level of the rate shares: a holder toward the leader and an owner toward the daemons
+ * of its relay. No lease that it gives ends after its own.
+ *
+ * <p>Not safe for use by several threads. Times are monotonic nanoseconds of this process.
+ */
+public final class ShareRelay {
+
+  private final ShareTimes times;
+  private final Consumer<ShareMessage> toOwner;
+  private final BiConsumer<String, ShareMessage> toHolder;
+  private final Map<AccountId, RelayedAccount> accounts = new HashMap<>();
+  private boolean connected;
+  private long connectionSession;
+
+  /**
+   * Creates a relay that holds nothing.
+   *
+   * @param toOwner sends a message to the leader over the present connection, in order
+   * @param toHolder sends a message to the daemon with the given id, in order
+   */
+  public ShareRelay(
+      ShareTimes times, Consumer<ShareMessage> toOwner, BiConsumer<String, ShareMessage> toHolder) {
+    this.times = Assert.notNull(times, "times");
+    this.toOwner = Assert.notNull(toOwner, "toOwner");
+    this.toHolder = Assert.notNull(toHolder, "toHolder");
+  }
+
+  /**
+   * Starts to talk to a leader.
+   *
+   * @param session as for {@link ShareHolder#onConnected}
+   */
+  public void onConnected(long session, long nowNanos) {
+    connected = true;
+    connectionSession = session;
+    accounts.values().forEach(account -> account.onConnected(session, nowNanos));
+  }
+
+  /** Ends the conversation with the leader; what was issued stays usable until the leases end. */
+  public void onDisconnected(long nowNanos) {
+    connected = false;
+    accounts.values().forEach(RelayedAccount::onDisconnected);
+  }
+
+  /** Takes a message of the leader. */
+  public void onOwnerMessage(ShareMessage message, long nowNanos) {
+    RelayedAccount account = accounts.get(message.account());
+    if (account == null) {
+      return;
+    }
+    if (message instanceof Grant grant) {
+      account.onGrant(grant, nowNanos);
+    } else if (message instanceof Recall recall) {
+      account.onRecall(recall, nowNanos);
+    } else if (message instanceof Reset reset) {
+      account.onReset(reset, nowNanos);
+    }
+  }
+
+  /** Takes a message of a daemon. */
+  public void onHolderMessage(String holder, ShareMessage message, long nowNanos) {
+    Assert.notNull(holder, "holder");
+    RelayedAccount account =
+        accounts.computeIfAbsent(message.account(), id -> newAccount(id, nowNanos));
+    if (message instanceof Report report) {
+      account.onReport(holder, report, nowNanos);
+    } else if (message instanceof Return returned) {
+      account.onReturn(holder, returned, nowNanos);
+    }
+  }
+
+  /** Renews leases and serves waiting daemons; called every few milliseconds. */
+  public void onTick(long nowNanos) {
+    accounts.values().forEach(account -> account.onTick(nowNanos));
+    accounts
+        .values()
+        .removeIf(
+            account -> {
+              boolean idle = account.isIdle(nowNanos);
+              if (idle) {
+                connectionSession = Math.max(connectionSession, account.nextSession());
+              }
+              return idle;
+            });
+  }
+
+  private RelayedAccount newAccount(AccountId id, long nowNanos) {
+    RelayedAccount account = new RelayedAccount(id, times, toOwner, toHolder, nowNanos);
+    if (connected) {
+      account.onConnected(connectionSession, nowNanos);
+    }
+    return account;
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
@@ -0,0 +1,159 @@
+package org.cornelspoke.protocol.quota;
+
+import java.io.IOException;
+import org.cornelspoke.coordination.quota.ShareMessage;
+import org.cornelspoke.coordination.quota.ShareMessage.Grant;
+import org.cornelspoke.coordination.quota.ShareMessage.Recall;
+import org.cornelspoke.coordination.quota.ShareMessage.Report;
+import org.cornelspoke.coordination.quota.ShareMessage.Reset;
+import org.cornelspoke.coordination.quota.ShareMessage.Return;
+import org.cornelspoke.coordination.quota.TokenShare;
+import org.cornelspoke.model.AccountId;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Writes share messages as MessagePack arrays {@code [type, account, session, fields...]} and reads
+ * them.
+ *
+ * <p>Stateless and safe for use by any thread.
+ */
+public final class ShareMessageCodec {
+
+  private static final int REPORT = 1;
+  private static final int GRANT = 2;
+  private static final int RESET = 3;
+  private static final int RECALL = 4;
+  private static final int RETURN = 5;
+
+  private static final int REPORT_SIZE = 9;
+  private static final int GRANT_SIZE = 8;
+  private static final int RESET_SIZE = 3;
+  private static final int RECALL_SIZE = 7;
+  private static final int RETURN_SIZE = 7;
+
+  private ShareMessageCodec() {}
+
+  /** Returns the encoded message. */
+  public static byte[] encode(ShareMessage message) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      write(packer, message);
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("writing to memory failed", e);
+    }
+  }
+
+  /**
+   * Reads one message that fills the array.
+   *
+   * @throws IOException if the bytes are not exactly one valid message
+   */
+  public static ShareMessage decode(byte[] bytes) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      ShareMessage message = read(unpacker);
+      if (unpacker.hasNext()) {
+        throw new IOException("bytes after the share message");
+      }
+      return message;
+    }
+  }
+
+  /** Writes a message as part of a larger frame. */
+  public static void write(MessagePacker packer, ShareMessage message) throws IOException {
+    if (message instanceof Report report) {
+      writeHead(packer, REPORT_SIZE, REPORT, report);
+      packer.packLong(report.sequence());
+      writeShare(packer, report.held());
+      packer.packDouble(report.demandPerSecond());
+      packer.packInt(report.waiting());
+    } else if (message instanceof Grant grant) {
+      writeHead(packer, GRANT_SIZE, GRANT, grant);
+      packer.packLong(grant.acknowledged());
+      packer.packLong(grant.leaseNanos());
+      writeShare(packer, grant.added());
+    } else if (message instanceof Reset reset) {
+      writeHead(packer, RESET_SIZE, RESET, reset);
+    } else if (message instanceof Recall recall) {
+      writeHead(packer, RECALL_SIZE, RECALL, recall);
+      writeShare(packer, recall.keep());
+      packer.packBoolean(recall.forced());
+    } else if (message instanceof Return returned) {
+      writeHead(packer, RETURN_SIZE, RETURN, returned);
+      packer.packLong(returned.sequence());
+      writeShare(packer, returned.returned());
+    }
+  }
+
+  /**
+   * Reads a message that is part of a larger frame.
+   *
+   * @throws IOException if the next value is not a valid message
+   */
+  public static ShareMessage read(MessageUnpacker unpacker) throws IOException {
+    try {
+      int size = unpacker.unpackArrayHeader();
+      int type = unpacker.unpackInt();
+      if (size != sizeOf(type)) {
+        throw new IOException("share message of type " + type + " with " + size + " values");
+      }
+      return readBody(unpacker, type);
+    } catch (RuntimeException e) {
+      // The unpacker and the checks of the records report malformed values this way.
+      throw new IOException("malformed share message", e);
+    }
+  }
+
+  private static ShareMessage readBody(MessageUnpacker unpacker, int type) throws IOException {
+    AccountId account = new AccountId(unpacker.unpackString());
+    long session = unpacker.unpackLong();
+    return switch (type) {
+      case REPORT ->
+          new Report(
+              account,
+              session,
+              unpacker.unpackLong(),
+              readShare(unpacker),
+              unpacker.unpackDouble(),
+              unpacker.unpackInt());
+      case GRANT ->
+          new Grant(
+              account, session, unpacker.unpackLong(), unpacker.unpackLong(), readShare(unpacker));
+      case RESET -> new Reset(account, session);
+      case RECALL -> new Recall(account, session, readShare(unpacker), unpacker.unpackBoolean());
+      default -> new Return(account, session, unpacker.unpackLong(), readShare(unpacker));
+    };
+  }
+
+  private static int sizeOf(int type) {
+    return switch (type) {
+      case REPORT -> REPORT_SIZE;
+      case GRANT -> GRANT_SIZE;
+      case RESET -> RESET_SIZE;
+      case RECALL -> RECALL_SIZE;
+      case RETURN -> RETURN_SIZE;
+      default -> -1;
+    };
+  }
+
+  private static void writeHead(MessagePacker packer, int size, int type, ShareMessage message)
+      throws IOException {
+    packer.packArrayHeader(size);
+    packer.packInt(type);
+    packer.packString(message.account().value());
+    packer.packLong(message.session());
+  }
+
+  private static void writeShare(MessagePacker packer, TokenShare share) throws IOException {
+    packer.packDouble(share.rateTokensPerSecond());
+    packer.packDouble(share.burstTokens());
+    packer.packDouble(share.levelTokens());
+  }
+
+  private static TokenShare readShare(MessageUnpacker unpacker) throws IOException {
+    return new TokenShare(
+        unpacker.unpackDouble(), unpacker.unpackDouble(), unpacker.unpackDouble());
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/package-info.java
@@ -0,0 +1,2 @@
+/** MessagePack form of the messages about rate shares. */
+package org.cornelspoke.protocol.quota;
