--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Main.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Main.java
@@ -1,12 +1,125 @@
 package org.cornelspoke.daemon;
 
-/** Entry point of the program. */
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.io.PrintStream;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import org.cornelspoke.daemon.settings.DaemonSettings;
+import org.cornelspoke.daemon.settings.SettingsException;
+import org.cornelspoke.daemon.settings.SettingsReader;
+
+/** Command line of the daemon. */
 public final class Main {
 
-  private Main() {}
+  static final int EXIT_OK = 0;
+  static final int EXIT_FAILED = 1;
+  static final int EXIT_USAGE = 2;
+
+  private final DaemonFactory factory;
+  private final PrintStream out;
+  private final PrintStream err;
 
-  /** Starts the program. */
+  Main(DaemonFactory factory, PrintStream out, PrintStream err) {
+    this.factory = factory;
+    this.out = out;
+    this.err = err;
+  }
+
+  /** Runs the daemon until it is told to stop. */
   public static void main(String[] args) {
-    System.out.println("not yet");
+    DaemonFactory factory =
+        settings -> {
+          throw new IllegalStateException("this build has no services for the role");
+        };
+    int exitCode = new Main(factory, System.out, System.err).run(args);
+    System.exit(exitCode);
+  }
+
+  /** Runs the command line and returns the exit code. */
+  int run(String... args) {
+    Options options = new Options();
+    JCommander commander =
+        JCommander.newBuilder().programName("cornelspoked").addObject(options).build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      err.println("cornelspoked: " + e.getMessage());
+      return EXIT_USAGE;
+    }
+    if (options.help) {
+      StringBuilder text = new StringBuilder();
+      commander.getUsageFormatter().usage(text);
+      out.print(text);
+      return EXIT_OK;
+    }
+    if (options.version) {
+      out.println("cornelspoked " + version());
+      return EXIT_OK;
+    }
+    if (options.settings == null) {
+      err.println("cornelspoked: --settings: missing; a file is required");
+      return EXIT_USAGE;
+    }
+    return runWithSettings(options);
+  }
+
+  private int runWithSettings(Options options) {
+    DaemonSettings settings;
+    try {
+      settings = new SettingsReader().read(Path.of(options.settings));
+    } catch (SettingsException e) {
+      err.println("cornelspoked: " + e.getMessage());
+      return EXIT_USAGE;
+    } catch (InvalidPathException e) {
+      err.println("cornelspoked: --settings: must be a path: " + e.getReason());
+      return EXIT_USAGE;
+    }
+    if (options.check) {
+      out.println(options.settings + ": ok");
+      return EXIT_OK;
+    }
+    Logging.configure(settings.log());
+    return serve(settings);
+  }
+
+  private int serve(DaemonSettings settings) {
+    DaemonFactory.Daemon daemon;
+    try {
+      daemon = factory.create(settings);
+      daemon.start();
+    } catch (Exception e) {
+      err.println("cornelspoked: start failed: " + e.getMessage());
+      return EXIT_FAILED;
+    }
+    // SIGTERM is the planned stop: the process ends only after the graceful shutdown.
+    Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "shutdown"));
+    try {
+      daemon.awaitStop();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return EXIT_OK;
+  }
+
+  private static String version() {
+    String version = Main.class.getPackage().getImplementationVersion();
+    return version == null ? "development" : version;
+  }
+
+  private static final class Options {
+
+    @Parameter(names = "--settings", description = "Settings file (JSON with comments)")
+    private String settings;
+
+    @Parameter(names = "--check", description = "Check the settings file and exit")
+    private boolean check;
+
+    @Parameter(names = "--help", description = "Print this text", help = true)
+    private boolean help;
+
+    @Parameter(names = "--version", description = "Print the version", help = true)
+    private boolean version;
   }
 }
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
@@ -0,0 +1,222 @@
+package org.cornelspoke.daemon.settings;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.OperatorId;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.util.Assert;
+
+/**
+ * Reads and checks the settings of a daemon: JSON with Java comments and trailing commas.
+ *
+ * <p>Stateless after construction and safe for use by any thread.
+ */
+public final class SettingsReader {
+
+  private static final int DEFAULT_FRESHNESS_BOUND_MILLIS = 3_000;
+  private static final int DEFAULT_SHARE_WAIT_MILLIS = 50;
+  private static final int DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024;
+  private static final int MIN_FRESHNESS_BOUND_MILLIS = 100;
+  private static final int MAX_FRESHNESS_BOUND_MILLIS = 60_000;
+  private static final int MAX_SHARE_WAIT_MILLIS = 10_000;
+  private static final int MAX_MAX_BODY_BYTES = 1024 * 1024 * 1024;
+
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder()
+          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+          .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private final boolean portZeroAllowed;
+
+  /** Creates a reader that refuses port 0, because nobody could know the chosen port. */
+  public SettingsReader() {
+    this(false);
+  }
+
+  private SettingsReader(boolean portZeroAllowed) {
+    this.portZeroAllowed = portZeroAllowed;
+  }
+
+  /** Returns a reader that accepts port 0 (any free port), for tests in one process. */
+  public static SettingsReader forTests() {
+    return new SettingsReader(true);
+  }
+
+  /**
+   * Reads a settings file.
+   *
+   * @throws SettingsException if the file can't be read or breaks a rule
+   */
+  public DaemonSettings read(Path file) throws SettingsException {
+    try {
+      return parse(Files.readString(file, StandardCharsets.UTF_8));
+    } catch (NoSuchFileException e) {
+      throw new SettingsException(file.toString(), "file does not exist");
+    } catch (CharacterCodingException e) {
+      throw new SettingsException(file.toString(), "file must be UTF-8 text");
+    } catch (IOException e) {
+      throw new SettingsException(file.toString(), "file can't be read: " + e.getMessage());
+    }
+  }
+
+  /**
+   * Parses the text of a settings file.
+   *
+   * @throws SettingsException if the text breaks a rule
+   */
+  public DaemonSettings parse(String text) throws SettingsException {
+    JsonNode root;
+    try {
+      root = MAPPER.readTree(text);
+    } catch (JsonProcessingException e) {
+      JsonLocation at = e.getLocation();
+      String place = at == null ? "" : "line " + at.getLineNr() + ", column " + at.getColumnNr();
+      throw new SettingsException("$", "must be JSON: " + place + ": " + e.getOriginalMessage());
+    }
+    SettingsObject object = SettingsObject.root(root, portZeroAllowed);
+    String role = object.text("role");
+    DaemonSettings settings =
+        switch (role) {
+          case "traffic" -> traffic(object);
+          case "control" -> control(object);
+          default -> throw object.broken("role", "must be \"traffic\" or \"control\"");
+        };
+    object.refuseUnknownFields();
+    return settings;
+  }
+
+  private static TrafficSettings traffic(SettingsObject object) throws SettingsException {
+    TrafficSettings settings =
+        new TrafficSettings(
+            object.id("daemonId", DaemonId::new),
+            object.id("dataCentre", DataCentreId::new),
+            object.endpoint("edgeAddress"),
+            object.endpoint("linkAddress"),
+            object.endpoint("localAddress"),
+            object.endpoint("adminAddress"),
+            controlEndpoints(object),
+            object.integer(
+                "freshnessBoundMillis",
+                DEFAULT_FRESHNESS_BOUND_MILLIS,
+                MIN_FRESHNESS_BOUND_MILLIS,
+                MAX_FRESHNESS_BOUND_MILLIS),
+            object.choice("staleKeys", StaleKeys.class, StaleKeys.REFUSE),
+            object.integer("shareWaitMillis", DEFAULT_SHARE_WAIT_MILLIS, 0, MAX_SHARE_WAIT_MILLIS),
+            object.integer("maxBodyBytes", DEFAULT_MAX_BODY_BYTES, 1, MAX_MAX_BODY_BYTES),
+            log(object));
+    if (!settings.localAddress().toSocketAddress().getAddress().isLoopbackAddress()) {
+      throw object.broken("localAddress", "must be a loopback address");
+    }
+    object.refuseSharedAddresses("edgeAddress", "linkAddress", "localAddress", "adminAddress");
+    return settings;
+  }
+
+  private static ControlSettings control(SettingsObject object) throws SettingsException {
+    VmId vmId = object.id("vmId", VmId::new);
+    ControlSettings settings =
+        new ControlSettings(
+            vmId,
+            object.id("dataCentre", DataCentreId::new),
+            object.endpoint("relayAddress"),
+            object.endpoint("peerAddress"),
+            object.endpoint("adminAddress"),
+            dataFolder(object),
+            peers(object, vmId),
+            bootstrapOperator(object),
+            log(object));
+    object.refuseSharedAddresses("relayAddress", "peerAddress", "adminAddress");
+    return settings;
+  }
+
+  private static List<Endpoint> controlEndpoints(SettingsObject object) throws SettingsException {
+    List<Endpoint> endpoints = object.endpoints("controlEndpoints");
+    if (endpoints.isEmpty()) {
+      throw object.broken("controlEndpoints", "must name at least one relay address");
+    }
+    if (new HashSet<>(endpoints).size() != endpoints.size()) {
+      throw object.broken("controlEndpoints", "must not name an address twice");
+    }
+    return endpoints;
+  }
+
+  private static Path dataFolder(SettingsObject object) throws SettingsException {
+    String text = object.text("dataFolder");
+    try {
+      return Path.of(text);
+    } catch (InvalidPathException e) {
+      throw object.broken("dataFolder", "must be a path: " + e.getReason());
+    }
+  }
+
+  private static List<PeerSettings> peers(SettingsObject object, VmId own)
+      throws SettingsException {
+    List<PeerSettings> peers = new ArrayList<>();
+    Set<VmId> known = new HashSet<>(Set.of(own));
+    for (SettingsObject item : object.objects("peers")) {
+      PeerSettings peer =
+          new PeerSettings(
+              item.id("vmId", VmId::new),
+              item.endpoint("peerAddress"),
+              item.endpoint("relayAddress"),
+              item.endpoint("adminAddress"));
+      if (!known.add(peer.vmId())) {
+        throw item.broken("vmId", "must differ from this VM and from the other peers");
+      }
+      item.refuseSharedAddresses("relayAddress", "peerAddress", "adminAddress");
+      item.refuseUnknownFields();
+      peers.add(peer);
+    }
+    return peers;
+  }
+
+  private static Optional<BootstrapOperator> bootstrapOperator(SettingsObject object)
+      throws SettingsException {
+    Optional<SettingsObject> item = object.object("bootstrapOperator");
+    if (item.isEmpty()) {
+      return Optional.empty();
+    }
+    BootstrapOperator operator =
+        new BootstrapOperator(
+            item.get().id("id", OperatorId::new),
+            item.get().id("tokenHashHex", SettingsReader::checkHash));
+    item.get().refuseUnknownFields();
+    return Optional.of(operator);
+  }
+
+  private static String checkHash(String text) {
+    // The message must not repeat the text: an operator may have put the token itself here.
+    Assert.isTrue(
+        text.matches("[0-9a-f]{64}"),
+        "must be a SHA-256 hash in 64 lower-case hexadecimal digits, not the token itself");
+    return text;
+  }
+
+  private static LogSettings log(SettingsObject object) throws SettingsException {
+    return new LogSettings(
+        object.choice("logFormat", LogFormat.class, LogSettings.DEFAULT.format()),
+        object.choice("logLevel", LogLevel.class, LogSettings.DEFAULT.level()));
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings file of a daemon: records of both roles, parsing and validation. */
+package org.cornelspoke.daemon.settings;
