--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/AdminBackend.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/AdminBackend.java
@@ -3,6 +3,7 @@
 import io.activej.promise.Promise;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.state.config.AuditEntry;
 import org.cornelspoke.state.config.ChangeRequest;
@@ -39,11 +40,11 @@
   /**
    * Reads the audit trail at an index that is proved current.
    *
-   * @param fromSequence sequence of the first wanted entry
+   * @param fromSequence sequence of the first wanted entry; empty for the newest entries
    * @param limit largest number of entries
    * @return entries in ascending order of sequence
    */
-  Promise<List<AuditEntry>> audit(long fromSequence, int limit);
+  Promise<List<AuditEntry>> audit(OptionalLong fromSequence, int limit);
 
   /** Returns the registered targets as this control VM has applied them. */
   Promise<List<Target>> targets();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/GroupStatus.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/GroupStatus.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.PresetName;
 import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.VmId;
 
@@ -14,6 +15,7 @@
  * @param quorumConfirmed true if a quorum confirmed the leader while this answer was made
  * @param appliedIndex log index that the answering VM has applied
  * @param appliedRevision configuration revision that the answering VM has applied
+ * @param presetInForce the preset in force at that revision, empty before the first configuration
  */
 public record GroupStatus(
     VmId answeredBy,
@@ -22,6 +24,7 @@
     long term,
     long appliedIndex,
     Revision appliedRevision,
+    Optional<PresetName> presetInForce,
     List<Member> members) {
 
   /** Copies the list. */
