--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/Member.java
@@ -0,0 +1,18 @@
+package org.cornelspoke.coordination.consensus;
+
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.state.log.MemberIdentity;
+
+/**
+ * One member of the control group. The identity, not the VM id, decides whose votes count.
+ *
+ * @param voter false for a learner
+ */
+public record Member(VmId vmId, MemberIdentity identity, Endpoint peerAddress, boolean voter) {
+
+  /** Returns the same member as a voter. */
+  public Member asVoter() {
+    return new Member(vmId, identity, peerAddress, true);
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/Outbox.java
@@ -0,0 +1,146 @@
+package org.cornelspoke.coordination.consensus;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import org.cornelspoke.state.log.HardState;
+import org.cornelspoke.state.log.LogEntry;
+import org.cornelspoke.state.log.Snapshot;
+
+/**
+ * Collects messages and persist requests, and holds back each message until the data that it
+ * vouches for is durable.
+ */
+final class Outbox {
+
+  private record Deferred(long sequence, RaftMessage message) {}
+
+  private static final class PendingSync {
+    final long sequence;
+    long lastIndex;
+
+    PendingSync(long sequence, long lastIndex) {
+      this.sequence = sequence;
+      this.lastIndex = lastIndex;
+    }
+  }
+
+  private final Deque<Deferred> deferred = new ArrayDeque<>();
+  private final Deque<PendingSync> pendingSyncs = new ArrayDeque<>();
+  private List<RaftMessage> messages = new ArrayList<>();
+  private List<PersistRequest> persistRequests = new ArrayList<>();
+  private long issuedSequence;
+  private long durableSequence;
+  private long hardStateSequence;
+  private long durableIndex;
+
+  Outbox(long durableIndex) {
+    this.durableIndex = durableIndex;
+  }
+
+  /** Sends a message that vouches for nothing. */
+  void send(RaftMessage message) {
+    messages.add(message);
+  }
+
+  /** Sends once the term and vote are durable. */
+  void sendWhenTermDurable(RaftMessage message) {
+    defer(hardStateSequence, message);
+  }
+
+  /** Sends once everything that has been handed out for persisting is durable. */
+  void sendWhenAllDurable(RaftMessage message) {
+    defer(issuedSequence, message);
+  }
+
+  void persistHardState(HardState hardState) {
+    hardStateSequence = ++issuedSequence;
+    persistRequests.add(
+        new PersistRequest(
+            issuedSequence, Optional.of(hardState), List.of(), Optional.empty(), false));
+  }
+
+  void persistEntries(List<LogEntry> entries) {
+    long first = entries.get(0).index();
+    clampDurable(first - 1);
+    issuedSequence++;
+    pendingSyncs.add(new PendingSync(issuedSequence, entries.get(entries.size() - 1).index()));
+    persistRequests.add(
+        new PersistRequest(
+            issuedSequence, Optional.empty(), List.copyOf(entries), Optional.empty(), false));
+  }
+
+  /** Returns the sequence number whose completion makes the snapshot durable. */
+  long persistSnapshot(Snapshot snapshot, boolean installed) {
+    issuedSequence++;
+    if (installed) {
+      clampDurable(0);
+      pendingSyncs.add(new PendingSync(issuedSequence, snapshot.index()));
+    }
+    persistRequests.add(
+        new PersistRequest(
+            issuedSequence, Optional.empty(), List.of(), Optional.of(snapshot), installed));
+    return issuedSequence;
+  }
+
+  void persisted(long sequence) {
+    durableSequence = Math.max(durableSequence, sequence);
+    while (!pendingSyncs.isEmpty() && pendingSyncs.peek().sequence <= durableSequence) {
+      durableIndex = pendingSyncs.remove().lastIndex;
+    }
+    for (Iterator<Deferred> i = deferred.iterator(); i.hasNext(); ) {
+      Deferred next = i.next();
+      if (next.sequence() <= durableSequence) {
+        messages.add(next.message());
+        i.remove();
+      }
+    }
+  }
+
+  /** Returns the last index up to which the log in memory is durable. */
+  long durableIndex() {
+    return durableIndex;
+  }
+
+  boolean isHardStateDurable() {
+    return durableSequence >= hardStateSequence;
+  }
+
+  /** Drops everything; nothing that was not handed out will be sent. */
+  void clear() {
+    deferred.clear();
+    messages.clear();
+    persistRequests.clear();
+  }
+
+  List<RaftMessage> takeMessages() {
+    List<RaftMessage> taken = messages;
+    messages = new ArrayList<>();
+    return taken;
+  }
+
+  List<PersistRequest> takePersistRequests() {
+    List<PersistRequest> taken = persistRequests;
+    persistRequests = new ArrayList<>();
+    return taken;
+  }
+
+  private void defer(long sequence, RaftMessage message) {
+    if (durableSequence >= sequence) {
+      messages.add(message);
+    } else {
+      deferred.add(new Deferred(sequence, message));
+    }
+  }
+
+  /** A replaced suffix is not durable, even if an earlier version of it was. */
+  private void clampDurable(long index) {
+    durableIndex = Math.min(durableIndex, index);
+    for (PendingSync pending : pendingSyncs) {
+      pending.lastIndex = Math.min(pending.lastIndex, index);
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftLog.java
@@ -0,0 +1,119 @@
+package org.cornelspoke.coordination.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cornelspoke.state.log.LogEntry;
+
+/** The entries after some index, in memory. The entry before the first has a known term. */
+final class RaftLog {
+
+  private final List<LogEntry> entries = new ArrayList<>();
+  private long baseIndex;
+  private long baseTerm;
+
+  RaftLog(long baseIndex, long baseTerm, List<LogEntry> entries) {
+    this.baseIndex = baseIndex;
+    this.baseTerm = baseTerm;
+    this.entries.addAll(entries);
+  }
+
+  /** Returns the index before the first entry. */
+  long baseIndex() {
+    return baseIndex;
+  }
+
+  long lastIndex() {
+    return baseIndex + entries.size();
+  }
+
+  long lastTerm() {
+    return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).term();
+  }
+
+  /** Returns the term at the index, or -1 if the index is before the base or after the end. */
+  long termAt(long index) {
+    if (index == baseIndex) {
+      return baseTerm;
+    }
+    if (index < baseIndex || index > lastIndex()) {
+      return -1;
+    }
+    return entry(index).term();
+  }
+
+  LogEntry entry(long index) {
+    return entries.get((int) (index - baseIndex - 1));
+  }
+
+  boolean matches(long index, long term) {
+    return termAt(index) == term;
+  }
+
+  /** Returns true if a log that ends at the index and term is at least as complete as this one. */
+  boolean isUpToDate(long otherLastIndex, long otherLastTerm) {
+    return otherLastTerm > lastTerm()
+        || (otherLastTerm == lastTerm() && otherLastIndex >= lastIndex());
+  }
+
+  void append(LogEntry entry) {
+    if (entry.index() != lastIndex() + 1) {
+      throw new IllegalStateException("entry " + entry + " does not follow " + lastIndex());
+    }
+    entries.add(entry);
+  }
+
+  void truncateFrom(long index) {
+    entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+  }
+
+  void removeUpTo(long index) {
+    if (index > baseIndex) {
+      baseTerm = termAt(index);
+      entries.subList(0, (int) (index - baseIndex)).clear();
+      baseIndex = index;
+    }
+  }
+
+  void reset(long index, long term) {
+    entries.clear();
+    baseIndex = index;
+    baseTerm = term;
+  }
+
+  /** Returns entries from the index on, at least one if there is one, up to about the size. */
+  List<LogEntry> slice(long from, int maxBytes) {
+    List<LogEntry> result = new ArrayList<>();
+    long bytes = 0;
+    for (long i = from; i <= lastIndex(); i++) {
+      LogEntry entry = entry(i);
+      bytes += entry.data().length + ENTRY_OVERHEAD_BYTES;
+      if (!result.isEmpty() && bytes > maxBytes) {
+        break;
+      }
+      result.add(entry);
+    }
+    return result;
+  }
+
+  /** Returns the first index of the run of entries that has the same term as the given index. */
+  long firstIndexOfTermAt(long index) {
+    long term = termAt(index);
+    long first = index;
+    while (first - 1 > baseIndex && termAt(first - 1) == term) {
+      first--;
+    }
+    return first;
+  }
+
+  /** Returns the last index at or before the limit whose term is at most the given one. */
+  long lastIndexWithTermAtMost(long limit, long term) {
+    long index = Math.min(limit, lastIndex());
+    while (index > baseIndex && termAt(index) > term) {
+      index--;
+    }
+    return index;
+  }
+
+  /** Bytes of one entry in a message besides its data: term, kind and lengths, rounded up. */
+  private static final int ENTRY_OVERHEAD_BYTES = 20;
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftMessage.java
@@ -0,0 +1,88 @@
+package org.cornelspoke.coordination.consensus;
+
+import java.util.List;
+import org.cornelspoke.state.log.LogEntry;
+import org.cornelspoke.state.log.MemberIdentity;
+
+/**
+ * A message between two members. Each names the identity of its sender and its receiver, so that a
+ * message from or to a wiped data folder is recognised.
+ */
+public sealed interface RaftMessage {
+
+  /** Returns the sender. */
+  MemberIdentity from();
+
+  /** Returns the receiver. */
+  MemberIdentity to();
+
+  /** Returns the sender's term; in pre-vote messages the term that the candidate would start. */
+  long term();
+
+  /** Asks whether an election in the term could succeed. Changes no state of the receiver. */
+  record PreVoteRequest(
+      MemberIdentity from, MemberIdentity to, long term, long lastIndex, long lastTerm)
+      implements RaftMessage {}
+
+  /**
+   * Answer to a pre-vote request.
+   *
+   * @param term the requested term if granted, otherwise the receiver's term
+   */
+  record PreVoteResponse(MemberIdentity from, MemberIdentity to, long term, boolean granted)
+      implements RaftMessage {}
+
+  /** Asks for a vote. */
+  record VoteRequest(
+      MemberIdentity from, MemberIdentity to, long term, long lastIndex, long lastTerm)
+      implements RaftMessage {}
+
+  /** Answer to a vote request. */
+  record VoteResponse(MemberIdentity from, MemberIdentity to, long term, boolean granted)
+      implements RaftMessage {}
+
+  /** Entries that follow the entry at {@code prevIndex}. */
+  record AppendRequest(
+      MemberIdentity from,
+      MemberIdentity to,
+      long term,
+      long prevIndex,
+      long prevTerm,
+      List<LogEntry> entries,
+      long commitIndex)
+      implements RaftMessage {}
+
+  /**
+   * Answer to an append request or an installed snapshot.
+   *
+   * @param index if accepted, the last durable matching index; if refused, the index to try next
+   * @param prevIndex the {@code prevIndex} of the request that was refused
+   * @param conflictTerm if refused, the receiver's term at {@code prevIndex}, or 0 if it has none
+   */
+  record AppendResponse(
+      MemberIdentity from,
+      MemberIdentity to,
+      long term,
+      boolean accepted,
+      long index,
+      long prevIndex,
+      long conflictTerm)
+      implements RaftMessage {}
+
+  /** Confirms the leader; the round identifies the heartbeat in the answer. */
+  record Heartbeat(MemberIdentity from, MemberIdentity to, long term, long commitIndex, long round)
+      implements RaftMessage {}
+
+  /** Answer to a heartbeat. */
+  record HeartbeatResponse(MemberIdentity from, MemberIdentity to, long term, long round)
+      implements RaftMessage {}
+
+  /** Part of a snapshot. */
+  record SnapshotRequest(MemberIdentity from, MemberIdentity to, long term, SnapshotChunk chunk)
+      implements RaftMessage {}
+
+  /** Asks for the next part of the snapshot at the index. */
+  record SnapshotResponse(
+      MemberIdentity from, MemberIdentity to, long term, long index, long nextOffsetBytes)
+      implements RaftMessage {}
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileNames.java
@@ -0,0 +1,51 @@
+package org.cornelspoke.state.log;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Names of the files in a data folder. Numbers have 16 hexadecimal digits, so names sort. */
+final class FileNames {
+
+  static final String META = "meta";
+  static final String TEMPORARY_SUFFIX = ".tmp";
+
+  private static final String SEGMENT_PREFIX = "log-";
+  private static final String SNAPSHOT_PREFIX = "snapshot-";
+
+  private FileNames() {}
+
+  static String segment(long number) {
+    return SEGMENT_PREFIX + String.format("%016x", number);
+  }
+
+  static String snapshot(long index) {
+    return SNAPSHOT_PREFIX + String.format("%016x", index);
+  }
+
+  static boolean isSnapshot(String name) {
+    return name.startsWith(SNAPSHOT_PREFIX) && !name.endsWith(TEMPORARY_SUFFIX);
+  }
+
+  static long snapshotIndex(String name) {
+    return Long.parseLong(name.substring(SNAPSHOT_PREFIX.length()), 16);
+  }
+
+  static List<Long> segmentNumbers(List<String> names) {
+    List<Long> numbers = new ArrayList<>();
+    for (String name : names) {
+      if (name.startsWith(SEGMENT_PREFIX) && !name.endsWith(TEMPORARY_SUFFIX)) {
+        numbers.add(Long.parseLong(name.substring(SEGMENT_PREFIX.length()), 16));
+      }
+    }
+    return numbers;
+  }
+
+  static void deleteTemporary(Disk disk) throws IOException {
+    for (String name : disk.list()) {
+      if (name.endsWith(TEMPORARY_SUFFIX)) {
+        disk.delete(name);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogEntry.java
@@ -0,0 +1,63 @@
+package org.cornelspoke.state.log;
+
+import java.util.Arrays;
+import java.util.Objects;
+import org.cornelspoke.util.Assert;
+
+/** One entry of the replicated log. The data array is shared and must not be changed. */
+public final class LogEntry {
+
+  private final long index;
+  private final long term;
+  private final EntryKind kind;
+  private final byte[] data;
+
+  /** Creates an entry. Index and term start at one. */
+  public LogEntry(long index, long term, EntryKind kind, byte[] data) {
+    Assert.isTrue(index > 0, "index must be at least 1");
+    Assert.isTrue(term > 0, "term must be at least 1");
+    this.index = index;
+    this.term = term;
+    this.kind = Assert.notNull(kind, "kind");
+    this.data = Assert.notNull(data, "data");
+  }
+
+  /** Returns the position in the log, from one. */
+  public long index() {
+    return index;
+  }
+
+  /** Returns the term of the leader that created the entry. */
+  public long term() {
+    return term;
+  }
+
+  /** Returns what the entry carries. */
+  public EntryKind kind() {
+    return kind;
+  }
+
+  /** Returns the content; the caller must not change it. */
+  public byte[] data() {
+    return data;
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof LogEntry entry
+        && index == entry.index
+        && term == entry.term
+        && kind == entry.kind
+        && Arrays.equals(data, entry.data);
+  }
+
+  @Override
+  public int hashCode() {
+    return Objects.hash(index, term, kind, Arrays.hashCode(data));
+  }
+
+  @Override
+  public String toString() {
+    return kind + "@" + index + "/" + term;
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogRecovery.java
@@ -0,0 +1,174 @@
+package org.cornelspoke.state.log;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** Reads a data folder without changing it and decides which data is intact. */
+final class LogRecovery {
+
+  private final Disk disk;
+  private final List<LogEntry> entries = new ArrayList<>();
+  private final List<LogStorage.SegmentInfo> sealed = new ArrayList<>();
+  private List<Long> segmentNumbers = List.of();
+  private StoredFormat.Meta meta;
+  private Snapshot snapshot;
+  private byte[] lastSegmentContent = new byte[0];
+  private long lastSegmentMaxIndex;
+  private boolean logDiscarded;
+
+  LogRecovery(Disk disk) {
+    this.disk = disk;
+  }
+
+  void read() throws IOException {
+    List<String> names = disk.list();
+    segmentNumbers = FileNames.segmentNumbers(names);
+    readMeta(names);
+    readSnapshot(names);
+    readSegments();
+    dropCoveredEntries();
+  }
+
+  StoredFormat.Meta meta() {
+    return meta;
+  }
+
+  Snapshot snapshot() {
+    return snapshot;
+  }
+
+  List<LogEntry> entries() {
+    return entries;
+  }
+
+  List<Long> segmentNumbers() {
+    return segmentNumbers;
+  }
+
+  List<LogStorage.SegmentInfo> sealed() {
+    return sealed;
+  }
+
+  byte[] lastSegmentContent() {
+    return lastSegmentContent;
+  }
+
+  long lastSegmentMaxIndex() {
+    return lastSegmentMaxIndex;
+  }
+
+  long lastSegmentNumber() {
+    return segmentNumbers.isEmpty() ? 0 : segmentNumbers.get(segmentNumbers.size() - 1);
+  }
+
+  /** Returns true if the entries do not continue the snapshot and must be removed. */
+  boolean logDiscarded() {
+    return logDiscarded;
+  }
+
+  long lastIndex() {
+    if (!entries.isEmpty()) {
+      return entries.get(entries.size() - 1).index();
+    }
+    return snapshot == null ? 0 : snapshot.index();
+  }
+
+  private void readMeta(List<String> names) throws IOException {
+    if (!names.contains(FileNames.META)) {
+      if (!segmentNumbers.isEmpty() || names.stream().anyMatch(FileNames::isSnapshot)) {
+        throw new DamagedStorageException(FileNames.META, 0, "the file is missing");
+      }
+      return;
+    }
+    byte[] payload = RecordFormat.decode(0, disk.read(FileNames.META), 0);
+    if (payload == null) {
+      throw new DamagedStorageException(FileNames.META, 0, "checksum does not match");
+    }
+    meta = StoredFormat.unpackMeta(payload);
+  }
+
+  private void readSnapshot(List<String> names) throws IOException {
+    List<String> snapshots = names.stream().filter(FileNames::isSnapshot).sorted().toList();
+    if (snapshots.isEmpty()) {
+      return;
+    }
+    String name = snapshots.get(snapshots.size() - 1);
+    byte[] payload = RecordFormat.decode(FileNames.snapshotIndex(name), disk.read(name), 0);
+    if (payload == null) {
+      throw new DamagedStorageException(name, 0, "checksum does not match");
+    }
+    snapshot = StoredFormat.unpackSnapshot(payload);
+  }
+
+  private void readSegments() throws IOException {
+    for (int i = 0; i < segmentNumbers.size(); i++) {
+      long number = segmentNumbers.get(i);
+      if (i > 0 && number != segmentNumbers.get(i - 1) + 1) {
+        throw new DamagedStorageException(
+            FileNames.segment(number), 0, "the segment before it is missing");
+      }
+      readSegment(number, i == segmentNumbers.size() - 1);
+    }
+  }
+
+  private void readSegment(long number, boolean last) throws IOException {
+    String name = FileNames.segment(number);
+    byte[] file = disk.read(name);
+    int offset = 0;
+    long maxIndex = 0;
+    while (offset < file.length) {
+      byte[] payload = RecordFormat.decode(number, file, offset);
+      if (payload == null) {
+        if (!last || RecordFormat.hasRecordAfter(number, file, offset)) {
+          throw new DamagedStorageException(name, offset, "damage before the last record");
+        }
+        break;
+      }
+      if (offset == 0) {
+        StoredFormat.checkSegmentHeader(payload, number);
+      } else {
+        maxIndex = Math.max(maxIndex, replay(name, offset, StoredFormat.unpackEntries(payload)));
+      }
+      offset += RecordFormat.HEADER_BYTES + payload.length;
+    }
+    if (last) {
+      lastSegmentContent = Arrays.copyOf(file, offset);
+      lastSegmentMaxIndex = maxIndex;
+    } else {
+      sealed.add(new LogStorage.SegmentInfo(number, maxIndex));
+    }
+  }
+
+  private long replay(String name, int offset, List<LogEntry> record) throws IOException {
+    long first = record.get(0).index();
+    long next = entries.isEmpty() ? first : entries.get(entries.size() - 1).index() + 1;
+    long snapshotIndex = snapshot == null ? 0 : snapshot.index();
+    boolean startsAfterGap = first > next || entries.isEmpty();
+    if (startsAfterGap && first - 1 > snapshotIndex) {
+      throw new DamagedStorageException(name, offset, "entries before " + first + " are missing");
+    }
+    if (startsAfterGap || first <= entries.get(0).index()) {
+      entries.clear();
+    } else if (first < next) {
+      entries.subList((int) (first - entries.get(0).index()), entries.size()).clear();
+    }
+    entries.addAll(record);
+    return record.get(record.size() - 1).index();
+  }
+
+  private void dropCoveredEntries() {
+    if (snapshot == null || entries.isEmpty()) {
+      return;
+    }
+    long position = snapshot.index() - entries.get(0).index();
+    if (position >= entries.size()
+        || (position >= 0 && entries.get((int) position).term() != snapshot.term())) {
+      entries.clear();
+      logDiscarded = true;
+    } else if (position >= 0) {
+      entries.subList(0, (int) position + 1).clear();
+    }
+  }
+}
