Add the peer message codec and the simulation of the control group

Cause: the Raft node had no tests. Change: protocol.consensus encodes peer messages with checked lengths; test sources hold a simulated network, a fake disk and a checker against a single copy; seeded runs with crashes, cuts, failing syncs and membership changes, and three mutated drivers that the checker must report. While writing it, two harness faults were found: disk faults that outlived the settling phase, and a failing sync during a simulated start.

--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessageCodec.java
@@ -0,0 +1,111 @@
+package org.cornelspoke.protocol.consensus;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.protocol.consensus.PeerMessage.Hello;
+import org.cornelspoke.protocol.consensus.PeerMessage.ProposeCall;
+import org.cornelspoke.protocol.consensus.PeerMessage.ProposeCommitted;
+import org.cornelspoke.protocol.consensus.PeerMessage.ProposeFailed;
+import org.cornelspoke.protocol.consensus.PeerMessage.Raft;
+import org.cornelspoke.protocol.consensus.PeerMessage.ReadCall;
+import org.cornelspoke.protocol.consensus.PeerMessage.ReadReply;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/**
+ * Encodes {@link PeerMessage}s as MessagePack: a type number followed by the fields. Lengths are
+ * checked against the frame before memory is allocated. Stateless and safe for use by any thread.
+ */
+public final class PeerMessageCodec {
+
+  private static final String MAGIC = "cornelspoke-peer";
+  private static final int VERSION = 1;
+  private static final int HELLO = 1;
+  private static final int PROPOSE_CALL = 2;
+  private static final int PROPOSE_COMMITTED = 3;
+  private static final int PROPOSE_FAILED = 4;
+  private static final int READ_CALL = 5;
+  private static final int READ_REPLY = 6;
+
+  private PeerMessageCodec() {}
+
+  /** Encodes a message as one frame. */
+  public static byte[] encode(PeerMessage message) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      write(out, message);
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("packing into memory cannot fail", e);
+    }
+  }
+
+  /**
+   * Decodes one frame.
+   *
+   * @throws MalformedFrameException if the type is unknown, a field is missing or out of range, or
+   *     bytes are left over
+   */
+  public static PeerMessage decode(byte[] frame) throws MalformedFrameException {
+    try (FieldReader in = new FieldReader(frame)) {
+      PeerMessage message = read(in);
+      in.checkEnd();
+      return message;
+    } catch (IllegalArgumentException e) {
+      throw new MalformedFrameException("field out of range", e);
+    }
+  }
+
+  private static void write(MessageBufferPacker out, PeerMessage message) throws IOException {
+    if (message instanceof Raft m) {
+      RaftMessageFormat.write(out, m.message());
+    } else if (message instanceof Hello m) {
+      out.packInt(HELLO).packString(MAGIC).packInt(VERSION);
+      out.packString(m.vmId().value()).packString(m.identity().value());
+      out.packString(m.peerAddress().toString()).packBoolean(m.blank());
+    } else if (message instanceof ProposeCall m) {
+      out.packInt(PROPOSE_CALL).packLong(m.callId());
+      writeBinary(out, m.command().array());
+    } else if (message instanceof ProposeCommitted m) {
+      out.packInt(PROPOSE_COMMITTED).packLong(m.callId()).packLong(m.index());
+      writeBinary(out, m.result().array());
+    } else if (message instanceof ProposeFailed m) {
+      out.packInt(PROPOSE_FAILED).packLong(m.callId()).packBoolean(m.notAppended());
+      out.packString(m.cause());
+    } else if (message instanceof ReadCall m) {
+      out.packInt(READ_CALL).packLong(m.callId());
+    } else if (message instanceof ReadReply m) {
+      out.packInt(READ_REPLY).packLong(m.callId()).packBoolean(m.confirmed()).packLong(m.index());
+    }
+  }
+
+  private static PeerMessage read(FieldReader in) throws MalformedFrameException {
+    int type = in.readInt();
+    return switch (type) {
+      case HELLO -> readHello(in);
+      case PROPOSE_CALL -> new ProposeCall(in.readLong(), ByteBuffer.wrap(in.readBinary()));
+      case PROPOSE_COMMITTED ->
+          new ProposeCommitted(in.readLong(), in.readLong(), ByteBuffer.wrap(in.readBinary()));
+      case PROPOSE_FAILED -> new ProposeFailed(in.readLong(), in.readBoolean(), in.readText());
+      case READ_CALL -> new ReadCall(in.readLong());
+      case READ_REPLY -> new ReadReply(in.readLong(), in.readBoolean(), in.readLong());
+      default -> new Raft(RaftMessageFormat.read(type, in));
+    };
+  }
+
+  private static Hello readHello(FieldReader in) throws MalformedFrameException {
+    if (!in.readText().equals(MAGIC) || in.readInt() != VERSION) {
+      throw new MalformedFrameException("not a peer connection of this version", null);
+    }
+    return new Hello(
+        new VmId(in.readText()),
+        in.readIdentity(),
+        Endpoint.parse(in.readText()),
+        in.readBoolean());
+  }
+
+  static void writeBinary(MessageBufferPacker out, byte[] bytes) throws IOException {
+    out.packBinaryHeader(bytes.length).writePayload(bytes);
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedVm.java
@@ -0,0 +1,269 @@
+package org.cornelspoke.coordination.consensus;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.apache.commons.math3.random.Well19937c;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.state.log.DamagedStorageException;
+import org.cornelspoke.state.log.EntryKind;
+import org.cornelspoke.state.log.FakeDisk;
+import org.cornelspoke.state.log.LogEntry;
+import org.cornelspoke.state.log.LogStorage;
+import org.cornelspoke.state.log.MemberIdentity;
+import org.cornelspoke.state.log.Snapshot;
+
+/** One simulated control VM: fake disk, storage, node, and a state that lists command numbers. */
+final class SimulatedVm {
+
+  private static final int SNAPSHOT_INTERVAL = 15;
+
+  final VmId vmId;
+  final Endpoint address;
+  final FakeDisk disk;
+  private final SimulatedCluster cluster;
+  private final Random random;
+  private final Deque<PersistRequest> persistQueue = new ArrayDeque<>();
+  private final Map<Long, long[]> proposals = new HashMap<>();
+  private final Map<Long, Long> readFloors = new HashMap<>();
+  private List<Long> state = new ArrayList<>();
+  private MemberIdentity fixedIdentity;
+  private LogStorage storage;
+  private boolean syncScheduled;
+  private boolean diskPaused;
+  private long lastSnapshot;
+  long applied;
+  int incarnation;
+  RaftNode node;
+
+  SimulatedVm(SimulatedCluster cluster, int number, Random random) {
+    this.cluster = cluster;
+    this.vmId = new VmId("vm-" + number);
+    this.address = new Endpoint("127.0.0.1", 9000 + number);
+    this.random = random;
+    this.disk = new FakeDisk(random.nextLong());
+  }
+
+  boolean isUp() {
+    return node != null;
+  }
+
+  List<Long> state() {
+    return state;
+  }
+
+  Member asMember(boolean voter) {
+    return new Member(vmId, node.identity(), address, voter);
+  }
+
+  void start() {
+    incarnation++;
+    try {
+      storage = LogStorage.open(disk, 300, this::newIdentity);
+    } catch (DamagedStorageException e) {
+      throw new IllegalStateException(vmId + " cannot start", e);
+    } catch (IOException e) {
+      // A simulated crash or failing sync during the start.
+      stop();
+      return;
+    }
+    RaftSettings settings =
+        new RaftSettings(SimulatedCluster.HEARTBEAT, 5 * SimulatedCluster.HEARTBEAT, 200, 4, 64, 5);
+    node =
+        new RaftNode(
+            settings, storage.recovered(), new Well19937c(random.nextLong()), cluster.now());
+    cluster.identityOwners.put(node.identity(), this);
+    step();
+    int startedIn = incarnation;
+    cluster.after(0, () -> tick(startedIn));
+  }
+
+  private MemberIdentity newIdentity() {
+    if (cluster.mutation != SimulatedCluster.Mutation.KEEP_IDENTITY_ON_WIPE
+        || fixedIdentity == null) {
+      fixedIdentity = MemberIdentity.seeded(random.nextLong());
+    }
+    return fixedIdentity;
+  }
+
+  /** Stops at once and loses what was not synced. */
+  void stop() {
+    incarnation++;
+    node = null;
+    persistQueue.clear();
+    proposals.clear();
+    readFloors.clear();
+    syncScheduled = false;
+    state = new ArrayList<>();
+    applied = 0;
+    lastSnapshot = 0;
+    disk.crash();
+  }
+
+  void wipe() {
+    stop();
+    disk.wipe();
+  }
+
+  private void tick(int startedIn) {
+    if (incarnation == startedIn) {
+      node.tick(cluster.now());
+      step();
+      cluster.after(SimulatedCluster.HEARTBEAT / 4, () -> tick(startedIn));
+    }
+  }
+
+  void receive(RaftMessage message) {
+    if (node != null) {
+      node.receive(message, cluster.now());
+      step();
+    }
+  }
+
+  void propose(long command) {
+    byte[] bytes = ByteBuffer.allocate(8).putLong(command).array();
+    node.propose(bytes).ifPresent(index -> proposals.put(index, new long[] {node.term(), command}));
+    step();
+  }
+
+  void read(long requestId) {
+    readFloors.put(requestId, cluster.checker.acknowledgedIndex());
+    if (cluster.mutation == SimulatedCluster.Mutation.READ_WITHOUT_ROUND
+        && node.role() == RaftNode.Role.LEADER) {
+      finishRead(new ReadResult(requestId, true, node.commitIndex()));
+      return;
+    }
+    node.readIndex(requestId);
+    step();
+  }
+
+  /** Takes all outputs of the node, as the service does after each input. */
+  void step() {
+    if (node == null) {
+      return;
+    }
+    cluster.checker.observeRole(this);
+    node.takeMessages().forEach(m -> cluster.send(this, m));
+    for (PersistRequest request : node.takePersistRequests()) {
+      persistQueue.add(request);
+      if (cluster.mutation == SimulatedCluster.Mutation.ACKNOWLEDGE_BEFORE_SYNC) {
+        node.persisted(request.sequence());
+        node.takeMessages().forEach(m -> cluster.send(this, m));
+      }
+    }
+    if (!syncScheduled && !persistQueue.isEmpty()) {
+      syncScheduled = true;
+      int startedIn = incarnation;
+      cluster.after(cluster.randomDelay(), () -> sync(startedIn));
+    }
+    node.takeRestore().ifPresent(this::restore);
+    node.takeCommitted().forEach(this::apply);
+    node.takeReadResults().forEach(this::finishRead);
+    if (applied - lastSnapshot >= SNAPSHOT_INTERVAL) {
+      lastSnapshot = applied;
+      ByteBuffer bytes = ByteBuffer.allocate(8 * state.size());
+      state.forEach(bytes::putLong);
+      node.snapshotTaken(applied, bytes.array());
+      step();
+    }
+  }
+
+  /** Lets writes and syncs wait. */
+  void pauseDisk(boolean paused) {
+    diskPaused = paused;
+  }
+
+  private void sync(int startedIn) {
+    if (incarnation != startedIn) {
+      return;
+    }
+    if (diskPaused) {
+      cluster.after(SimulatedCluster.HEARTBEAT, () -> sync(startedIn));
+      return;
+    }
+    syncScheduled = false;
+    try {
+      while (!persistQueue.isEmpty()) {
+        PersistRequest request = persistQueue.remove();
+        write(request);
+        node.persisted(request.sequence());
+      }
+      step();
+    } catch (FakeDisk.CrashException e) {
+      stop();
+    } catch (IOException e) {
+      node.persistFailed();
+      persistQueue.clear();
+      step();
+    }
+  }
+
+  private void write(PersistRequest request) throws IOException {
+    if (request.hardState().isPresent()) {
+      storage.saveHardState(request.hardState().get());
+    }
+    if (!request.entries().isEmpty()) {
+      storage.append(request.entries());
+      storage.sync();
+    }
+    Optional<Snapshot> snapshot = request.snapshot();
+    if (snapshot.isPresent() && request.installed()) {
+      storage.installSnapshot(snapshot.get());
+    } else if (snapshot.isPresent()) {
+      storage.saveSnapshot(snapshot.get());
+    }
+  }
+
+  private void restore(Snapshot snapshot) {
+    state = new ArrayList<>();
+    ByteBuffer bytes = ByteBuffer.wrap(snapshot.data());
+    while (bytes.hasRemaining()) {
+      state.add(bytes.getLong());
+    }
+    applied = snapshot.index();
+    lastSnapshot = applied;
+    cluster.checker.checkRestored(this);
+  }
+
+  private void apply(LogEntry entry) {
+    applied = entry.index();
+    if (entry.kind() == EntryKind.COMMAND) {
+      state.add(ByteBuffer.wrap(entry.data()).getLong());
+    }
+    cluster.checker.checkApplied(this, entry);
+    long[] proposal = proposals.remove(entry.index());
+    if (proposal != null && proposal[0] == entry.term()) {
+      cluster.checker.acknowledged(proposal[1], entry.index());
+    }
+  }
+
+  private void finishRead(ReadResult result) {
+    long floor = readFloors.remove(result.requestId());
+    if (result.confirmed()) {
+      cluster.checker.checkRead(this, floor, result.index());
+    }
+  }
+
+  @Override
+  public String toString() {
+    if (node == null) {
+      return vmId + " down";
+    }
+    return vmId
+        + (" " + node.identity() + " " + node.role() + " term " + node.term())
+        + (node.isStorageFailed() ? " storage failed" : "")
+        + (" last " + node.lastIndex() + " commit " + node.commitIndex())
+        + (" members "
+            + node.membership().members().stream()
+                .map(m -> m.vmId() + ":" + m.identity() + ":" + m.voter())
+                .toList());
+  }
+}
--- a/cornelspoke-core/src/test/java/org/cornelspoke/state/log/FakeDisk.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/state/log/FakeDisk.java
@@ -55,6 +55,12 @@
     syncsUntilFailure = syncCount;
   }
 
+  /** Removes planned crashes and failures. */
+  public void clearFaults() {
+    operationsUntilCrash = Integer.MAX_VALUE;
+    syncsUntilFailure = Integer.MAX_VALUE;
+  }
+
   /** Returns the number of write, sync and folder operations so far. */
   public int operations() {
     return operations;
@@ -63,8 +69,7 @@
   /** Loses unsynced data. Files that were open before cannot be used any more. */
   public void crash() {
     generation++;
-    operationsUntilCrash = Integer.MAX_VALUE;
-    syncsUntilFailure = Integer.MAX_VALUE;
+    clearFaults();
     int kept = random.nextInt(unsyncedFolders.size() + 1);
     files = kept == 0 ? durableFiles : unsyncedFolders.get(kept - 1);
     unsyncedFolders.clear();
