Add the stand-in upstream and the open-loop load generator

Cause: the demo, the overhead measurement and the soak need an upstream whose capacity and faults can be changed, and load whose answers are checked.

--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/http/LoopThread.java
@@ -0,0 +1,70 @@
+package org.cornelspoke.bench.http;
+
+import io.activej.eventloop.Eventloop;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+
+/** An event loop on a thread of its own. Safe for use by any thread. */
+public final class LoopThread {
+
+  // The default of 1 s lets an idle loop wake late for background tasks.
+  private static final Duration IDLE_INTERVAL = Duration.ofMillis(100);
+
+  private final Eventloop loop;
+  private final Thread thread;
+
+  /** Starts the thread. */
+  public LoopThread(String name) {
+    loop =
+        Eventloop.builder()
+            .withThreadName(name)
+            .withIdleInterval(IDLE_INTERVAL)
+            .withFatalErrorHandler(
+                (error, context) ->
+                    System.getLogger(LoopThread.class.getName())
+                        .log(System.Logger.Level.ERROR, "uncaught in the event loop", error))
+            .build();
+    loop.keepAlive(true);
+    thread = new Thread(loop, name);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Returns the event loop. */
+  public Eventloop loop() {
+    return loop;
+  }
+
+  /**
+   * Runs a task on the loop's thread and waits for it.
+   *
+   * @throws IllegalStateException if the task throws
+   */
+  public <T> T call(Callable<T> task) {
+    try {
+      CompletableFuture<T> result = new CompletableFuture<>();
+      loop.execute(() -> complete(result, task));
+      return result.get();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e.getCause());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static <T> void complete(CompletableFuture<T> result, Callable<T> task) {
+    try {
+      result.complete(task.call());
+    } catch (Exception e) {
+      result.completeExceptionally(e);
+    }
+  }
+
+  /** Ends the thread after the tasks that are due. */
+  public void stop() {
+    loop.execute(loop::breakEventloop);
+  }
+}
--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/GroupStats.java
@@ -0,0 +1,73 @@
+package org.cornelspoke.bench.load;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** Counts of the requests of one class, account or of the whole run. Belongs to one thread. */
+final class GroupStats {
+
+  private static final long MAX_LATENCY_MICROS = 120_000_000;
+  private static final int SIGNIFICANT_DIGITS = 3;
+
+  final Histogram latencyMicros = new Histogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS);
+  final Map<String, Long> refusals = new TreeMap<>();
+  final Map<String, Long> failures = new TreeMap<>();
+  long offered;
+  long completed;
+  long gaveUp;
+  long attempts;
+  long withinRate;
+  long wrongfulRefusals;
+  long wrongAnswers;
+
+  void addAttempt(AttemptRecord attempt) {
+    attempts++;
+    if (attempt.withinRate()) {
+      withinRate++;
+    }
+    if (attempt.isWrongfulRefusal()) {
+      wrongfulRefusals++;
+    }
+    if (!attempt.intact() || !attempt.belongsToRequest()) {
+      wrongAnswers++;
+    }
+    if (attempt.verdict() != null) {
+      refusals.merge(attempt.reason() + " " + attempt.verdict(), 1L, Long::sum);
+    } else if (attempt.failure() != null) {
+      failures.merge(attempt.failure(), 1L, Long::sum);
+    } else if (!attempt.isSuccess()) {
+      failures.merge("status " + attempt.status(), 1L, Long::sum);
+    }
+  }
+
+  void addCompleted(long latency) {
+    completed++;
+    latencyMicros.recordValue(Math.max(0, Math.min(latency, MAX_LATENCY_MICROS)));
+  }
+
+  Map<String, Object> asMap(double seconds) {
+    Map<String, Object> map = new LinkedHashMap<>();
+    map.put("offered", offered);
+    map.put("completed", completed);
+    map.put("gaveUp", gaveUp);
+    map.put("goodputPerSecond", completed / seconds);
+    map.put("attempts", attempts);
+    map.put("withinRate", withinRate);
+    map.put("wrongfulRefusals", wrongfulRefusals);
+    map.put("wrongAnswers", wrongAnswers);
+    map.put("refusals", refusals);
+    map.put("failures", failures);
+    map.put("p50Millis", percentile(50));
+    map.put("p90Millis", percentile(90));
+    map.put("p99Millis", percentile(99));
+    map.put("p999Millis", percentile(99.9));
+    map.put("maxMillis", latencyMicros.getMaxValue() / 1000.0);
+    return map;
+  }
+
+  double percentile(double percentile) {
+    return latencyMicros.getValueAtPercentile(percentile) / 1000.0;
+  }
+}
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/package-info.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Command line of the measuring tools, which are no part of the shipped programs. */
 package org.cornelspoke.bench;
--- /dev/null
+++ b/cornelspoke-bench/src/test/java/org/cornelspoke/bench/load/LoadGeneratorTest.java
@@ -0,0 +1,216 @@
+package org.cornelspoke.bench.load;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.cornelspoke.bench.http.AnswerBody;
+import org.cornelspoke.bench.http.LoopThread;
+import org.cornelspoke.bench.http.WireExchange;
+import org.cornelspoke.bench.http.WireFormat;
+import org.cornelspoke.bench.http.WireServer;
+import org.cornelspoke.model.TrafficClass;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a load generator that takes a wrong or missing answer for a good one. */
+class LoadGeneratorTest {
+
+  private static final InetSocketAddress LOOPBACK =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+  private final LoopThread thread = new LoopThread("test");
+  private final List<AttemptRecord> attempts = new ArrayList<>();
+  private final AtomicLong nanos = new AtomicLong();
+  private WireServer server;
+  private LoadGenerator generator;
+
+  @AfterEach
+  void stop() {
+    thread.call(
+        () -> {
+          generator.close();
+          server.stop();
+          return null;
+        });
+    thread.stop();
+  }
+
+  @Test
+  void completesARequestAndHidesNoWait() {
+    // The clock stands 250 ms after the intended time, as after a stall of the generator.
+    start(1, 1, LoadGeneratorTest::answerWell);
+    nanos.set(250_000_000);
+
+    send(entries(), 1);
+
+    assertThat(generator.stats().total().completed).isEqualTo(1);
+    assertThat(generator.stats().total().latencyMicros.getMaxValue()).isAtLeast(250_000L);
+    assertThat(attempts.get(0).isSuccess()).isTrue();
+    assertThat(attempts.get(0).idempotencyKey()).isEqualTo("a.t-0");
+  }
+
+  @Test
+  void noticesAnAnswerToAnotherRequest() {
+    start(1, 1, exchange -> answer(exchange, "a.t-9.1", 100, 100));
+
+    send(files(), 1);
+
+    assertThat(generator.stats().total().wrongAnswers).isEqualTo(1);
+    assertThat(generator.stats().total().completed).isEqualTo(0);
+  }
+
+  @Test
+  void acceptsTheStoredAnswerOfAnEarlierAttempt() {
+    start(1, 1, exchange -> answer(exchange, "a.t-0.7", 100, 100));
+
+    send(entries(), 1);
+
+    assertThat(generator.stats().total().wrongAnswers).isEqualTo(0);
+  }
+
+  @Test
+  void noticesAShortenedAnswer() {
+    start(1, 1, exchange -> answer(exchange, id(exchange), 50, 100));
+
+    send(files(), 1);
+
+    assertThat(generator.stats().total().wrongAnswers).isEqualTo(1);
+  }
+
+  @Test
+  void noticesACutConnection() {
+    start(
+        1,
+        1,
+        exchange -> {
+          byte[] whole = WireFormat.response(200, Map.of(), new byte[100]);
+          exchange.sendRawAndClose(Arrays.copyOf(whole, whole.length - 10));
+        });
+
+    send(files(), 1);
+
+    assertThat(generator.stats().total().failures).containsExactly("TRUNCATED", 1L);
+  }
+
+  @Test
+  void countsOnlyRefusalsWithinTheRateAsWrongful() {
+    // The burst is 2 and the clock stands still, so the third request is over the rate.
+    start(1, 2, exchange -> refuse(exchange, "1"));
+
+    send(entries(), 3);
+
+    GroupStats total = generator.stats().total();
+    assertThat(total.refusals).containsExactly("rate not-run", 3L);
+    assertThat(total.withinRate).isEqualTo(2);
+    assertThat(total.wrongfulRefusals).isEqualTo(2);
+  }
+
+  @Test
+  void retriesWithTheSameIdempotencyKeyUntilTheLimit() {
+    start(3, 100, exchange -> refuse(exchange, "0"));
+
+    send(entries(), 1);
+
+    assertThat(attempts.stream().map(AttemptRecord::requestId).toList())
+        .containsExactly("a.t-0.1", "a.t-0.2", "a.t-0.3")
+        .inOrder();
+    assertThat(attempts.stream().map(AttemptRecord::idempotencyKey).distinct().toList())
+        .containsExactly("a.t-0");
+    assertThat(generator.stats().total().gaveUp).isEqualTo(1);
+  }
+
+  @Test
+  void givesUpWhenRetryAfterIsBeyondTheDeadline() {
+    start(3, 100, exchange -> refuse(exchange, "3600"));
+
+    send(entries(), 1);
+
+    assertThat(attempts).hasSize(1);
+  }
+
+  private void start(int maxAttempts, double burst, Consumer<WireExchange> handler) {
+    server = new WireServer(thread.loop(), LOOPBACK, handler);
+    generator =
+        thread.call(
+            () -> {
+              server.start();
+              LoadPlan plan =
+                  new LoadPlan(
+                      "t",
+                      1,
+                      1000,
+                      List.of("127.0.0.1:" + server.port()),
+                      List.of(caller(burst)),
+                      List.of(entries(), files()),
+                      new LoadPlan.Retries(maxAttempts, true, 0),
+                      null);
+              return new LoadGenerator(thread.loop(), plan, attempts::add, nanos::get);
+            });
+  }
+
+  private void send(LoadPlan.CalledRoute route, int count) {
+    thread.call(
+        () -> {
+          for (int i = 0; i < count; i++) {
+            String edge = "127.0.0.1:" + server.port();
+            generator.send(new Arrival(i, 0, caller(1), route, edge));
+          }
+          return null;
+        });
+    while (thread.call(generator::unfinished) > 0) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private static LoadPlan.Caller caller(double burst) {
+    return new LoadPlan.Caller(
+        "a", List.of(new LoadPlan.Key("a-1", "secret")), 1, 1, burst, Map.of());
+  }
+
+  private static LoadPlan.CalledRoute entries() {
+    return new LoadPlan.CalledRoute(
+        "entries", "POST", "/e", TrafficClass.CRITICAL, 1, true, false, 30_000, 10);
+  }
+
+  private static LoadPlan.CalledRoute files() {
+    return new LoadPlan.CalledRoute(
+        "files", "GET", "/f", TrafficClass.BULK, 1, false, true, 30_000, 0);
+  }
+
+  private static String id(WireExchange exchange) {
+    return exchange.request().header("Bench-Request-Id").orElse("");
+  }
+
+  private static void answerWell(WireExchange exchange) {
+    boolean keyed = exchange.request().header("Authorization").orElse("").equals("Bearer secret");
+    answer(exchange, keyed ? id(exchange) : "no key", 100, 100);
+  }
+
+  private static void answer(WireExchange exchange, String id, int bytes, int announcedBytes) {
+    exchange.respond(
+        200,
+        Map.of("Bench-Request-Id", id, "Bench-Body-Bytes", Integer.toString(announcedBytes)),
+        AnswerBody.create(id, bytes));
+  }
+
+  private static void refuse(WireExchange exchange, String retryAfter) {
+    exchange.respond(
+        429,
+        Map.of(
+            "Cornelspoke-Verdict",
+            "not-run",
+            "Cornelspoke-Reason",
+            "rate",
+            "Retry-After",
+            retryAfter),
+        "refused".getBytes(StandardCharsets.UTF_8));
+  }
+}
