--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/BuiltInPresets.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/BuiltInPresets.java
@@ -23,6 +23,11 @@
 
   private BuiltInPresets() {}
 
+  /** Returns the initial value of {@link #ORDINARY}, for daemons without a configuration. */
+  public static Preset ordinary() {
+    return all().get(0);
+  }
+
   /** Returns the presets with their initial values. */
   static List<Preset> all() {
     // Retries multiply load during an overload, so the presets for scarce capacity allow fewer.
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigState.java
@@ -71,6 +71,16 @@
     return entities.live(entity -> true);
   }
 
+  /** Returns every entity and tombstone with its revision, in order of the last change. */
+  public List<VersionedEntity> versionedEntities() {
+    return entities.inOrder(0);
+  }
+
+  /** Returns the sequence number of the newest audit entry, 0 if there is none. */
+  public long auditSequence() {
+    return audit.sequence();
+  }
+
   /** Returns the name of the preset in force. */
   public PresetName activePreset() {
     return ((ActivePreset) entities.get(ActivePreset.ID).orElseThrow()).name();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Main.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Main.java
@@ -6,6 +6,8 @@
 import java.io.PrintStream;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import org.cornelspoke.daemon.runtime.DaemonFactory;
+import org.cornelspoke.daemon.runtime.DefaultDaemonFactory;
 import org.cornelspoke.daemon.settings.DaemonSettings;
 import org.cornelspoke.daemon.settings.SettingsException;
 import org.cornelspoke.daemon.settings.SettingsReader;
@@ -29,11 +31,7 @@
 
   /** Runs the daemon until it is told to stop. */
   public static void main(String[] args) {
-    DaemonFactory factory =
-        settings -> {
-          throw new IllegalStateException("this build has no services for the role");
-        };
-    int exitCode = new Main(factory, System.out, System.err).run(args);
+    int exitCode = new Main(new DefaultDaemonFactory(), System.out, System.err).run(args);
     System.exit(exitCode);
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/PeerLinks.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/PeerLinks.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.cornelspoke.coordination.dissemination.ControlMessage;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.protocol.control.ControlCodec;
@@ -20,7 +21,7 @@
 final class PeerLinks {
 
   private static final System.Logger LOGGER = System.getLogger(PeerLinks.class.getName());
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
   /** Messages that wait for a connection; reports and queries are repeated by their senders. */
   private static final int MAX_WAITING = 100;
@@ -29,6 +30,7 @@
   private final VmId self;
   private final Map<VmId, InetSocketAddress> addresses;
   private final BiConsumer<VmId, ControlMessage> receiver;
+  private final Consumer<VmId> lossListener;
   private final Map<VmId, Link> links = new HashMap<>();
   private boolean stopped;
 
@@ -36,11 +38,13 @@
       NioReactor reactor,
       VmId self,
       Map<VmId, InetSocketAddress> addresses,
-      BiConsumer<VmId, ControlMessage> receiver) {
+      BiConsumer<VmId, ControlMessage> receiver,
+      Consumer<VmId> lossListener) {
     this.reactor = reactor;
     this.self = self;
     this.addresses = Map.copyOf(addresses);
     this.receiver = receiver;
+    this.lossListener = lossListener;
   }
 
   Set<VmId> peers() {
@@ -82,7 +86,6 @@
     }
 
     void close() {
-      links.remove(peer, this);
       if (connection != null) {
         connection.close();
       }
@@ -95,8 +98,11 @@
 
     @Override
     public void onClosed(Exception cause) {
-      if (links.remove(peer, this) && connection != null) {
-        LOGGER.log(Level.INFO, "lost the link to relay {0}: {1}", peer, cause.getMessage());
+      if (links.remove(peer, this)) {
+        if (connection != null) {
+          LOGGER.log(Level.INFO, "lost the link to relay {0}: {1}", peer, cause.getMessage());
+        }
+        lossListener.accept(peer);
       }
     }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayConnection.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayConnection.java
@@ -31,7 +31,7 @@
       session = server.attach(hello, connection);
     } else if (message instanceof ControlMessage.PeerHello hello) {
       peer = hello.vm();
-      server.attachPeer(connection);
+      server.attachPeer(peer, connection);
     } else {
       throw new IllegalArgumentException("the first message must be a hello");
     }
@@ -42,7 +42,7 @@
     if (session != null) {
       server.detach(session);
     } else if (peer != null) {
-      server.detachPeer(connection);
+      server.detachPeer(peer, connection);
     }
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -68,6 +68,7 @@
   private final IdentityHashMap<RelaySession, FrameConnection> connections =
       new IdentityHashMap<>();
   private final Set<FrameConnection> peerConnections = new HashSet<>();
+  private final Map<VmId, FrameConnection> relayConnections = new HashMap<>();
   private final Map<Long, StatusCollector> statusCollectors = new HashMap<>();
   private long statusCorrelation;
   private ScheduledRunnable nextTick;
@@ -101,7 +102,13 @@
     this.claims =
         new ClaimService(
             new RetryingLog(reactor, log, nanoClock), nanoClock, builder.wallClockMillis);
-    this.peers = new PeerLinks(reactor, builder.vm, builder.peers, this::receiveFromPeer);
+    this.peers =
+        new PeerLinks(
+            reactor,
+            builder.vm,
+            builder.peers,
+            this::receiveAnswer,
+            vm -> shareEndpoint.ifPresent(endpoint -> endpoint.onOwnerLost(vm)));
     this.server =
         new FrameServer(
             reactor,
@@ -151,9 +158,20 @@
     return session.isPresent();
   }
 
-  /** Sends a message about rate shares to another relay; returns false if it can't be sent. */
-  public boolean sendShareToPeer(VmId vm, byte[] message) {
-    return peers.send(vm, new ControlMessage.ShareEnvelope(message));
+  /** Sends a message about rate shares to the VM that owns them; returns false if it can't. */
+  public boolean sendShareToOwner(VmId owner, byte[] message) {
+    return peers.send(owner, new ControlMessage.ShareEnvelope(message));
+  }
+
+  /**
+   * Answers a relay over the connection that the relay opened, so that both directions end together
+   * and the relay notices every loss. Does nothing if there is no connection.
+   */
+  public void answerShareOfRelay(VmId relay, byte[] message) {
+    FrameConnection connection = relayConnections.get(relay);
+    if (connection != null) {
+      send(connection, new ControlMessage.ShareEnvelope(message));
+    }
   }
 
   /** Returns the daemons that are attached to this relay. */
@@ -211,12 +229,14 @@
     }
   }
 
-  void attachPeer(FrameConnection connection) {
+  void attachPeer(VmId vm, FrameConnection connection) {
     peerConnections.add(connection);
+    relayConnections.put(vm, connection);
   }
 
-  void detachPeer(FrameConnection connection) {
+  void detachPeer(VmId vm, FrameConnection connection) {
     peerConnections.remove(connection);
+    relayConnections.remove(vm, connection);
   }
 
   void receive(RelaySession session, FrameConnection connection, ControlMessage message) {
@@ -258,14 +278,17 @@
       }
     } else if (message instanceof ControlMessage.AttachmentReport report) {
       attachments.report(report.daemons(), nanoClock.getAsLong());
+    } else if (message instanceof ControlMessage.ShareEnvelope share) {
+      shareEndpoint.ifPresent(endpoint -> endpoint.onRelayMessage(vm, share.content()));
     } else {
-      receiveFromPeer(vm, message);
+      throw new IllegalArgumentException(
+          "a relay must not send " + message.getClass().getSimpleName());
     }
   }
 
-  private void receiveFromPeer(VmId vm, ControlMessage message) {
+  private void receiveAnswer(VmId vm, ControlMessage message) {
     if (message instanceof ControlMessage.ShareEnvelope share) {
-      shareEndpoint.ifPresent(endpoint -> endpoint.onPeerMessage(vm, share.content()));
+      shareEndpoint.ifPresent(endpoint -> endpoint.onOwnerMessage(vm, share.content()));
     } else if (message instanceof ControlMessage.StatusReply reply) {
       StatusCollector collector = statusCollectors.get(reply.correlation());
       if (collector != null) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/ShareEndpoint.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/ShareEndpoint.java
@@ -15,6 +15,12 @@
   /** A message of an attached daemon has arrived. */
   void onMessage(DaemonId daemon, byte[] message);
 
-  /** A message of another relay has arrived. */
-  default void onPeerMessage(VmId vm, byte[] message) {}
+  /** A relay that opened a connection to this VM has sent a message over it. */
+  void onRelayMessage(VmId relay, byte[] message);
+
+  /** A VM has answered over the connection that this relay opened to it. */
+  void onOwnerMessage(VmId owner, byte[] message);
+
+  /** The connection that this relay opened to a VM is lost; messages on their way may be lost. */
+  void onOwnerLost(VmId owner);
 }
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -0,0 +1,115 @@
+package org.cornelspoke.daemon.runtime;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.daemon.admin.AdminServer;
+import org.cornelspoke.daemon.admin.Health;
+import org.cornelspoke.daemon.consensus.ConsensusService;
+import org.cornelspoke.daemon.relay.ControlBackend;
+import org.cornelspoke.daemon.relay.RelayServer;
+import org.cornelspoke.daemon.settings.BootstrapOperator;
+import org.cornelspoke.daemon.settings.ControlSettings;
+import org.cornelspoke.daemon.settings.PeerSettings;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.state.config.Operator;
+import org.cornelspoke.state.machine.ControlStateMachine;
+
+/** The services of a control daemon: consensus, relay, rate shares and administration. */
+final class ControlRuntime extends AbstractRuntime {
+
+  private static final System.Logger LOGGER = System.getLogger(ControlRuntime.class.getName());
+  private static final long BOOTSTRAP_TRY_NANOS = TimeUnit.SECONDS.toNanos(5);
+  private static final long BOOTSTRAP_RETRY_MILLIS = 500;
+
+  /** A relay that has not proved to be current for this long reports itself as unhealthy. */
+  private static final long HEALTHY_AGE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  private final ControlSettings settings;
+  private final ControlStateMachine machine = new ControlStateMachine();
+  private final ConsensusService consensus;
+  private final RelayServer relay;
+  private final RelayShares shares;
+  private final ControlBackend backend;
+  private final AdminServer admin;
+  private boolean stopping;
+
+  ControlRuntime(ControlSettings settings) {
+    super(settings.vmId().value());
+    this.settings = settings;
+    ConsensusService.Builder builder =
+        ConsensusService.builder(control())
+            .withVm(settings.vmId(), settings.peerAddress())
+            .withDataFolder(settings.dataFolder())
+            .withStateMachine(machine)
+            .withMetrics(metrics());
+    Map<VmId, InetSocketAddress> relays = new HashMap<>();
+    for (PeerSettings peer : settings.peers()) {
+      builder.withPeer(peer.vmId(), peer.peerAddress());
+      relays.put(peer.vmId(), peer.relayAddress().toSocketAddress());
+    }
+    this.consensus = builder.build();
+    this.shares = new RelayShares(control(), settings.vmId(), consensus, machine.config());
+    this.relay =
+        RelayServer.builder()
+            .withReactor(control())
+            .withVm(settings.vmId())
+            .withRelayAddress(settings.relayAddress().toSocketAddress())
+            .withPeers(relays)
+            .withLog(consensus)
+            .withMachine(machine)
+            .withShareEndpoint(shares)
+            .build();
+    this.backend = new ControlBackend(control(), consensus, machine, relay);
+    this.admin =
+        AdminServer.builder(control(), settings.adminAddress())
+            .withMetrics(metrics())
+            .withHealth(this::health)
+            .withBackend(new GroupAdminBackend(settings, consensus, machine, backend))
+            .build();
+  }
+
+  @Override
+  void startOnControlThread() throws IOException {
+    consensus.start();
+    relay.start();
+    shares.start(relay);
+    admin.start();
+    settings.bootstrapOperator().ifPresent(this::bootstrap);
+    LOGGER.log(
+        Level.INFO, "control daemon {0} serves on {1}", settings.vmId(), settings.adminAddress());
+  }
+
+  @Override
+  void stopOnControlThread() {
+    stopping = true;
+    admin.stop();
+    shares.stop();
+    relay.stop();
+    consensus.stop();
+  }
+
+  @Override
+  void afterStop() throws InterruptedException {
+    consensus.awaitStopped();
+  }
+
+  private void bootstrap(BootstrapOperator first) {
+    if (stopping) {
+      return;
+    }
+    backend
+        .bootstrap(
+            new Operator(first.id(), first.tokenHashHex()), System.nanoTime() + BOOTSTRAP_TRY_NANOS)
+        .whenException(
+            e -> control().delayBackground(BOOTSTRAP_RETRY_MILLIS, () -> bootstrap(first)));
+  }
+
+  private Health health() {
+    boolean current = relay.ageNanos().filter(age -> age <= HEALTHY_AGE_NANOS).isPresent();
+    return current ? Health.OK : new Health(false, "not proved current by a quorum");
+  }
+}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/DaemonFactory.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/DaemonFactory.java
@@ -1,4 +1,4 @@
-package org.cornelspoke.daemon;
+package org.cornelspoke.daemon.runtime;
 
 import org.cornelspoke.daemon.settings.DaemonSettings;
 
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/GroupAdminBackend.java
@@ -0,0 +1,239 @@
+package org.cornelspoke.daemon.runtime;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.consensus.Member;
+import org.cornelspoke.coordination.consensus.ReplicatedLog;
+import org.cornelspoke.coordination.dissemination.DaemonStatus;
+import org.cornelspoke.daemon.admin.AdminBackend;
+import org.cornelspoke.daemon.admin.AttachedDaemons;
+import org.cornelspoke.daemon.admin.BackendUnavailableException;
+import org.cornelspoke.daemon.admin.ConfigRead;
+import org.cornelspoke.daemon.admin.GroupStatus;
+import org.cornelspoke.daemon.admin.MembershipRequest;
+import org.cornelspoke.daemon.admin.MembershipResult;
+import org.cornelspoke.daemon.admin.OperatorTokens;
+import org.cornelspoke.daemon.admin.ReadMode;
+import org.cornelspoke.daemon.consensus.ConsensusService;
+import org.cornelspoke.daemon.consensus.MemberStatus;
+import org.cornelspoke.daemon.relay.ControlBackend;
+import org.cornelspoke.daemon.relay.DaemonListing;
+import org.cornelspoke.daemon.relay.ProposalFailedException;
+import org.cornelspoke.daemon.settings.ControlSettings;
+import org.cornelspoke.model.OperatorId;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.state.config.AuditEntry;
+import org.cornelspoke.state.config.ChangeRequest;
+import org.cornelspoke.state.config.ChangeResult;
+import org.cornelspoke.state.config.ConfigState;
+import org.cornelspoke.state.config.Operator;
+import org.cornelspoke.state.machine.ControlStateMachine;
+import org.cornelspoke.state.registry.Target;
+
+/**
+ * Serves the administration API from the control group.
+ *
+ * <p>Belongs to the control thread.
+ */
+final class GroupAdminBackend implements AdminBackend {
+
+  private static final long CHANGE_NANOS = TimeUnit.SECONDS.toNanos(8);
+  private static final long READ_NANOS = TimeUnit.SECONDS.toNanos(3);
+  private static final long LISTING_MILLIS = 1_000;
+  private static final int RETRY_AFTER_SECONDS = 1;
+
+  private final ControlSettings settings;
+  private final ConsensusService consensus;
+  private final ControlStateMachine machine;
+  private final ControlBackend backend;
+
+  GroupAdminBackend(
+      ControlSettings settings,
+      ConsensusService consensus,
+      ControlStateMachine machine,
+      ControlBackend backend) {
+    this.settings = settings;
+    this.consensus = consensus;
+    this.machine = machine;
+    this.backend = backend;
+  }
+
+  @Override
+  public Promise<ChangeResult> submit(ChangeRequest request) {
+    return backend
+        .submit(request, System.nanoTime() + CHANGE_NANOS)
+        .mapException(e -> unavailable(e, isOutcomeUnknown(e)));
+  }
+
+  @Override
+  public Promise<ConfigRead> readConfig() {
+    return current()
+        .map(
+            ok -> {
+              ConfigState config = machine.config();
+              List<ConfigRead.VersionedEntity> entities =
+                  config.versionedEntities().stream()
+                      .filter(entity -> !entity.isTombstone())
+                      .map(
+                          entity ->
+                              new ConfigRead.VersionedEntity(
+                                  entity.revision(), entity.value().orElseThrow()))
+                      .toList();
+              return new ConfigRead(config.revision(), consensus.appliedIndex(), entities);
+            });
+  }
+
+  @Override
+  public Promise<Optional<OperatorId>> findOperator(String tokenHashHex, ReadMode mode) {
+    Promise<?> ready = mode == ReadMode.CURRENT ? current() : Promise.complete();
+    return ready.map(
+        ok ->
+            OperatorTokens.find(
+                machine.config().entities().stream()
+                    .filter(Operator.class::isInstance)
+                    .map(Operator.class::cast)
+                    .toList(),
+                tokenHashHex));
+  }
+
+  @Override
+  public Promise<List<AuditEntry>> audit(OptionalLong fromSequence, int limit) {
+    return current()
+        .map(
+            ok -> {
+              ConfigState config = machine.config();
+              long after =
+                  fromSequence.isPresent()
+                      ? fromSequence.getAsLong() - 1
+                      : config.auditSequence() - limit;
+              return config.audit(Math.max(0, after), limit);
+            });
+  }
+
+  @Override
+  public Promise<List<Target>> targets() {
+    return Promise.of(backend.targets());
+  }
+
+  @Override
+  public Promise<AttachedDaemons> daemons() {
+    return backend.daemons(LISTING_MILLIS).map(GroupAdminBackend::attached);
+  }
+
+  @Override
+  public Promise<GroupStatus> groupStatus() {
+    return current().then((ok, e) -> Promise.of(status(e == null)));
+  }
+
+  @Override
+  public Promise<MembershipResult> changeMembership(MembershipRequest request) {
+    MembershipRequest.Change change = request.change();
+    if (!consensus.isLeader()) {
+      String leader = consensus.leader().map(VmId::value).orElse("unknown");
+      return Promise.of(
+          new MembershipResult.Refused("ask the leader for membership changes: " + leader));
+    }
+    SettablePromise<MembershipResult> promise = new SettablePromise<>();
+    MembershipListener listener = new MembershipListener(promise);
+    if (change instanceof MembershipRequest.AddLearner add) {
+      consensus.addLearner(add.vmId(), listener);
+      return promise;
+    }
+    Optional<Member> member = member(change.vmId());
+    if (member.isEmpty()) {
+      return Promise.of(new MembershipResult.Refused(change.vmId() + " is not a member"));
+    }
+    if (change instanceof MembershipRequest.Promote) {
+      consensus.promote(member.get().identity(), listener);
+    } else {
+      consensus.remove(member.get().identity(), listener);
+    }
+    return promise;
+  }
+
+  private Promise<?> current() {
+    return backend
+        .readConfig(System.nanoTime() + READ_NANOS)
+        .mapException(e -> unavailable(e, false));
+  }
+
+  private GroupStatus status(boolean confirmed) {
+    return new GroupStatus(
+        settings.vmId(),
+        consensus.leader(),
+        confirmed,
+        consensus.term(),
+        consensus.appliedIndex(),
+        machine.config().revision(),
+        Optional.of(machine.config().activePreset()),
+        consensus.members().stream().map(GroupAdminBackend::memberStatus).toList());
+  }
+
+  private Optional<Member> member(VmId vmId) {
+    return consensus.members().stream()
+        .map(MemberStatus::member)
+        .filter(member -> member.vmId().equals(vmId))
+        .findFirst();
+  }
+
+  private static GroupStatus.Member memberStatus(MemberStatus status) {
+    GroupStatus.MemberRole role =
+        status.leader()
+            ? GroupStatus.MemberRole.LEADER
+            : status.member().voter()
+                ? GroupStatus.MemberRole.VOTER
+                : GroupStatus.MemberRole.LEARNER;
+    return new GroupStatus.Member(
+        status.member().vmId(),
+        status.member().identity().toString(),
+        role,
+        status.member().peerAddress(),
+        status.matchIndex());
+  }
+
+  private static AttachedDaemons attached(DaemonListing listing) {
+    return new AttachedDaemons(
+        listing.daemons().stream().map(GroupAdminBackend::daemonStatus).toList(),
+        List.copyOf(listing.missingRelays()));
+  }
+
+  private static AttachedDaemons.DaemonStatus daemonStatus(DaemonStatus status) {
+    return new AttachedDaemons.DaemonStatus(
+        status.daemon(),
+        status.dataCentre(),
+        status.applied(),
+        status.freshnessAgeMillis().orElse(Long.MAX_VALUE),
+        status.relay());
+  }
+
+  private static boolean isOutcomeUnknown(Exception e) {
+    return !(e instanceof ProposalFailedException failed) || failed.isMaybeCommitted();
+  }
+
+  private static Exception unavailable(Exception e, boolean outcomeUnknown) {
+    return new BackendUnavailableException(e.getMessage(), outcomeUnknown, RETRY_AFTER_SECONDS);
+  }
+
+  private record MembershipListener(SettablePromise<MembershipResult> promise)
+      implements ReplicatedLog.ProposalListener {
+
+    @Override
+    public void onCommitted(long index, byte[] result) {
+      promise.set(new MembershipResult.Committed(index));
+    }
+
+    @Override
+    public void onNotAppended(String cause) {
+      promise.set(new MembershipResult.Refused(cause));
+    }
+
+    @Override
+    public void onUnknown(String cause) {
+      promise.setException(new BackendUnavailableException(cause, true, RETRY_AFTER_SECONDS));
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
@@ -0,0 +1,79 @@
+package org.cornelspoke.daemon.runtime;
+
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.quota.ShareHolder;
+import org.cornelspoke.coordination.quota.ShareMessage;
+import org.cornelspoke.coordination.quota.ShareTimes;
+import org.cornelspoke.daemon.controlclient.ControlClient;
+import org.cornelspoke.daemon.controlclient.ShareListener;
+import org.cornelspoke.protocol.quota.ShareMessageCodec;
+
+/**
+ * Connects the rate shares of the traffic thread with the relay connection of the control thread.
+ * Messages cross between the threads in order.
+ */
+final class HolderChannel implements ShareListener {
+
+  /** Waiting requests are a few round trips old when they are asked for or refused. */
+  private static final long TICK_MILLIS = 5;
+
+  private final Eventloop traffic;
+  private final Eventloop control;
+  private final ShareHolder holder;
+  private ControlClient client;
+  private long lastSession;
+
+  HolderChannel(Eventloop traffic, Eventloop control) {
+    this.traffic = traffic;
+    this.control = control;
+    this.holder = new ShareHolder(ShareTimes.DEFAULT, this::send);
+  }
+
+  ShareHolder holder() {
+    return holder;
+  }
+
+  void start(ControlClient controlClient) {
+    this.client = controlClient;
+    traffic.execute(this::tick);
+  }
+
+  @Override
+  public void onAttached() {
+    traffic.execute(
+        () -> {
+          long micros = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
+          lastSession = Math.max(lastSession + 1, micros);
+          holder.onConnected(lastSession, System.nanoTime());
+        });
+  }
+
+  @Override
+  public void onDetached() {
+    traffic.execute(() -> holder.onDisconnected(System.nanoTime()));
+  }
+
+  @Override
+  public void onMessage(byte[] message) {
+    ShareMessage decoded;
+    try {
+      decoded = ShareMessageCodec.decode(message);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("malformed share message", e);
+    }
+    traffic.execute(() -> holder.onMessage(decoded, System.nanoTime()));
+  }
+
+  private void send(ShareMessage message) {
+    byte[] encoded = ShareMessageCodec.encode(message);
+    // A message that meets a lost connection is dropped; the next session states what is held.
+    control.execute(() -> client.sendShare(encoded));
+  }
+
+  private void tick() {
+    holder.onTick(System.nanoTime());
+    traffic.delayBackground(TICK_MILLIS, this::tick);
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -0,0 +1,208 @@
+package org.cornelspoke.daemon.runtime;
+
+import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.consensus.ReplicatedLog;
+import org.cornelspoke.coordination.quota.ShareMessage;
+import org.cornelspoke.coordination.quota.ShareOwner;
+import org.cornelspoke.coordination.quota.ShareRelay;
+import org.cornelspoke.coordination.quota.ShareTimes;
+import org.cornelspoke.daemon.relay.RelayServer;
+import org.cornelspoke.daemon.relay.ShareEndpoint;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.protocol.quota.ShareMessageCodec;
+import org.cornelspoke.state.config.Account;
+import org.cornelspoke.state.config.ConfigState;
+
+/**
+ * Rate shares on a control VM: the middle level for the daemons of this relay, and on the leader
+ * the owner of every account.
+ *
+ * <p>Belongs to the control thread.
+ */
+final class RelayShares implements ShareEndpoint {
+
+  private static final System.Logger LOGGER = System.getLogger(RelayShares.class.getName());
+  private static final long TICK_MILLIS = 5;
+
+  /** A quarter of the age at which a proof of leadership ends. */
+  private static final long PROOF_MILLIS = 250;
+
+  private final NioReactor reactor;
+  private final VmId self;
+  private final ReplicatedLog log;
+  private final ConfigState config;
+  private final ShareRelay middle;
+  private RelayServer server;
+  private Optional<ShareOwner> owner = Optional.empty();
+  private long ownerTerm;
+  private Revision ownerRevision = Revision.NONE;
+  private Optional<VmId> connectedTo = Optional.empty();
+  private long lastSession;
+  private long provedAtNanos;
+  private ScheduledRunnable nextTick;
+
+  RelayShares(NioReactor reactor, VmId self, ReplicatedLog log, ConfigState config) {
+    this.reactor = reactor;
+    this.self = self;
+    this.log = log;
+    this.config = config;
+    this.middle = new ShareRelay(ShareTimes.DEFAULT, this::sendToOwner, this::sendToDaemon);
+  }
+
+  void start(RelayServer relayServer) {
+    this.server = relayServer;
+    this.provedAtNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(PROOF_MILLIS);
+    tick();
+  }
+
+  void stop() {
+    nextTick.cancel();
+  }
+
+  @Override
+  public void onAttached(DaemonId daemon) {
+    // A daemon opens a new session with its first report.
+  }
+
+  @Override
+  public void onDetached(DaemonId daemon) {
+    // The share of the daemon returns when its lease ends.
+  }
+
+  @Override
+  public void onMessage(DaemonId daemon, byte[] message) {
+    middle.onHolderMessage(daemon.value(), decode(message), System.nanoTime());
+  }
+
+  @Override
+  public void onRelayMessage(VmId relay, byte[] message) {
+    ShareMessage decoded = decode(message);
+    owner.ifPresent(o -> o.onMessage(relay.value(), decoded, System.nanoTime()));
+  }
+
+  @Override
+  public void onOwnerMessage(VmId from, byte[] message) {
+    if (connectedTo.filter(from::equals).isPresent()) {
+      middle.onOwnerMessage(decode(message), System.nanoTime());
+    }
+  }
+
+  @Override
+  public void onOwnerLost(VmId lost) {
+    if (connectedTo.filter(lost::equals).isPresent()) {
+      disconnect();
+    }
+  }
+
+  private void tick() {
+    long now = System.nanoTime();
+    followLeadership(now);
+    followLeader(now);
+    owner.ifPresent(o -> o.onTick(now));
+    middle.onTick(now);
+    nextTick = reactor.delayBackground(TICK_MILLIS, this::tick);
+  }
+
+  private void followLeadership(long now) {
+    if (!log.isLeader()) {
+      owner = Optional.empty();
+      return;
+    }
+    if (owner.isEmpty() || ownerTerm != log.term()) {
+      owner = Optional.of(new ShareOwner(ShareTimes.DEFAULT, this::sendToRelay, now));
+      ownerTerm = log.term();
+      ownerRevision = Revision.NONE;
+      LOGGER.log(Level.INFO, "owns the rate shares in term {0}", ownerTerm);
+    }
+    ShareOwner current = owner.get();
+    if (!config.revision().equals(ownerRevision)) {
+      ownerRevision = config.revision();
+      current.setAccounts(
+          config.entities().stream()
+              .filter(Account.class::isInstance)
+              .map(Account.class::cast)
+              .toList(),
+          now);
+    }
+    if (now - provedAtNanos >= TimeUnit.MILLISECONDS.toNanos(PROOF_MILLIS)) {
+      provedAtNanos = now;
+      prove(current, now);
+    }
+  }
+
+  /** The read index is a heartbeat round to a majority that begins after this call. */
+  private void prove(ShareOwner current, long askedAtNanos) {
+    log.readIndex(
+        new ReplicatedLog.ReadListener() {
+          @Override
+          public void onCurrent(long index) {
+            current.confirmLeadership(askedAtNanos);
+          }
+
+          @Override
+          public void onUnavailable(String cause) {
+            // Without a proof the owner stops to issue and to renew.
+          }
+        });
+  }
+
+  private void followLeader(long now) {
+    Optional<VmId> leader = log.leader();
+    if (connectedTo.isPresent() && !connectedTo.equals(leader)) {
+      disconnect();
+    }
+    if (connectedTo.isEmpty() && leader.isPresent()) {
+      connectedTo = leader;
+      lastSession = Math.max(lastSession + 1, wallClockMicros());
+      middle.onConnected(lastSession, now);
+    }
+  }
+
+  private void disconnect() {
+    connectedTo = Optional.empty();
+    middle.onDisconnected(System.nanoTime());
+  }
+
+  private void sendToOwner(ShareMessage message) {
+    VmId leader = connectedTo.orElseThrow();
+    if (leader.equals(self)) {
+      reactor.postLast(
+          () -> owner.ifPresent(o -> o.onMessage(self.value(), message, System.nanoTime())));
+    } else if (!server.sendShareToOwner(leader, ShareMessageCodec.encode(message))) {
+      // The message is lost, so the session must end; not now, because the caller is in it.
+      reactor.postLast(() -> onOwnerLost(leader));
+    }
+  }
+
+  private void sendToRelay(String relay, ShareMessage message) {
+    if (relay.equals(self.value())) {
+      reactor.postLast(() -> middle.onOwnerMessage(message, System.nanoTime()));
+    } else {
+      server.answerShareOfRelay(new VmId(relay), ShareMessageCodec.encode(message));
+    }
+  }
+
+  private void sendToDaemon(String daemon, ShareMessage message) {
+    server.sendShare(new DaemonId(daemon), ShareMessageCodec.encode(message));
+  }
+
+  private static ShareMessage decode(byte[] message) {
+    try {
+      return ShareMessageCodec.decode(message);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("malformed share message", e);
+    }
+  }
+
+  /** Sessions of a restarted process must have higher numbers than those before. */
+  private static long wallClockMicros() {
+    return TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -0,0 +1,126 @@
+package org.cornelspoke.daemon.runtime;
+
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.math3.random.Well19937c;
+import org.cornelspoke.coordination.admission.DefaultUpstreamGate;
+import org.cornelspoke.coordination.admission.GradientLimit;
+import org.cornelspoke.coordination.admission.UpstreamGate;
+import org.cornelspoke.coordination.retry.DefaultRetryLedger;
+import org.cornelspoke.coordination.retry.DefaultRetryThrottle;
+import org.cornelspoke.coordination.routing.DefaultTargetSelector;
+import org.cornelspoke.daemon.admin.AdminServer;
+import org.cornelspoke.daemon.admin.Health;
+import org.cornelspoke.daemon.controlclient.ControlClient;
+import org.cornelspoke.daemon.settings.TrafficSettings;
+import org.cornelspoke.daemon.traffic.StaleKeys;
+import org.cornelspoke.daemon.traffic.TrafficDaemon;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.state.config.BuiltInPresets;
+import org.cornelspoke.state.config.Preset;
+
+/** The services of a traffic daemon: control client, rate shares, traffic path and metrics. */
+final class TrafficRuntime extends AbstractRuntime {
+
+  private static final System.Logger LOGGER = System.getLogger(TrafficRuntime.class.getName());
+  private static final double INITIAL_RETRY_RATIO = 0.1;
+
+  private final TrafficSettings settings;
+  private final Eventloop traffic = Eventloop.create();
+  private final HolderChannel shares;
+  private final ControlClient client;
+  private final TrafficDaemon daemon;
+  private final AdminServer admin;
+
+  TrafficRuntime(TrafficSettings settings) {
+    super(settings.daemonId().value());
+    this.settings = settings;
+    this.shares = new HolderChannel(traffic, control());
+    this.client =
+        ControlClient.builder()
+            .withReactor(control())
+            .withDaemon(settings.daemonId())
+            .withDataCentre(settings.dataCentre())
+            .withRelays(
+                settings.controlEndpoints().stream().map(Endpoint::toSocketAddress).toList())
+            .withFreshnessBoundMillis(settings.freshnessBoundMillis())
+            .withShareListener(shares)
+            .build();
+    this.daemon =
+        TrafficDaemon.builder(trafficSettings(settings), traffic)
+            .withFleet(client, client)
+            .withAdmission(shares.holder(), client, (service, slots, now) -> gate(slots))
+            .withSelector(
+                new DefaultTargetSelector(
+                    settings.daemonId(),
+                    settings.dataCentre(),
+                    DefaultTargetSelector.DEFAULT_SUBSET_SIZE,
+                    new Well19937c()))
+            .withRetries(new DefaultRetryLedger(), new DefaultRetryThrottle(INITIAL_RETRY_RATIO))
+            .withMetrics(metrics())
+            .build();
+    this.admin =
+        AdminServer.builder(control(), settings.adminAddress())
+            .withMetrics(metrics())
+            .withHealth(this::health)
+            .build();
+  }
+
+  @Override
+  void startOnControlThread() throws IOException {
+    admin.start();
+    client.start();
+  }
+
+  @Override
+  void startTraffic() throws IOException {
+    daemon.start();
+    shares.start(client);
+    LOGGER.log(
+        Level.INFO,
+        "traffic daemon {0} serves on {1}",
+        settings.daemonId(),
+        settings.edgeAddress());
+  }
+
+  @Override
+  void stopTraffic() throws InterruptedException, ExecutionException {
+    daemon.stop().get();
+  }
+
+  @Override
+  void stopOnControlThread() {
+    client.stop();
+    admin.stop();
+  }
+
+  private UpstreamGate gate(int slots) {
+    Preset preset = client.current().activePreset().orElseGet(BuiltInPresets::ordinary);
+    return new DefaultUpstreamGate(preset, new GradientLimit(slots));
+  }
+
+  private Health health() {
+    return client.isFresh(System.nanoTime())
+        ? Health.OK
+        : new Health(
+            false,
+            "configuration not proved current within "
+                + TimeUnit.MILLISECONDS.toSeconds(settings.freshnessBoundMillis())
+                + " s");
+  }
+
+  private static org.cornelspoke.daemon.traffic.TrafficSettings trafficSettings(
+      TrafficSettings settings) {
+    return org.cornelspoke.daemon.traffic.TrafficSettings.builder(
+            settings.daemonId(), settings.dataCentre())
+        .withAddresses(settings.edgeAddress(), settings.linkAddress(), settings.localAddress())
+        .withStaleKeys(StaleKeys.valueOf(settings.staleKeys().name()))
+        .withShareWaitMillis(settings.shareWaitMillis())
+        .withMaxBodyBytes(settings.maxBodyBytes())
+        .build();
+  }
+}
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/MainTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/MainTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.cornelspoke.daemon.runtime.DaemonFactory;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
