Add cornelspokectl with every operator command

Cause: operators had no tool for the administration API. Change: 26 commands for accounts, keys, presets, routes, upstreams, members, operators, status, audit trail and configuration; tables or JSON; exit codes 0 to 6. A change keeps its request id over every attempt and endpoint. Keys and tokens are generated in the tool and only hashes are sent; with a given request id the stored hash is checked before a key is printed, so a resend never prints a key that does not work. Conclusion: the tool can be pointed at control daemons once they are wired.

--- /dev/null
+++ b/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/StatusCommands.java
@@ -0,0 +1,163 @@
+package org.cornelspoke.ctl;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Commands that only read: status, audit trail, upstreams and the whole configuration. */
+final class StatusCommands {
+
+  private StatusCommands() {}
+
+  @Parameters(commandDescription = "Show the state of control group, daemons and targets")
+  static final class Status extends Command {
+
+    Status(CommonOptions common) {
+      super(common);
+    }
+
+    @Override
+    int run(Session session) throws CommandException {
+      JsonNode status = session.client().read("status");
+      Console console = session.console();
+      if (console.json()) {
+        console.printJson(status);
+        return ExitCodes.OK;
+      }
+      console.line("answered by      " + status.path("answeredBy").asText());
+      console.line("leader           " + status.path("leader").asText("unknown"));
+      console.line(
+          "quorum           " + (status.path("quorumConfirmed").asBoolean() ? "yes" : "NO"));
+      console.line("term             " + status.path("term").asText());
+      console.line("applied index    " + status.path("appliedIndex").asText());
+      console.line("revision         " + status.path("appliedRevision").asText());
+      console.line("preset in force  " + status.path("presetInForce").asText("none"));
+      JsonNode daemons = status.path("daemons");
+      console.line(
+          "daemons          "
+              + daemons.path("attached").asText()
+              + " attached, "
+              + daemons.path("behind").asText()
+              + " behind, oldest proof of freshness "
+              + daemons.path("oldestFreshnessAgeMillis").asText()
+              + " ms");
+      if (!daemons.path("missingRelays").isEmpty()) {
+        console.line("missing relays   " + join(daemons.path("missingRelays")));
+      }
+      JsonNode targets = status.path("targets");
+      console.line(
+          "targets          "
+              + targets.path("up").asText()
+              + " up, "
+              + targets.path("draining").asText()
+              + " draining");
+      console.line("");
+      console.table(status.path("members"), MemberCommands.COLUMNS);
+      return ExitCodes.OK;
+    }
+
+    private static String join(JsonNode names) {
+      List<String> texts = new ArrayList<>();
+      names.forEach(name -> texts.add(name.asText()));
+      return String.join(", ", texts);
+    }
+  }
+
+  @Parameters(commandDescription = "Show the audit trail, oldest entry first")
+  static final class Audit extends Command {
+
+    @Parameter(
+        names = "--from",
+        description = "Sequence of the first entry; without it the newest entries are shown")
+    private Long from;
+
+    @Parameter(names = "--limit", description = "Largest number of entries, at most 1000")
+    private int limit = 100;
+
+    Audit(CommonOptions common) {
+      super(common);
+    }
+
+    @Override
+    int run(Session session) throws CommandException {
+      String query = "audit?limit=" + limit + (from == null ? "" : "&from=" + from);
+      JsonNode answer = session.client().read(query);
+      if (!session.console().json()) {
+        for (JsonNode entry : answer.path("entries")) {
+          Instant time = Instant.ofEpochMilli(entry.path("timestampMillis").asLong());
+          ((ObjectNode) entry).put("time", time.toString());
+        }
+      }
+      return session.list(
+          answer,
+          "entries",
+          "SEQUENCE",
+          "sequence",
+          "TIME",
+          "time",
+          "OPERATOR",
+          "operator",
+          "REVISION",
+          "revision",
+          "OUTCOME",
+          "outcome",
+          "ACTION",
+          "action",
+          "ENTITY",
+          "entity",
+          "REQUEST ID",
+          "requestId",
+          "BEFORE",
+          "before",
+          "AFTER",
+          "after");
+    }
+  }
+
+  @Parameters(commandDescription = "List the upstreams and their daemons")
+  static final class UpstreamList extends Command {
+
+    UpstreamList(CommonOptions common) {
+      super(common);
+    }
+
+    @Override
+    int run(Session session) throws CommandException {
+      return session.list(
+          session.client().read("targets"),
+          "targets",
+          "SERVICE",
+          "service",
+          "TARGET",
+          "id",
+          "STATE",
+          "state",
+          "SLOTS",
+          "slots",
+          "DAEMON",
+          "daemon",
+          "DATA CENTRE",
+          "dataCentre",
+          "LINK ENDPOINT",
+          "linkEndpoint");
+    }
+  }
+
+  @Parameters(commandDescription = "Print the whole configuration as JSON, without secrets")
+  static final class ConfigShow extends Command {
+
+    ConfigShow(CommonOptions common) {
+      super(common);
+    }
+
+    @Override
+    int run(Session session) throws CommandException {
+      session.console().printJson(session.client().read("config"));
+      return ExitCodes.OK;
+    }
+  }
+}
--- a/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/package-info.java
+++ b/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Command-line tool of operators over the administration API. */
 package org.cornelspoke.ctl;
--- /dev/null
+++ b/cornelspoke-ctl/src/test/java/org/cornelspoke/ctl/FailureTest.java
@@ -0,0 +1,207 @@
+package org.cornelspoke.ctl;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.cornelspoke.ctl.ToolRunner.Result;
+import org.cornelspoke.daemon.admin.AdminServerFixture;
+import org.cornelspoke.daemon.admin.BackendUnavailableException;
+import org.cornelspoke.daemon.admin.FakeAdminBackend;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Exit codes, resends and endpoints that fail. */
+class FailureTest {
+
+  private static final String CREATE = "account create fair --rate 10 --burst 20";
+
+  private AdminServerFixture server;
+  private ToolRunner tool;
+
+  @BeforeEach
+  void start() throws Exception {
+    server = new AdminServerFixture();
+    tool = new ToolRunner(server.endpoint());
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    server.close();
+  }
+
+  /** Guards against usage errors that reach a server or have another exit code. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "account",
+        "bogus",
+        "account bogus",
+        "account create",
+        "account create fair --rate ten --burst 1",
+        "account create fair --rate 10",
+        "account show a/b",
+        "account list --unknown",
+        "account list --endpoints localhost:80",
+        "account list --endpoints 127.0.0.1",
+        "account list --endpoints 127.0.0.1:99999",
+        "account list --timeout-millis 0",
+        "account list --token-file /does/not/exist",
+        "account delete fair --request-id a/b",
+        "account delete fair --revision -1",
+        "account delete fair --revision x",
+        "account set fair",
+        "key give fair --request-id r1"
+      })
+  void exitsWithTwoOnUsageErrors(String words) throws Exception {
+    Result result = tool.run(words);
+    assertWithMessage(result.toString()).that(result.exitCode()).isEqualTo(2);
+    assertThat(result.err().lines().count()).isEqualTo(1);
+    assertThat(result.out()).isEmpty();
+  }
+
+  /** Guards against a missing endpoint or token that looks like an unreachable server. */
+  @Test
+  void needsEndpointsAndToken() {
+    assertThat(new ToolRunner("").run("status").exitCode()).isEqualTo(2);
+    assertThat(new ToolRunner(server.endpoint(), "").run("status").exitCode()).isEqualTo(2);
+  }
+
+  /** Guards against the token file being ignored, or its line end being sent. */
+  @Test
+  void readsTokenFile(@TempDir Path folder) throws Exception {
+    Path file = Files.writeString(folder.resolve("token"), FakeAdminBackend.TOKEN + "\n");
+    ToolRunner other = new ToolRunner("127.0.0.1:1", "wrong");
+    String options = " --token-file " + file + " --endpoints " + server.endpoint();
+    assertThat(other.run("account list" + options).exitCode()).isEqualTo(0);
+    assertThat(other.run(options.strip() + " account list").exitCode()).isEqualTo(0);
+  }
+
+  /** Guards against exit codes that don't tell a rule, a conflict and a bad token apart. */
+  @Test
+  void tellsRefusalsApart() throws Exception {
+    assertThat(tool.run(CREATE).exitCode()).isEqualTo(0);
+    Result rule = tool.run(CREATE);
+    assertThat(rule.exitCode()).isEqualTo(1);
+    assertThat(rule.err()).isEqualTo("cornelspokectl: account exists\n");
+    assertThat(tool.run("account show none").exitCode()).isEqualTo(1);
+
+    Result conflict = tool.run("account delete fair --revision 4");
+    assertThat(conflict.exitCode()).isEqualTo(3);
+    assertThat(conflict.err()).contains("revision 5 was made by admin: CreateAccount");
+    JsonNode json = tool.run("account delete fair --revision 4 --json").json();
+    assertThat(json.path("winner").path("action").asText()).isEqualTo("CreateAccount");
+
+    Result unauthorised = new ToolRunner(server.endpoint(), "wrong").run("status");
+    assertThat(unauthorised.exitCode()).isEqualTo(4);
+  }
+
+  /** Guards against a change of read values that overrides a change made in between. */
+  @Test
+  void detectsChangeBetweenReadAndWrite() throws Exception {
+    tool.run(CREATE);
+    ToolRunner other = new ToolRunner(server.endpoint());
+    long revision = tool.run("account show fair --json").json().path("configRevision").asLong();
+    other.run("account set fair --rate 11");
+    Result late = tool.run("account set fair --burst 5 --revision " + revision);
+    assertThat(late.exitCode()).isEqualTo(3);
+    JsonNode account = tool.run("account show fair --json").json();
+    assertThat(account.path("rateTokensPerSecond").asInt()).isEqualTo(11);
+    assertThat(account.path("burstTokens").asInt()).isEqualTo(20);
+  }
+
+  /** Guards against a tool that gives up at the first endpoint that is down or silent. */
+  @Test
+  void triesNextEndpoint() throws Exception {
+    try (ServerSocket silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      String endpoints =
+          closedEndpoint() + ",127.0.0.1:" + silent.getLocalPort() + "," + server.endpoint();
+      Result result =
+          new ToolRunner(endpoints).run(CREATE + " --timeout-millis 2000 --request-id r1");
+      assertWithMessage(result.toString()).that(result.exitCode()).isEqualTo(0);
+    }
+  }
+
+  /** Guards against a lost answer that leads to a second change instead of the first answer. */
+  @Test
+  void resendsWithSameRequestIdWhenAnswerIsLost() throws Exception {
+    try (AnswerDroppingProxy proxy = new AnswerDroppingProxy(server.endpoint())) {
+      ToolRunner unlucky = new ToolRunner(proxy.endpoint() + "," + server.endpoint());
+      Result result = unlucky.run(CREATE + " --json");
+      assertWithMessage(result.toString()).that(result.exitCode()).isEqualTo(0);
+      assertThat(proxy.droppedAnswers()).isEqualTo(1);
+      assertThat(result.json().path("revision").asLong()).isEqualTo(5);
+    }
+    int changes = server.onBackend(backend -> backend.auditTrail().size());
+    assertThat(changes).isEqualTo(1);
+  }
+
+  /** Guards against an unknown outcome that is reported as refused or as done. */
+  @Test
+  void printsRequestIdWhenOutcomeIsUnknown() throws Exception {
+    server.onBackend(backend -> backend.answersLost = true);
+    Result lost = tool.run(CREATE + " --timeout-millis 50");
+    assertThat(lost.exitCode()).isEqualTo(5);
+    assertThat(lost.err()).contains("may or may not be applied");
+    String requestId = lost.err().replaceFirst("(?s).*--request-id (\\S+)\\s*", "$1");
+    server.onBackend(backend -> backend.answersLost = false);
+    Result resent = tool.run(CREATE + " --json --request-id " + requestId);
+    assertThat(resent.json().path("revision").asLong()).isEqualTo(5);
+    int changes = server.onBackend(backend -> backend.auditTrail().size());
+    assertThat(changes).isEqualTo(1);
+  }
+
+  /** Guards against "may be applied" when it is certain that nothing was. */
+  @Test
+  void saysThatNothingIsAppliedWhenThatIsCertain() throws Exception {
+    Result unreachable = new ToolRunner(closedEndpoint()).run(CREATE + " --timeout-millis 50");
+    assertThat(unreachable.exitCode()).isEqualTo(5);
+    assertThat(unreachable.err()).contains("the change is not applied");
+    server.onBackend(
+        backend ->
+            backend.unavailable =
+                Optional.of(new BackendUnavailableException("no quorum", false, 1)));
+    Result noQuorum = tool.run(CREATE + " --timeout-millis 50 --json");
+    assertThat(noQuorum.exitCode()).isEqualTo(5);
+    assertThat(noQuorum.json().path("error").asText()).isEqualTo("unreachable");
+    assertThat(tool.run("status").out()).contains("quorum           NO");
+  }
+
+  /** Guards against a resend that prints a key or token which does not work. */
+  @Test
+  void neverPrintsSecretThatWasNotStored() throws Exception {
+    tool.run(CREATE);
+    server.onBackend(backend -> backend.answersLost = true);
+    String give = "key give fair --key-id k1 --request-id give-1 --timeout-millis 500";
+    Result lost = tool.run(give);
+    assertThat(lost.exitCode()).isEqualTo(5);
+    String set = "operator set second --request-id set-1 --timeout-millis 500";
+    assertThat(tool.run(set).exitCode()).isEqualTo(5);
+    server.onBackend(backend -> backend.answersLost = false);
+    Result resent = tool.run(give);
+    assertThat(resent.exitCode()).isEqualTo(1);
+    assertThat(resent.out()).isEmpty();
+    assertThat(resent.err()).contains("withdraw it and give a new one");
+    Result reset = tool.run(set);
+    assertThat(reset.exitCode()).isEqualTo(1);
+    assertThat(reset.out()).isEmpty();
+    Result fresh = tool.run("key give fair --key-id k2 --request-id give-2");
+    assertThat(fresh.out()).contains("csk_");
+  }
+
+  private static String closedEndpoint() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+}
