--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/AdminApiPageTest.java
@@ -0,0 +1,66 @@
+package org.cornelspoke.daemon.admin;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+/** Guards against an API description that names paths which the server does not have. */
+class AdminApiPageTest {
+
+  private static final Path PAGE = Path.of("..", "docs", "admin-api.yaml");
+  private static final Pattern PATH = Pattern.compile("  (/\\S+):");
+  private static final Pattern METHOD = Pattern.compile("    (get|put|post|delete):.*");
+
+  @Test
+  void describesPathsOfTheServer() throws Exception {
+    HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    List<String> operations = operations();
+    assertThat(operations).hasSize(34);
+    try (AdminServerFixture server = new AdminServerFixture()) {
+      for (String operation : operations) {
+        String[] parts = operation.split(" ", 2);
+        // An id that no entity can have tells a missing path (404) from a bad id (400).
+        URI uri = URI.create("http://" + server.endpoint() + parts[1].replace("{id}", "NONE"));
+        HttpRequest request =
+            HttpRequest.newBuilder(uri)
+                .method(parts[0], BodyPublishers.noBody())
+                .header("Authorization", "Bearer " + FakeAdminBackend.TOKEN)
+                .header("Request-Id", "r1")
+                .build();
+        HttpResponse<String> response = client.send(request, BodyHandlers.ofString());
+        assertWithMessage(operation).that(response.body()).doesNotContain("no such path");
+        assertWithMessage(operation).that(response.statusCode()).isNotEqualTo(405);
+        assertWithMessage(operation).that(response.statusCode()).isNotEqualTo(500);
+      }
+    }
+  }
+
+  private static List<String> operations() throws Exception {
+    List<String> operations = new ArrayList<>();
+    String path = "";
+    for (String line : Files.readAllLines(PAGE)) {
+      Matcher pathLine = PATH.matcher(line);
+      Matcher methodLine = METHOD.matcher(line);
+      if (pathLine.matches()) {
+        path = pathLine.group(1);
+      } else if (methodLine.matches()) {
+        operations.add(methodLine.group(1).toUpperCase(Locale.ROOT) + " " + path);
+      }
+    }
+    return operations;
+  }
+}
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/AdminServerTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/AdminServerTest.java
@@ -78,6 +78,8 @@
     "DELETE, operators/o1",
     "GET, audit",
     "GET, config",
+    "GET, routes/r1",
+    "GET, presets/p1",
     "GET, status",
     "GET, no-such-path"
   })
