Add the two deployments, bin/demo and the bin/bench dispatcher

Cause: the layer has to be shown running with the sizes of the requirements. Change: bench.deployment writes settings, addresses and commands of 3 control daemons and 13 or 12 targets; bin/lib/processes.sh starts processes and ends exactly those, checking that an id still belongs to the run folder; bin/demo starts, configures, loads and stops a deployment. The request log names call id and account of the context in place of its text.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/Main.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/Main.java
@@ -3,6 +3,8 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import java.util.List;
+import org.cornelspoke.bench.deployment.DeploymentCommand;
+import org.cornelspoke.bench.deployment.DeploymentLoadCommand;
 import org.cornelspoke.bench.load.LoadCommand;
 import org.cornelspoke.bench.upstream.UpstreamCommand;
 
@@ -18,7 +20,9 @@
   static List<BenchCommand> commands() {
     return List.of(
         new UpstreamCommand(), //
-        new LoadCommand());
+        new LoadCommand(),
+        new DeploymentCommand(),
+        new DeploymentLoadCommand());
   }
 
   /** Runs the command that the arguments select and exits with its code. */
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/upstream/RequestEvent.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/upstream/RequestEvent.java
@@ -7,7 +7,8 @@
  * process was killed, one line that says how it ended.
  *
  * @param atMicros wall-clock time in microseconds since the epoch
- * @param context the value of {@code Cornelspoke-Context} as received, or null
+ * @param callId the call id in {@code Cornelspoke-Context}, or null if there is none to read
+ * @param contextAccount the account in {@code Cornelspoke-Context}, or null
  * @param requestId the value of {@code Bench-Request-Id}; nested calls add {@code /n} to the id of
  *     their parent
  * @param authorization true if the request carried an {@code Authorization} header
@@ -19,7 +20,8 @@
     String method,
     String path,
     String idempotencyKey,
-    String context,
+    String callId,
+    String contextAccount,
     String requestId,
     boolean authorization) {
 
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/upstream/RequestLog.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/upstream/RequestLog.java
@@ -9,6 +9,7 @@
 import java.nio.file.StandardOpenOption;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
+import java.util.Optional;
 import org.cornelspoke.bench.http.WireMessage;
 
 /**
@@ -31,6 +32,7 @@
   }
 
   void write(RequestEvent.Kind kind, WireMessage request) {
+    Optional<ContextIds> ids = request.header("Cornelspoke-Context").flatMap(ContextIds::read);
     RequestEvent event =
         new RequestEvent(
             ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()),
@@ -39,7 +41,8 @@
             request.method(),
             request.path(),
             request.header("Idempotency-Key").orElse(null),
-            request.header("Cornelspoke-Context").orElse(null),
+            ids.map(ContextIds::call).orElse(null),
+            ids.map(ContextIds::account).orElse(null),
             request.header("Bench-Request-Id").orElse(null),
             request.header("Authorization").isPresent());
     try {
