--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/AttachmentTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/AttachmentTracker.java
@@ -20,11 +20,13 @@
  */
 public final class AttachmentTracker {
 
+  private static final long UNSEEN = -1;
+
   private final long leaseNanos;
   private final Map<DaemonId, Long> seenAtNanos = new HashMap<>();
   private long term = -1;
   private long ledSinceNanos;
-  private long seenVersion;
+  private long seenVersion = UNSEEN;
 
   /** Creates a tracker that does not lead. */
   public AttachmentTracker(long leaseNanos) {
@@ -38,7 +40,7 @@
       term = currentTerm;
       ledSinceNanos = nowNanos;
       seenAtNanos.clear();
-      seenVersion = 0;
+      seenVersion = UNSEEN;
     }
   }
 
@@ -60,7 +62,7 @@
     }
     for (RegistryImage.Entry entry : registry.targets()) {
       DaemonId daemon = entry.target().orElseThrow().daemon();
-      if (entry.version() > seenVersion) {
+      if (seenVersion != UNSEEN && entry.version() > seenVersion) {
         seenAtNanos.put(daemon, nowNanos);
       }
       long seenAt = seenAtNanos.getOrDefault(daemon, ledSinceNanos);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
@@ -166,6 +166,11 @@
     return view;
   }
 
+  /** Returns the applied entities by id. */
+  Map<EntityId, ConfigEntity> entities() {
+    return entities;
+  }
+
   /** Returns the time up to which the view is proved to be current. */
   public Optional<Long> freshAsOfNanos() {
     return freshAsOfNanos;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlanner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlanner.java
@@ -81,9 +81,10 @@
       return missing(id);
     }
     List<EntityId> removed = new ArrayList<>(List.of(id));
-    for (ConfigEntity key :
-        entities.live(e -> e instanceof ClientKey k && k.account().equals(account))) {
-      removed.add(key.entityId());
+    for (ConfigEntity key : entities.live(EntityKind.CLIENT_KEY)) {
+      if (((ClientKey) key).account().equals(account)) {
+        removed.add(key.entityId());
+      }
     }
     return ChangePlan.remove(id, removed);
   }
@@ -122,7 +123,7 @@
 
   private ChangePlan rotateSecret(String secretHex) {
     List<ContextSecret> secrets =
-        entities.live(ContextSecret.class::isInstance).stream()
+        entities.live(EntityKind.CONTEXT_SECRET).stream()
             .map(ContextSecret.class::cast)
             .sorted(Comparator.comparingInt(ContextSecret::number))
             .toList();
@@ -140,7 +141,7 @@
   }
 
   private List<ConfigEntity> operators() {
-    return entities.live(Operator.class::isInstance);
+    return entities.live(EntityKind.OPERATOR);
   }
 
   private ChangePlan removeExisting(EntityId id) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityStore.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityStore.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +24,8 @@
   static final int MAX_TOMBSTONES = 10_000;
 
   private final Map<EntityId, VersionedEntity> entities = new HashMap<>();
+  private final Map<EntityKind, Map<EntityId, ConfigEntity>> byKind =
+      new EnumMap<>(EntityKind.class);
   private final NavigableMap<Long, Set<EntityId>> byRevision = new TreeMap<>();
   private final Map<String, KeyId> keyIdsByHash = new HashMap<>();
   private final Deque<VersionedEntity> tombstones = new ArrayDeque<>();
@@ -37,7 +41,7 @@
     return keyIdsByHash.containsKey(keyHashHex);
   }
 
-  /** Returns the live entities that match, in order of revision. */
+  /** Returns the live entities in order of revision. */
   List<ConfigEntity> live(Predicate<ConfigEntity> filter) {
     List<ConfigEntity> result = new ArrayList<>();
     for (VersionedEntity entry : inOrder(0)) {
@@ -46,6 +50,11 @@
     return result;
   }
 
+  /** Returns the live entities of a kind in order of revision. */
+  List<ConfigEntity> live(EntityKind kind) {
+    return List.copyOf(byKind.getOrDefault(kind, Map.of()).values());
+  }
+
   void put(Revision revision, ConfigEntity value) {
     store(new VersionedEntity(value.entityId(), revision, Optional.of(value)));
   }
@@ -86,6 +95,7 @@
 
   void restore(List<VersionedEntity> entries, Revision floor) {
     entities.clear();
+    byKind.clear();
     byRevision.clear();
     keyIdsByHash.clear();
     tombstones.clear();
@@ -103,7 +113,12 @@
     if (entry.isTombstone()) {
       tombstones.add(entry);
       tombstoneCount++;
-    } else if (entry.value().get() instanceof ClientKey key) {
+      return;
+    }
+    byKind
+        .computeIfAbsent(entry.id().kind(), k -> new LinkedHashMap<>())
+        .put(entry.id(), entry.value().get());
+    if (entry.value().get() instanceof ClientKey key) {
       keyIdsByHash.put(key.keyHashHex(), key.id());
     }
   }
@@ -121,7 +136,10 @@
     }
     if (former.isTombstone()) {
       tombstoneCount--;
-    } else if (former.value().get() instanceof ClientKey key) {
+      return;
+    }
+    byKind.get(id.kind()).remove(id);
+    if (former.value().get() instanceof ClientKey key) {
       keyIdsByHash.remove(key.keyHashHex());
     }
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/PeerLinks.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/PeerLinks.java
@@ -20,7 +20,7 @@
 final class PeerLinks {
 
   private static final System.Logger LOGGER = System.getLogger(PeerLinks.class.getName());
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
   /** Messages that wait for a connection; reports and queries are repeated by their senders. */
   private static final int MAX_WAITING = 100;
