Test links, codec, context, verdicts, retries, claims and cancellation

Cause: failures of the data path had no tests. Change: tests of crossed and late replies, broken links, GoAway, damaged frames, forged contexts, verdicts, retry budget over a chain, deadlines, leaving callers and claims; a gauge of ready links. Conclusion: verdicts and retry bounds hold in these cases.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/PeerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/PeerLink.java
@@ -51,6 +51,7 @@
   private final Random random;
   private final CallCodec codec;
   private final Counter lateReplies;
+  private final Counter readyLinks;
   private final Counter connects;
   private final Map<Long, LinkCall> calls = new LinkedHashMap<>();
   private FrameConnection connection;
@@ -78,6 +79,7 @@
     this.codec = Assert.notNull(codec, "codec");
     this.random = Assert.notNull(random, "random");
     this.lateReplies = metrics.counter("link.late-replies");
+    this.readyLinks = metrics.counter("link.ready");
     this.connects = metrics.counter("link.connects");
   }
 
@@ -229,6 +231,7 @@
       throw new ProtocolException("first message is not a greeting of this version");
     }
     ready = true;
+    readyLinks.inc();
     failures = 0;
   }
 
@@ -331,7 +334,10 @@
   }
 
   private void onConnectionClosed() {
-    ready = false;
+    if (ready) {
+      ready = false;
+      readyLinks.dec();
+    }
     connection = null;
     List<LinkCall> broken = new ArrayList<>(calls.values());
     calls.clear();
--- /dev/null
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
@@ -0,0 +1,89 @@
+package org.cornelspoke.protocol.call;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.Random;
+import org.cornelspoke.coordination.admission.GateLoad;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.TrafficClass;
+import org.cornelspoke.model.Verdict;
+import org.junit.jupiter.api.Test;
+
+class CallCodecTest {
+
+  private static final long SEED = 5;
+
+  private final CallCodec codec = new CallCodec();
+
+  /** Guards against fields that are lost, swapped or cut by the codec. */
+  @Test
+  void everyMessageSurvivesTheCodec() throws Exception {
+    for (CallMessage message : messages()) {
+      byte[] frame = codec.encode(message);
+      CallMessage decoded = codec.decode(frame);
+      assertThat(decoded.getClass()).isEqualTo(message.getClass());
+      assertThat(decoded.correlationId()).isEqualTo(message.correlationId());
+      assertThat(codec.encode(decoded)).isEqualTo(frame);
+    }
+    CallMessage.Call call = (CallMessage.Call) codec.decode(codec.encode(messages().get(1)));
+    assertThat(call.head().remainingMillis()).isEqualTo(1_234);
+    assertThat(call.head().headers().get("x")).isEqualTo("1");
+    assertThat(call.chunk()).isEqualTo(new byte[] {1, 2, 3});
+  }
+
+  /** Guards against damaged frames that escape as an unexpected exception. */
+  @Test
+  void damagedFramesAreRefusedOrValid() throws Exception {
+    Random random = new Random(SEED);
+    int refused = 0;
+    for (int i = 0; i < 20_000; i++) {
+      byte[] frame = codec.encode(messages().get(random.nextInt(messages().size())));
+      int cut = random.nextInt(3) == 0 ? random.nextInt(frame.length) : frame.length;
+      byte[] damaged = java.util.Arrays.copyOf(frame, cut);
+      for (int flips = random.nextInt(4); flips > 0 && cut > 0; flips--) {
+        damaged[random.nextInt(cut)] = (byte) random.nextInt();
+      }
+      try {
+        assertThat(codec.decode(damaged)).isNotNull();
+      } catch (ProtocolException e) {
+        refused++;
+      }
+    }
+    assertWithMessage("refused with seed " + SEED).that(refused).isGreaterThan(1_000);
+  }
+
+  private static List<CallMessage> messages() {
+    Headers headers = new Headers.Builder().add("X", "1").add("y", "").build();
+    CallHead head =
+        new CallHead(
+            new ServiceName("svc"),
+            "GET",
+            "/a?b",
+            new AccountId("farm"),
+            3,
+            TrafficClass.BULK,
+            new Revision(9),
+            1_234,
+            2,
+            headers);
+    GateLoad load = new GateLoad(1, 2, 3);
+    return List.of(
+        CallMessage.Hello.of("me"),
+        new CallMessage.Call(1, head, 5, new byte[] {1, 2, 3}),
+        new CallMessage.CallChunk(1, new byte[] {4, 5}),
+        new CallMessage.CallEnd(1),
+        new CallMessage.Reply(1, 200, headers, 1, load, 0, new byte[0]),
+        new CallMessage.ReplyChunk(1, new byte[] {7}),
+        new CallMessage.ReplyEnd(1),
+        new CallMessage.Refusal(1, RefusalReason.RATE, Verdict.NOT_RUN, 20, 2, load),
+        new CallMessage.Cancel(1),
+        new CallMessage.Ping(77),
+        new CallMessage.Pong(77),
+        new CallMessage.GoAway());
+  }
+}
--- /dev/null
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/link/PeerLinkTest.java
@@ -0,0 +1,283 @@
+package org.cornelspoke.transport.link;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.cornelspoke.coordination.admission.GateLoad;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.TrafficClass;
+import org.cornelspoke.model.Verdict;
+import org.cornelspoke.protocol.call.CallCodec;
+import org.cornelspoke.protocol.call.CallEnding;
+import org.cornelspoke.protocol.call.CallHead;
+import org.cornelspoke.protocol.call.CallMessage;
+import org.cornelspoke.protocol.call.CallResult;
+import org.cornelspoke.protocol.call.Headers;
+import org.junit.jupiter.api.Test;
+
+class PeerLinkTest {
+
+  private static final long SEED = 3;
+  private static final Duration LIMIT = Duration.ofSeconds(20);
+  private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
+
+  private final Eventloop reactor = Eventloop.create();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final CallCodec codec = new CallCodec();
+  private final List<IncomingCall> incoming = new ArrayList<>();
+  private final List<String> ended = new ArrayList<>();
+
+  /** Guards against replies that reach another call when they are late or out of order. */
+  @Test
+  void crossedAndLateRepliesReachOnlyTheirCall() throws Exception {
+    LinkServer server = server();
+    PeerLink link = link(server.boundAddress().getPort());
+    runUntil(link::isReady);
+    List<LinkCall> calls = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      int number = i;
+      calls.add(link.call(head("/" + i), bytes(i), e -> ended.add(number + textOf(e))));
+    }
+    runUntil(() -> incoming.size() == 100);
+    for (int i = 0; i < 100; i += 3) {
+      calls.get(i).cancel();
+    }
+    Random random = new Random(SEED);
+    java.util.Collections.shuffle(incoming, random);
+    for (IncomingCall call : incoming) {
+      assertThat(call.head().requestTarget()).isEqualTo("/" + (call.body()[0] & 0xff));
+      call.respond(answer(call.body()));
+    }
+    runUntil(() -> ended.size() == 66 && link.callsInFlight() == 0);
+    for (int i = 0; i < 100; i++) {
+      assertThat(ended.contains(i + " 200 " + i)).isEqualTo(i % 3 != 0);
+    }
+    assertThat(metrics.counter("link.late-replies").getCount()).isEqualTo(34);
+    server.close();
+    link.abort();
+  }
+
+  /** Guards against "not run" for a call that the peer had, and unknown outcomes for others. */
+  @Test
+  void brokenLinkTellsWhatMayHaveRun() throws Exception {
+    LinkServer server = server();
+    PeerLink link = link(server.boundAddress().getPort());
+    runUntil(link::isReady);
+    byte[] large = new byte[32 << 20];
+
+    link.call(head("/small"), bytes(1), e -> ended.add(e.result().verdict().name()));
+
+    link.call(head("/large"), large, e -> ended.add(e.result().verdict().name()));
+    runUntil(() -> incoming.size() == 1);
+    server.close();
+    runUntil(() -> ended.size() == 2);
+    assertThat(ended).containsExactly("MAY_HAVE_RUN", "NOT_RUN").inOrder();
+    assertThat(link.isReady()).isFalse();
+    link.abort();
+  }
+
+  /** Guards against a large body that holds up small calls on the same link. */
+  @Test
+  void smallCallOvertakesLargeBody() throws Exception {
+    LinkServer server = server();
+    PeerLink link = link(server.boundAddress().getPort());
+    runUntil(link::isReady);
+    byte[] large = new byte[16 << 20];
+    new Random(SEED).nextBytes(large);
+    link.call(head("/large"), large, e -> ended.add("large"));
+    link.call(head("/small"), bytes(1), e -> ended.add("small"));
+    runUntil(() -> incoming.size() == 2);
+    assertThat(incoming.get(0).head().requestTarget()).isEqualTo("/small");
+    assertThat(incoming.get(1).body()).isEqualTo(large);
+    incoming.get(1).respond(answer(large));
+    incoming.get(0).respond(answer(bytes(1)));
+    runUntil(() -> ended.size() == 2);
+    assertThat(ended).containsExactly("small", "large").inOrder();
+    server.close();
+    link.abort();
+  }
+
+  /** Guards against new calls on a link whose peer stops, and against calls cut by the stop. */
+  @Test
+  void goAwayFinishesCallsAndReconnects() throws Exception {
+    LinkServer server = server();
+    int port = server.boundAddress().getPort();
+    PeerLink link = link(port);
+    runUntil(link::isReady);
+    link.call(head("/"), bytes(1), e -> ended.add(textOf(e)));
+    runUntil(() -> incoming.size() == 1);
+    server.goAway();
+    runUntil(link::isGoingAway);
+    assertThat(link.isReady()).isFalse();
+    incoming.get(0).respond(answer(bytes(1)));
+    runUntil(() -> server.links() == 0);
+    assertThat(ended).containsExactly(" 200 1");
+    LinkServer successor = server(new Endpoint("127.0.0.1", port));
+    runUntil(link::isReady);
+    successor.close();
+    link.abort();
+  }
+
+  /** Guards against a cancel that does not stop the work at the peer. */
+  @Test
+  void cancelAndBreakReachThePeer() throws Exception {
+    LinkServer server = server();
+    PeerLink link = link(server.boundAddress().getPort());
+    runUntil(link::isReady);
+    LinkCall first = link.call(head("/1"), bytes(1), e -> ended.add(textOf(e)));
+    link.call(head("/2"), bytes(2), e -> ended.add(e.result().verdict().name()));
+    runUntil(() -> incoming.size() == 2);
+    List<String> cancelled = new ArrayList<>();
+    incoming.forEach(call -> call.onCancelled(() -> cancelled.add(call.head().requestTarget())));
+    first.cancel();
+    runUntil(() -> !cancelled.isEmpty());
+    assertThat(cancelled).containsExactly("/1");
+    link.abort();
+    runUntil(() -> cancelled.size() == 2);
+    assertThat(ended).containsExactly("MAY_HAVE_RUN");
+    server.close();
+  }
+
+  /** Guards against a peer that breaks the protocol and keeps its link. */
+  @Test
+  void protocolFaultsCloseTheLink() throws Exception {
+    LinkServer server = server();
+    CallMessage hello = CallMessage.Hello.of("x");
+    CallMessage call = new CallMessage.Call(5, head("/"), 1, bytes(1));
+    List<List<CallMessage>> faults =
+        List.of(
+            List.of(call),
+            List.of(new CallMessage.Hello("other", 1, "x")),
+            List.of(new CallMessage.Hello(CallMessage.Hello.MAGIC, 99, "x")),
+            List.of(hello, hello),
+            List.of(hello, call, call),
+            List.of(hello, new CallMessage.Call(5, head("/"), 1, bytes(1, 2))),
+            List.of(hello, new CallMessage.Call(5, head("/"), 2 << 26, bytes(1))),
+            List.of(
+                hello, new CallMessage.Call(5, head("/"), 3, bytes(1)), new CallMessage.CallEnd(5)),
+            List.of(hello, new CallMessage.ReplyEnd(5)),
+            List.of(
+                hello,
+                new CallMessage.Refusal(
+                    5, RefusalReason.RATE, Verdict.NOT_RUN, 0, 0, GateLoad.IDLE)));
+    for (List<CallMessage> messages : faults) {
+      List<Exception> closed = new ArrayList<>();
+      connect(server.boundAddress(), messages, closed);
+      runUntil(() -> !closed.isEmpty());
+    }
+    assertThat(metrics.meter("link.malformed").getCount()).isEqualTo(faults.size());
+    server.close();
+  }
+
+  private void connect(
+      InetSocketAddress address, List<CallMessage> messages, List<Exception> closed) {
+    reactor.post(
+        () ->
+            FrameConnection.connect(reactor, address, LIMIT)
+                .whenResult(
+                    connection -> {
+                      connection.start(
+                          new FrameListener() {
+                            @Override
+                            public void onFrame(byte[] frame) {}
+
+                            @Override
+                            public void onClosed(Exception cause) {
+                              closed.add(cause);
+                            }
+                          });
+                      messages.forEach(message -> connection.send(codec.encode(message)));
+                    }));
+  }
+
+  private LinkServer server() throws IOException {
+    return server(ANY_PORT);
+  }
+
+  private LinkServer server(Endpoint endpoint) throws IOException {
+    LinkServer server =
+        new LinkServer(
+            reactor, endpoint.toSocketAddress(), "server", codec, 64 << 20, incoming::add, metrics);
+    IOException[] failure = new IOException[1];
+    reactor.post(
+        () -> {
+          try {
+            server.start();
+          } catch (IOException e) {
+            failure[0] = e;
+          }
+        });
+    runUntil(() -> true);
+    if (failure[0] != null) {
+      throw failure[0];
+    }
+    return server;
+  }
+
+  private PeerLink link(int port) {
+    PeerLink link =
+        new PeerLink(
+            reactor, new Endpoint("127.0.0.1", port), "client", codec, new Random(SEED), metrics);
+    reactor.post(link::start);
+    return link;
+  }
+
+  /** Runs the event loop in this thread until the condition holds. */
+  private void runUntil(java.util.function.BooleanSupplier condition) {
+    long end = System.nanoTime() + LIMIT.toNanos();
+    Runnable[] poll = new Runnable[1];
+    poll[0] =
+        () -> {
+          if (condition.getAsBoolean() || System.nanoTime() > end) {
+            reactor.breakEventloop();
+          } else {
+            reactor.delay(1, poll[0]);
+          }
+        };
+    reactor.delay(1, poll[0]);
+    reactor.run();
+    assertThat(condition.getAsBoolean()).isTrue();
+  }
+
+  private static CallHead head(String target) {
+    return new CallHead(
+        new ServiceName("svc"),
+        "GET",
+        target,
+        new AccountId("farm"),
+        1,
+        TrafficClass.BULK,
+        Revision.NONE,
+        1_000,
+        0,
+        Headers.EMPTY);
+  }
+
+  private static CallEnding answer(byte[] body) {
+    return new CallEnding(new CallResult.Answered(200, Headers.EMPTY, body), 0, GateLoad.IDLE);
+  }
+
+  private static String textOf(CallEnding ending) {
+    CallResult.Answered answer = (CallResult.Answered) ending.result();
+    return " " + answer.status() + " " + (answer.body()[0] & 0xff);
+  }
+
+  private static byte[] bytes(int... values) {
+    byte[] bytes = new byte[values.length];
+    for (int i = 0; i < values.length; i++) {
+      bytes[i] = (byte) values[i];
+    }
+    return bytes;
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/FailureTest.java
@@ -0,0 +1,279 @@
+package org.cornelspoke.daemon.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.cornelspoke.daemon.traffic.RawClient.request;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cornelspoke.daemon.traffic.RawClient.Answer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class FailureTest {
+
+  private static final StandInUpstream.Script CUT =
+      (head, body, socket) -> {
+        StandInUpstream.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+        socket.close();
+      };
+  private static final StandInUpstream.Script SHED =
+      (head, body, socket) -> StandInUpstream.answer(socket, 503, "", "Cornelspoke-Shed: 1");
+  private static final StandInUpstream.Script OK =
+      (head, body, socket) -> StandInUpstream.answer(socket, 200, "ok");
+
+  private final TestFleet fleet = new TestFleet();
+
+  @AfterEach
+  void stop() throws Exception {
+    fleet.close();
+  }
+
+  /** Guards against a second run of an unrepeatable request whose first outcome is unknown. */
+  @Test
+  void unrepeatableRequestIsNotRepeatedAfterUnknownOutcome() throws Exception {
+    try (StandInUpstream first = new StandInUpstream(CUT);
+        StandInUpstream second = new StandInUpstream(OK)) {
+      TrafficDaemon edge = edgeOf(first, second);
+      Answer fee = RawClient.once(edge.edgeAddress(), request("POST", "/fees", "", TestFleet.KEY));
+      assertThat(fee.status()).isEqualTo(502);
+      assertThat(fee.reason()).isEqualTo("upstream-failed");
+      assertThat(fee.verdict()).isEqualTo("may-have-run");
+      assertThat(second.heads).isEmpty();
+      Answer read = RawClient.once(edge.edgeAddress(), request("GET", "/read", "", TestFleet.KEY));
+      assertThat(read.body()).isEqualTo("ok");
+    }
+  }
+
+  /** Guards against a wasted request that another target could have run. */
+  @Test
+  void shedRequestGoesToAnotherTarget() throws Exception {
+    try (StandInUpstream first = new StandInUpstream(SHED);
+        StandInUpstream second = new StandInUpstream(OK)) {
+      TrafficDaemon edge = edgeOf(first, second);
+      Answer fee = RawClient.once(edge.edgeAddress(), request("POST", "/fees", "", TestFleet.KEY));
+      assertThat(fee.status()).isEqualTo(200);
+      assertThat(first.heads).hasSize(1);
+      second.script = SHED;
+      Answer refused =
+          RawClient.once(edge.edgeAddress(), request("POST", "/fees", "", TestFleet.KEY));
+      assertThat(refused.status()).isEqualTo(503);
+      assertThat(refused.verdict()).isEqualTo("not-run");
+      assertThat(refused.header("Retry-After")).isEqualTo("1");
+    }
+  }
+
+  /** Guards against "not run" in the answer when only the last attempt has not run. */
+  @Test
+  void oneUnknownOutcomeDecidesTheVerdict() throws Exception {
+    try (StandInUpstream first = new StandInUpstream(CUT);
+        StandInUpstream second = new StandInUpstream(SHED)) {
+      TrafficDaemon edge = edgeOf(first, second);
+      Answer read = RawClient.once(edge.edgeAddress(), request("GET", "/read", "", TestFleet.KEY));
+      assertThat(read.status()).isEqualTo(503);
+      assertThat(read.verdict()).isEqualTo("may-have-run");
+      assertThat(second.heads).hasSize(1);
+    }
+  }
+
+  /** Guards against a deadline that is not kept, and against a late answer for somebody else. */
+  @Test
+  void deadlineEndsTheExchange() throws Exception {
+    CountDownLatch release = new CountDownLatch(1);
+    try (StandInUpstream upstream =
+        new StandInUpstream(
+            (head, body, socket) -> {
+              if (head.startsWith("POST")) {
+                release.await();
+                StandInUpstream.answer(socket, 200, "late");
+              } else {
+                StandInUpstream.answer(socket, 200, "ok");
+              }
+            })) {
+      TrafficDaemon edge = edgeOf(upstream);
+      fleet.awaitRoute(edge, "/open");
+      try (RawClient client = new RawClient(edge.edgeAddress())) {
+        Answer fee =
+            client.call(
+                request("POST", "/fees", "", TestFleet.KEY, "Cornelspoke-Deadline-Millis: 50"));
+        assertThat(fee.status()).isEqualTo(504);
+        assertThat(fee.reason()).isEqualTo("upstream-timeout");
+        assertThat(fee.verdict()).isEqualTo("may-have-run");
+        release.countDown();
+        assertThat(client.call(request("GET", "/open", "")).body()).isEqualTo("ok");
+      }
+    }
+  }
+
+  /** Guards against work at the upstream for a caller that has left. */
+  @Test
+  void leavingCallerClosesTheUpstreamConnection() throws Exception {
+    try (StandInUpstream upstream = new StandInUpstream(OK)) {
+      TrafficDaemon edge = edgeOf(upstream);
+      fleet.awaitRoute(edge, "/open");
+      int before = upstream.heads.size();
+      AtomicInteger closed = new AtomicInteger();
+      upstream.script =
+          (head, body, socket) -> {
+            if (socket.getInputStream().read() < 0) {
+              closed.incrementAndGet();
+            }
+          };
+      try (RawClient client = new RawClient(edge.edgeAddress())) {
+        client.send(request("POST", "/fees", "", TestFleet.KEY));
+        TestFleet.await(() -> upstream.heads.size() == before + 1);
+      }
+      TestFleet.await(() -> closed.get() == 1);
+      TestFleet.await(() -> fleet.metrics.get("edge").counter("edge.abandoned").getCount() == 1);
+    }
+  }
+
+  /** Guards against retries that multiply over a chain of calls. */
+  @Test
+  void chainMakesAtMostItsBudgetOfExtraCalls() throws Exception {
+    AtomicInteger deepCalls = new AtomicInteger();
+    AtomicInteger outerCalls = new AtomicInteger();
+    StandInUpstream.Script deepFails =
+        (head, body, socket) -> {
+          deepCalls.incrementAndGet();
+          CUT.serve(head, body, socket);
+        };
+    TrafficDaemon[] beside = new TrafficDaemon[1];
+    StandInUpstream.Script callsDeep =
+        (head, body, socket) -> {
+          outerCalls.incrementAndGet();
+          String context = StandInUpstream.headerOf(head, "Cornelspoke-Context");
+          Answer nested =
+              RawClient.once(
+                  beside[0].edgeAddress(),
+                  request("GET", "/deep", "", "Cornelspoke-Context: " + context));
+          assertThat(nested.status()).isEqualTo(502);
+          socket.close();
+        };
+    try (StandInUpstream outer = new StandInUpstream(callsDeep);
+        StandInUpstream deep1 = new StandInUpstream(deepFails);
+        StandInUpstream deep2 = new StandInUpstream(deepFails);
+        StandInUpstream deep3 = new StandInUpstream(deepFails)) {
+      beside[0] = fleet.startWith("b", "svc", outer);
+      fleet.startWith("d1", "deep", deep1);
+      fleet.startWith("d2", "deep", deep2);
+      fleet.startWith("d3", "deep", deep3);
+      TrafficDaemon edge = fleet.start("edge");
+      TestFleet.await(() -> links("edge") >= 4 && links("b") >= 3);
+      Answer read = RawClient.once(edge.edgeAddress(), request("GET", "/read", "", TestFleet.KEY));
+      assertThat(read.status()).isEqualTo(502);
+      // Two calls without retries, and the budget of the preset is two.
+      assertThat(outerCalls.get() + deepCalls.get()).isAtMost(4);
+      assertThat(deepCalls.get()).isEqualTo(2);
+    }
+  }
+
+  /** Guards against nested calls that run for another account, or without any proof of one. */
+  @Test
+  void forgedContextIsNoProof() throws Exception {
+    try (StandInUpstream upstream = new StandInUpstream(OK)) {
+      TrafficDaemon daemon = fleet.startWith("a", "svc", upstream);
+      RawClient.once(daemon.edgeAddress(), request("GET", "/read", "", TestFleet.KEY));
+      String context = StandInUpstream.headerOf(upstream.heads.get(0), "Cornelspoke-Context");
+      String forged = (context.charAt(5) == 'A' ? "B" : "A") + context.substring(1);
+      for (String bad : List.of(forged, "x", context + "x")) {
+        Answer answer =
+            RawClient.once(
+                daemon.edgeAddress(), request("GET", "/read", "", "Cornelspoke-Context: " + bad));
+        assertThat(answer.status()).isEqualTo(401);
+      }
+      Answer valid =
+          RawClient.once(
+              daemon.edgeAddress(), request("GET", "/read", "", "Cornelspoke-Context: " + context));
+      assertThat(valid.status()).isEqualTo(200);
+    }
+  }
+
+  /** Guards against a resend with the same idempotency key that runs a second time. */
+  @Test
+  void idempotencyKeyRunsOnce() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    try (StandInUpstream upstream =
+        new StandInUpstream(
+            (head, body, socket) ->
+                StandInUpstream.answer(
+                    socket,
+                    201,
+                    "run " + runs.incrementAndGet(),
+                    "Set-Cookie: a",
+                    "Set-Cookie: b"))) {
+      TrafficDaemon daemon = fleet.startWith("a", "svc", upstream);
+      String fee = request("POST", "/fees", "x", TestFleet.KEY, "Idempotency-Key: 7");
+      for (int i = 0; i < 2; i++) {
+        Answer answer = RawClient.once(daemon.edgeAddress(), fee);
+        assertThat(answer.status()).isEqualTo(201);
+        assertThat(answer.body()).isEqualTo("run 1");
+        assertThat(answer.head()).containsMatch("(?is)set-cookie: a.*set-cookie: b");
+      }
+      Answer mismatch =
+          RawClient.once(
+              daemon.edgeAddress(),
+              request("POST", "/fees", "y", TestFleet.KEY, "Idempotency-Key: 7"));
+      assertThat(mismatch.status()).isEqualTo(422);
+      upstream.script = SHED;
+      String shed = request("POST", "/fees", "x", TestFleet.KEY, "Idempotency-Key: 8");
+      assertThat(RawClient.once(daemon.edgeAddress(), shed).verdict()).isEqualTo("not-run");
+      assertThat(fleet.claims.size()).isEqualTo(1);
+      upstream.script = CUT;
+      assertThat(RawClient.once(daemon.edgeAddress(), shed).status()).isEqualTo(502);
+      Answer resend = RawClient.once(daemon.edgeAddress(), shed);
+      assertThat(resend.status()).isEqualTo(409);
+      assertThat(resend.verdict()).isEqualTo("may-have-run");
+      fleet.claims.available = false;
+      Answer unavailable = RawClient.once(daemon.edgeAddress(), shed);
+      assertThat(unavailable.reason()).isEqualTo("claim-unavailable");
+      assertThat(unavailable.verdict()).isEqualTo("not-run");
+    }
+  }
+
+  /** Guards against a claimed request that is cut when its caller leaves and tries again. */
+  @Test
+  void claimedRequestOutlivesItsCaller() throws Exception {
+    CountDownLatch release = new CountDownLatch(1);
+    try (StandInUpstream upstream =
+        new StandInUpstream(
+            (head, body, socket) -> {
+              release.await();
+              StandInUpstream.answer(socket, 200, "once");
+            })) {
+      TrafficDaemon daemon = fleet.startWith("a", "svc", upstream);
+      String fee = request("POST", "/fees", "x", TestFleet.KEY, "Idempotency-Key: 9");
+      try (RawClient client = new RawClient(daemon.edgeAddress())) {
+        client.send(fee);
+        TestFleet.await(() -> upstream.heads.size() == 1);
+      }
+      TestFleet.await(() -> fleet.metrics.get("a").counter("edge.abandoned").getCount() == 1);
+      assertThat(RawClient.once(daemon.edgeAddress(), fee).reason()).isEqualTo("claim-running");
+      release.countDown();
+      TestFleet.await(() -> statusOf(daemon, fee) == 200);
+      assertThat(upstream.heads).hasSize(1);
+    }
+  }
+
+  private TrafficDaemon edgeOf(StandInUpstream... upstreams) throws IOException {
+    for (int i = 0; i < upstreams.length; i++) {
+      fleet.startWith("target-" + i, "svc", upstreams[i]);
+    }
+    TrafficDaemon edge = fleet.start("edge");
+    TestFleet.await(() -> links("edge") >= upstreams.length);
+    return edge;
+  }
+
+  private long links(String daemon) {
+    return fleet.metrics.get(daemon).counter("link.ready").getCount();
+  }
+
+  private static int statusOf(TrafficDaemon daemon, String raw) {
+    try {
+      return RawClient.once(daemon.edgeAddress(), raw).status();
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+}
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/StandInUpstream.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/StandInUpstream.java
@@ -23,7 +23,6 @@
 
   final List<String> heads = new CopyOnWriteArrayList<>();
   final AtomicInteger connections = new AtomicInteger();
-  final AtomicInteger closedByPeer = new AtomicInteger();
   volatile Script script;
 
   private final ServerSocket server;
@@ -88,7 +87,6 @@
       while (true) {
         String head = readHead(socket.getInputStream());
         if (head == null) {
-          closedByPeer.incrementAndGet();
           return;
         }
         heads.add(head);
@@ -96,7 +94,16 @@
         script.serve(head, body, socket);
       }
     } catch (Exception e) {
-      closedByPeer.incrementAndGet();
+      // The connection was closed, or a script failed, which closes it.
+      closeQuietly(socket);
+    }
+  }
+
+  private static void closeQuietly(Socket socket) {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // Nothing is left to close.
     }
   }
 
