Stop gracefully without refusing or cutting requests

Cause: after its drain time a stopping daemon refused root requests, and it closed idle connections whose next request was already under way; a test of callers that reconnect all the time showed 503 answers. Change: requests are served until the local upstream has finished; then the listener closes, and open connections close after 500 ms of silence. Tests of the announcement API, of stops and of malformed input.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
@@ -86,16 +86,25 @@
     closing = true;
   }
 
-  /** Stops listening and closes the connections that carry no request. */
+  /** Stops listening. Open connections stay open. */
   public void stopListening() {
     server.close();
+  }
+
+  /** Closes connections that carry no request and have been silent for a time. */
+  public void closeIdle(long nowNanos, long silentNanos) {
     for (HttpServerConnection connection : new ArrayList<>(connections)) {
-      if (connection.isIdle()) {
+      if (connection.isIdle() && nowNanos - connection.stateSinceNanos() >= silentNanos) {
         connection.close();
       }
     }
   }
 
+  /** Returns true if every open connection has its last answer. */
+  public boolean onlyLingers() {
+    return serving == 0 && connections.stream().allMatch(HttpServerConnection::isLingering);
+  }
+
   /** Closes every connection, also those that carry a request. */
   public void closeAll() {
     new ArrayList<>(connections).forEach(HttpServerConnection::close);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServerConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServerConnection.java
@@ -144,6 +144,15 @@
     return state == State.HEAD && in.size() == 0;
   }
 
+  /** Returns true if the last answer was given. */
+  boolean isLingering() {
+    return state == State.LINGERING;
+  }
+
+  long stateSinceNanos() {
+    return stateSinceNanos;
+  }
+
   /** Closes the connection if it has been in a waiting state for too long. */
   void sweep(long nowNanos) {
     long age = nowNanos - stateSinceNanos;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
@@ -26,7 +26,6 @@
   static final AccountId OPEN_ACCOUNT = new AccountId("open");
 
   private static final long STALE_RETRY_MILLIS = 1_000;
-  private static final long DRAINING_RETRY_MILLIS = 1_000;
 
   /** A preset stays in force for minutes or hours; trying again at once is useless. */
   private static final long PRESET_RETRY_MILLIS = 5_000;
@@ -35,7 +34,6 @@
   private final Collaborators with;
   private final CurrentView currentView;
   private final ContextSigner signer;
-  private boolean refusingNewRequests;
 
   EdgeHandler(EdgeParts parts, CurrentView currentView, ContextSigner signer) {
     this.parts = parts;
@@ -44,11 +42,6 @@
     this.signer = signer;
   }
 
-  /** Refuses root requests from now on; nested calls of running requests are still served. */
-  void refuseNewRequests() {
-    refusingNewRequests = true;
-  }
-
   @Override
   public void onRequest(HttpExchange exchange) {
     EdgeRequest request = new EdgeRequest(parts, exchange);
@@ -85,10 +78,6 @@
       }
       with.metrics().forgedContexts.inc();
     }
-    if (refusingNewRequests) {
-      request.refuse(RefusalReason.DRAINING, DRAINING_RETRY_MILLIS);
-      return;
-    }
     startRoot(request, exchange, headers, route, view);
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -32,6 +32,12 @@
   private static final long STOP_POLL_MILLIS = 20;
   private static final long SWEEP_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /**
+   * A connection that has been silent for less may have a request under way, which a close would
+   * cut.
+   */
+  private static final long LAST_REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   /** Time for peers and callers to read the last answers and close; see {@link HttpServer}. */
   private static final long LAST_ANSWERS_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -39,7 +45,6 @@
   private final LocalUpstreams upstreams;
   private final PeerLinks links;
   private final CurrentView view;
-  private final EdgeHandler edgeHandler;
   private final HttpServer edge;
   private final HttpServer local;
   private final LinkServer linkServer;
@@ -64,7 +69,7 @@
     LocalCalls localCalls = new LocalCalls(with, upstreams, parents, signer, view);
     ForwardingParts forwarding =
         new ForwardingParts(with, upstreams, localCalls, links, new SplittableRandom());
-    this.edgeHandler =
+    EdgeHandler edgeHandler =
         new EdgeHandler(new EdgeParts(with, forwarding, parents, new Digests()), view, signer);
     this.edge =
         new HttpServer(
@@ -187,20 +192,31 @@
     awaitDrained();
   }
 
+  /**
+   * Requests are taken until the upstream has finished, because it may still make nested calls;
+   * they go to other targets, and each answer asks the caller to leave.
+   */
   private void awaitDrained() {
     long now = System.nanoTime();
-    boolean drained = now >= drainEndNanos;
-    if (drained) {
-      edgeHandler.refuseNewRequests();
-    }
-    boolean finished = edge.serving() == 0 && upstreams.inFlight() == 0 && linkServer.isIdle();
-    if ((drained && finished) || now >= stopEndNanos) {
+    if ((now >= drainEndNanos && upstreams.inFlight() == 0) || now >= stopEndNanos) {
       edge.stopListening();
       local.stopListening();
+      awaitAnswered();
+    } else {
+      with.reactor().delay(STOP_POLL_MILLIS, this::awaitDrained);
+    }
+  }
+
+  private void awaitAnswered() {
+    long now = System.nanoTime();
+    edge.closeIdle(now, LAST_REQUEST_NANOS);
+    local.closeIdle(now, 0);
+    boolean answered = edge.onlyLingers() && upstreams.inFlight() == 0 && linkServer.isIdle();
+    if (answered || now >= stopEndNanos) {
       stopEndNanos = now + LAST_ANSWERS_NANOS;
       awaitClosed();
     } else {
-      with.reactor().delay(STOP_POLL_MILLIS, this::awaitDrained);
+      with.reactor().delay(STOP_POLL_MILLIS, this::awaitAnswered);
     }
   }
 
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/GracefulStopTest.java
@@ -0,0 +1,153 @@
+package org.cornelspoke.daemon.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.cornelspoke.daemon.traffic.RawClient.request;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cornelspoke.daemon.traffic.RawClient.Answer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class GracefulStopTest {
+
+  private static final StandInUpstream.Script SLOW =
+      (head, body, socket) -> {
+        Thread.sleep(3);
+        StandInUpstream.answer(socket, 200, "ok");
+      };
+
+  private final TestFleet fleet = new TestFleet();
+  private final AtomicBoolean running = new AtomicBoolean(true);
+  private final AtomicInteger answered = new AtomicInteger();
+  private final ConcurrentLinkedQueue<String> faults = new ConcurrentLinkedQueue<>();
+
+  @AfterEach
+  void stop() throws Exception {
+    fleet.close();
+  }
+
+  /** Guards against a planned stop of a target's daemon that cuts or refuses requests. */
+  @Test
+  void stopOfTargetLosesNoRequest() throws Exception {
+    try (StandInUpstream first = new StandInUpstream(SLOW);
+        StandInUpstream second = new StandInUpstream(SLOW)) {
+      TrafficDaemon leaving = fleet.startWith("a", "svc", first);
+      TrafficDaemon staying = fleet.startWith("b", "svc", second);
+      TrafficDaemon edge = fleet.start("edge");
+      TestFleet.await(() -> fleet.metrics.get("edge").counter("link.ready").getCount() == 2);
+      List<Thread> callers = callers(edge);
+      TestFleet.await(() -> answered.get() > 200);
+      leaving.stop().get(30, TimeUnit.SECONDS);
+      int before = answered.get();
+      TestFleet.await(() -> answered.get() > before + 200);
+      finish(callers);
+      assertThat(first.heads.size()).isGreaterThan(100);
+      assertThat(second.heads.size()).isGreaterThan(100);
+      assertThat(staying.edgeAddress()).isNotNull();
+    }
+  }
+
+  /** Guards against a planned stop of the edge that cuts requests on open connections. */
+  @Test
+  void stopOfEdgeCutsNoRequest() throws Exception {
+    try (StandInUpstream upstream = new StandInUpstream(SLOW)) {
+      fleet.startWith("a", "svc", upstream);
+      TrafficDaemon edge = fleet.start("edge");
+      TestFleet.await(() -> fleet.metrics.get("edge").counter("link.ready").getCount() == 1);
+      List<Thread> callers = callers(edge);
+      TestFleet.await(() -> answered.get() > 200);
+      edge.stop().get(30, TimeUnit.SECONDS);
+      finish(callers);
+    }
+  }
+
+  /** Guards against a stop that cuts a nested call of a request that it still finishes. */
+  @Test
+  void stopServesNestedCallsOfRunningRequests() throws Exception {
+    TrafficDaemon[] daemon = new TrafficDaemon[1];
+    AtomicBoolean stopping = new AtomicBoolean();
+    try (StandInUpstream deep = StandInUpstream.answering("deep");
+        StandInUpstream outer =
+            new StandInUpstream(
+                (head, body, socket) -> {
+                  TestFleet.await(stopping::get);
+                  // Longer than the time for which the daemon takes other requests.
+                  Thread.sleep(400);
+                  Answer nested =
+                      RawClient.once(
+                          daemon[0].edgeAddress(),
+                          request(
+                              "GET",
+                              "/deep",
+                              "",
+                              "Cornelspoke-Context: "
+                                  + StandInUpstream.headerOf(head, "Cornelspoke-Context")));
+                  StandInUpstream.answer(socket, 200, "nested " + nested.body());
+                })) {
+      daemon[0] = fleet.startWith("a", "svc", outer);
+      fleet.startWith("b", "deep", deep);
+      TestFleet.await(() -> fleet.metrics.get("a").counter("link.ready").getCount() == 1);
+      try (RawClient client = new RawClient(daemon[0].edgeAddress())) {
+        client.send(request("GET", "/read", "", TestFleet.KEY));
+        TestFleet.await(() -> outer.heads.size() == 1);
+        var stopped = daemon[0].stop();
+        stopping.set(true);
+        Answer answer = client.read();
+        assertThat(answer.body()).isEqualTo("nested deep");
+        assertThat(answer.header("Connection")).isEqualTo("close");
+        assertThat(client.isClosedByServer()).isTrue();
+        stopped.get(30, TimeUnit.SECONDS);
+      }
+    }
+  }
+
+  private List<Thread> callers(TrafficDaemon edge) {
+    List<Thread> callers = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      Thread thread = new Thread(() -> callUntilStopped(edge), "caller");
+      thread.start();
+      callers.add(thread);
+    }
+    return callers;
+  }
+
+  private void callUntilStopped(TrafficDaemon edge) {
+    while (running.get()) {
+      RawClient client;
+      try {
+        client = new RawClient(edge.edgeAddress());
+      } catch (IOException e) {
+        // The edge no longer listens; no request was sent.
+        return;
+      }
+      try (client) {
+        boolean open = true;
+        while (open && running.get()) {
+          Answer answer = client.call(request("POST", "/fees", "x", TestFleet.KEY));
+          if (answer == null || answer.status() != 200) {
+            faults.add("answer " + answer);
+            return;
+          }
+          answered.incrementAndGet();
+          open = !"close".equals(answer.header("Connection"));
+        }
+      } catch (IOException e) {
+        faults.add("cut: " + e);
+      }
+    }
+  }
+
+  private void finish(List<Thread> callers) throws InterruptedException {
+    running.set(false);
+    for (Thread caller : callers) {
+      caller.join();
+    }
+    assertThat(faults).isEmpty();
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LocalApiTest.java
@@ -0,0 +1,121 @@
+package org.cornelspoke.daemon.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.cornelspoke.daemon.traffic.RawClient.request;
+
+import java.util.concurrent.CountDownLatch;
+import org.cornelspoke.daemon.traffic.RawClient.Answer;
+import org.cornelspoke.state.registry.TargetState;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class LocalApiTest {
+
+  private final TestFleet fleet = new TestFleet();
+
+  @AfterEach
+  void stop() throws Exception {
+    fleet.close();
+  }
+
+  /** Guards against an upstream that vanished and still gets work. */
+  @Test
+  void upstreamWithoutRenewalIsWithdrawn() throws Exception {
+    try (StandInUpstream upstream = StandInUpstream.answering("ok")) {
+      TrafficDaemon daemon = fleet.start("a");
+      String announcement =
+          "{\"service\":\"svc\",\"address\":\"%s\",\"slots\":5,\"leaseMillis\":150}"
+              .formatted(upstream.address());
+      assertThat(TestFleet.local(daemon, "/v1/announce", announcement).status()).isEqualTo(204);
+      assertThat(fleet.isRegistered("a:svc")).isTrue();
+      for (int i = 0; i < 10; i++) {
+        Thread.sleep(30);
+        assertThat(TestFleet.local(daemon, "/v1/announce", announcement).status()).isEqualTo(204);
+      }
+      TestFleet.await(() -> !fleet.isRegistered("a:svc"));
+      assertThat(fleet.metrics.get("a").counter("local.leases-ended").getCount()).isAtLeast(1);
+      Answer answer = RawClient.once(daemon.edgeAddress(), request("GET", "/open", ""));
+      assertThat(answer.reason()).isEqualTo("no-target");
+    }
+  }
+
+  /** Guards against new work for a draining upstream, and against running work that is cut. */
+  @Test
+  void drainRefusesNewWorkAndFinishesTheRest() throws Exception {
+    CountDownLatch release = new CountDownLatch(1);
+    try (StandInUpstream upstream =
+        new StandInUpstream(
+            (head, body, socket) -> {
+              release.await();
+              StandInUpstream.answer(socket, 200, "done");
+            })) {
+      TrafficDaemon daemon = fleet.startWith("a", "svc", upstream);
+      try (RawClient running = new RawClient(daemon.edgeAddress())) {
+        running.send(request("GET", "/open", ""));
+        TestFleet.await(() -> upstream.heads.size() == 1);
+        String service = "{\"service\":\"svc\"}";
+        assertThat(TestFleet.local(daemon, "/v1/drain", service).status()).isEqualTo(204);
+        assertThat(fleet.target("a:svc").state()).isEqualTo(TargetState.DRAINING);
+        // A renewal during the drain must not bring the upstream back.
+        TestFleet.announce(daemon, "svc", upstream, 10);
+        Answer refused = RawClient.once(daemon.edgeAddress(), request("GET", "/open", ""));
+        assertThat(refused.status()).isEqualTo(503);
+        assertThat(refused.verdict()).isEqualTo("not-run");
+        assertThat(TestFleet.local(daemon, "/v1/withdraw", service).status()).isEqualTo(204);
+        assertThat(fleet.isRegistered("a:svc")).isFalse();
+        release.countDown();
+        assertThat(running.read().body()).isEqualTo("done");
+        assertThat(upstream.heads).hasSize(1);
+      }
+    }
+  }
+
+  /** Guards against announcements that are accepted although they break a rule. */
+  @Test
+  void brokenRulesAreNamed() throws Exception {
+    TrafficDaemon daemon = fleet.start("a");
+    assertRule(daemon, "/v1/announce", "", "body must be a JSON object");
+    assertRule(daemon, "/v1/announce", "[]", "body must be a JSON object");
+    assertRule(daemon, "/v1/announce", "{", "body must be JSON");
+    assertRule(daemon, "/v1/announce", "{} x", "body must be JSON");
+    assertRule(
+        daemon, "/v1/announce", "{\"service\":\"a\",\"service\":\"b\"}", "body must be JSON");
+    assertRule(daemon, "/v1/announce", "{\"servce\":\"a\"}", "unknown field: servce");
+    assertRule(daemon, "/v1/announce", "{\"service\":\"A b\"}", "ServiceName must match");
+    assertRule(daemon, "/v1/announce", announcement("\"host:1\"", "1"), "ip must be an IP number");
+    assertRule(daemon, "/v1/announce", announcement("\"1.2.3.4:0\"", "1"), "port above 0");
+    assertRule(daemon, "/v1/announce", announcement("\"1.2.3.4:5\"", "0"), "slots must be");
+    assertRule(daemon, "/v1/announce", announcement("\"1.2.3.4:5\"", "1.5"), "slots must be");
+    assertRule(daemon, "/v1/drain", "{\"service\":\"svc\"}", "service must be announced");
+    assertRule(daemon, "/v1/withdraw", "{\"service\":\"svc\"}", "service must be announced");
+    assertThat(RawClient.once(daemon.localAddress(), request("GET", "/v1/drain", "")).status())
+        .isEqualTo(405);
+    assertThat(RawClient.once(daemon.localAddress(), request("POST", "/v2", "{}")).status())
+        .isEqualTo(404);
+  }
+
+  /** Guards against calls to the former address after an upstream moved to another port. */
+  @Test
+  void newAddressReplacesTheOld() throws Exception {
+    try (StandInUpstream first = StandInUpstream.answering("first");
+        StandInUpstream second = StandInUpstream.answering("second")) {
+      TrafficDaemon daemon = fleet.startWith("a", "svc", first);
+      TestFleet.announce(daemon, "svc", second, 10);
+      assertThat(RawClient.once(daemon.edgeAddress(), request("GET", "/open", "")).body())
+          .isEqualTo("second");
+      assertThat(first.heads).isEmpty();
+    }
+  }
+
+  private static String announcement(String address, String slots) {
+    return "{\"service\":\"svc\",\"address\":" + address + ",\"slots\":" + slots + "}";
+  }
+
+  private static void assertRule(TrafficDaemon daemon, String path, String body, String rule)
+      throws Exception {
+    Answer answer = TestFleet.local(daemon, path, body);
+    assertWithMessage(body).that(answer.status()).isEqualTo(400);
+    assertWithMessage(body).that(answer.body()).contains(rule);
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/MalformedInputTest.java
@@ -0,0 +1,169 @@
+package org.cornelspoke.daemon.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.cornelspoke.daemon.traffic.RawClient.request;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.Random;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class MalformedInputTest {
+
+  private static final long SEED = 20261204;
+  private static final int ROUNDS = 400;
+
+  private static final String[] PIECES = {
+    "GET",
+    "POST",
+    " ",
+    "/open",
+    "/../",
+    "%2e",
+    " HTTP/1.1",
+    " HTTP/1.0",
+    "\r\n",
+    "\n",
+    "\r",
+    "\0",
+    "Host: a",
+    "Host : a",
+    "Content-Length: 5",
+    "Content-Length: 6",
+    "Content-Length: -1",
+    "Transfer-Encoding: chunked",
+    "Transfer-Encoding: gzip",
+    " folded",
+    ":",
+    "\r\n\r\n",
+    "5\r\n",
+    "hello",
+    "0\r\n\r\n",
+    "fffffffff\r\n",
+    "X: " + "y".repeat(9_000),
+    "\u00e9",
+    "Expect: 100-continue",
+    "Authorization: Bearer x",
+    "Cornelspoke-Context: a.b",
+    "Connection: close"
+  };
+
+  private final TestFleet fleet = new TestFleet();
+
+  @AfterEach
+  void stop() throws Exception {
+    fleet.close();
+  }
+
+  /** Guards against input that stops, blocks or confuses a daemon on any of its ports. */
+  @Test
+  void noInputStopsTheDaemon() throws Exception {
+    try (StandInUpstream upstream = StandInUpstream.answering("ok")) {
+      TrafficDaemon daemon = fleet.startWith("a", "svc", upstream);
+      Random random = new Random(SEED);
+      String call = request("GET", "/open", "");
+      for (int round = 0; round < ROUNDS; round++) {
+        send(daemon.edgeAddress(), malformedHttp(random));
+        send(daemon.localAddress(), malformedHttp(random));
+        send(daemon.linkAddress(), malformedFrames(random));
+        assertWithMessage("round " + round + " of seed " + SEED)
+            .that(RawClient.once(daemon.edgeAddress(), call).body())
+            .isEqualTo("ok");
+      }
+      for (String head : upstream.heads) {
+        assertThat(head).containsMatch("^[A-Z]+ /open[^ ]* HTTP/1.1\r\n");
+        assertThat(head).doesNotContain("Transfer-Encoding");
+      }
+      TestFleet.await(() -> fleet.metrics.get("a").counter("edge.connections").getCount() <= 1);
+    }
+  }
+
+  /** Guards against a refusal that leaves the connection open or is lost by a reset. */
+  @Test
+  void malformedRequestIsAnsweredAndClosed() throws Exception {
+    TrafficDaemon daemon = fleet.start("a");
+    String[][] cases = {
+      {
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nxx",
+        "400"
+      },
+      {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", "501"},
+      {"GET / HTTP/1.1\r\n\r\n", "400"},
+      {"GET / HTTP/1.1\nHost: a\n\n", "400"},
+      {"GET / HTTP/1.1\r\nHost: a\r\nX: " + "x".repeat(20_000) + "\r\n\r\n", "431"},
+      {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1048577\r\n\r\n" + "x".repeat(50_000), "413"},
+      {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n100001\r\n", "413"}
+    };
+    for (String[] each : cases) {
+      try (RawClient client = new RawClient(daemon.edgeAddress())) {
+        RawClient.Answer answer = client.call(each[0]);
+        assertWithMessage(each[0]).that(answer.status()).isEqualTo(Integer.parseInt(each[1]));
+        assertThat(answer.verdict()).isEqualTo("not-run");
+        assertThat(answer.header("Connection")).isEqualTo("close");
+        assertThat(client.isClosedByServer()).isTrue();
+      }
+    }
+    assertThat(fleet.metrics.get("a").meter("edge.malformed").getCount()).isEqualTo(cases.length);
+  }
+
+  /** Guards against pipelined requests whose answers are lost, mixed or out of order. */
+  @Test
+  void pipelinedRequestsAreAnsweredInOrder() throws Exception {
+    try (StandInUpstream upstream =
+        new StandInUpstream(
+            (head, body, socket) ->
+                StandInUpstream.answer(socket, 200, head.substring(4, head.indexOf(" HTTP"))))) {
+      TrafficDaemon daemon = fleet.startWith("a", "svc", upstream);
+      try (RawClient client = new RawClient(daemon.edgeAddress())) {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 50; i++) {
+          all.append(request("GET", "/open/" + i, ""));
+        }
+        client.send(all.toString());
+        for (int i = 0; i < 50; i++) {
+          assertThat(client.read().body()).isEqualTo("/open/" + i);
+        }
+      }
+    }
+  }
+
+  private static byte[] malformedHttp(Random random) {
+    StringBuilder text = new StringBuilder();
+    if (random.nextBoolean()) {
+      text.append("POST /open HTTP/1.1\r\nHost: a\r\n");
+    }
+    for (int pieces = 1 + random.nextInt(12); pieces > 0; pieces--) {
+      text.append(PIECES[random.nextInt(PIECES.length)]);
+      if (random.nextInt(3) == 0) {
+        text.append("\r\n");
+      }
+    }
+    // A body that would be complete and well-formed is a valid request of its own.
+    return text.toString().replace("\r\nhello", "\r\nhe").getBytes(ISO_8859_1);
+  }
+
+  private static byte[] malformedFrames(Random random) {
+    byte[] bytes = new byte[random.nextInt(200)];
+    random.nextBytes(bytes);
+    if (random.nextBoolean() && bytes.length > 4) {
+      bytes[0] = 0;
+      bytes[1] = 0;
+      bytes[2] = 0;
+      bytes[3] = (byte) (bytes.length - 4);
+    }
+    return bytes;
+  }
+
+  private static void send(InetSocketAddress address, byte[] bytes) throws IOException {
+    try (Socket socket = new Socket()) {
+      socket.connect(address);
+      socket.getOutputStream().write(bytes);
+    } catch (IOException e) {
+      // The daemon may close the connection while bytes are still being sent.
+    }
+  }
+}
