--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -3,7 +3,6 @@
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
-
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.math3.random.Well19937c;
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/relay/RelayAndClientTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/relay/RelayAndClientTest.java
@@ -159,14 +159,26 @@
     await(() -> daemonShares.contains("d2: grant"));
     assertThat(onControl(() -> relays.get(0).sendShare(new DaemonId("d9"), bytes("grant"))))
         .isFalse();
-    assertThat(onControl(() -> relays.get(1).sendShareToPeer(vm(0), bytes("up")))).isTrue();
-    await(() -> shares.events.contains("control-2: up"));
+    assertThat(onControl(() -> relays.get(1).sendShareToOwner(vm(0), bytes("up")))).isTrue();
+    await(() -> shares.events.contains("relay control-2: up"));
+    onControl(
+        () -> {
+          relays.get(0).answerShareOfRelay(vm(1), bytes("down"));
+          return null;
+        });
+    await(() -> shares.events.contains("owner control-1: down"));
     onControl(
         () -> {
           first.stop();
           return null;
         });
     await(() -> shares.events.contains("detached d1"));
+    onControl(
+        () -> {
+          relays.get(0).stop();
+          return null;
+        });
+    await(() -> shares.events.contains("lost control-1"));
   }
 
   /** Guards against a daemon that stays with a relay which can't prove that it is current. */
@@ -476,8 +488,18 @@
     }
 
     @Override
-    public void onPeerMessage(VmId vm, byte[] message) {
-      events.add(vm + ": " + new String(message, StandardCharsets.UTF_8));
+    public void onRelayMessage(VmId relay, byte[] message) {
+      events.add("relay " + relay + ": " + new String(message, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void onOwnerMessage(VmId owner, byte[] message) {
+      events.add("owner " + owner + ": " + new String(message, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void onOwnerLost(VmId owner) {
+      events.add("lost " + owner);
     }
   }
 
