Refuse endpoints that are no IP number; make preset waits unambiguous

Cause: Endpoint accepted text such as 300.0.0.1, which the JDK looks up as a host name and so blocks the event loop. Change: Endpoint checks the number with Guava. The wait ends with code 6 and says that the change is accepted.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/model/Endpoint.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/model/Endpoint.java
@@ -1,9 +1,9 @@
 package org.cornelspoke.model;
 
+import com.google.common.net.InetAddresses;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
-import java.util.regex.Pattern;
 import org.cornelspoke.util.Assert;
 
 /**
@@ -12,7 +12,6 @@
  */
 public record Endpoint(String ip, int port) {
 
-  private static final Pattern IP = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}|[0-9a-fA-F:]+");
   private static final int MAX_PORT = 65_535;
 
   /**
@@ -21,7 +20,7 @@
    * @throws IllegalArgumentException if the address is not an IP number or the port is out of range
    */
   public Endpoint {
-    Assert.isTrue(ip != null && IP.matcher(ip).matches(), "ip must be an IP number: " + ip);
+    Assert.isTrue(ip != null && InetAddresses.isInetAddress(ip), "ip must be an IP number: " + ip);
     Assert.isTrue(port >= 0 && port <= MAX_PORT, "port must be between 0 and 65535: " + port);
   }
 
--- a/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/KeyCommands.java
+++ b/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/KeyCommands.java
@@ -50,7 +50,8 @@
             .printJson(((ObjectNode) answer).put("id", id).put("account", account).put("key", key));
         return ExitCodes.OK;
       }
-      session.accepted(answer, "key " + id + " given to account " + account + "; shown only now:");
+      session.accepted(answer, "key " + id + " given to account " + account);
+      session.console().line("The key, shown only now:");
       session.console().line(key);
       return ExitCodes.OK;
     }
--- a/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/OperatorCommands.java
+++ b/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/OperatorCommands.java
@@ -64,7 +64,8 @@
         session.console().printJson(((ObjectNode) answer).put("token", token));
         return ExitCodes.OK;
       }
-      session.accepted(answer, "operator " + operator + " set; token, shown only now:");
+      session.accepted(answer, "operator " + operator + " set");
+      session.console().line("The token, shown only now:");
       session.console().line(token);
       return ExitCodes.OK;
     }
--- a/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/PresetCommands.java
+++ b/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/PresetCommands.java
@@ -12,6 +12,7 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /** Commands that read and change presets. */
@@ -23,8 +24,8 @@
     "RETRY BUDGET", "retryBudget",
     "RETRY RATIO", "retryRatio",
     "NEWEST FIRST AFTER MS", "newestFirstAfterMillis",
-    "IN FORCE", "inForce",
-    "REVISION", "revision"
+    "REVISION", "revision",
+    "IN FORCE", "inForce"
   };
 
   private PresetCommands() {}
@@ -75,7 +76,7 @@
         ObjectNode row = entry.getValue().deepCopy();
         classes.add(row.put("class", entry.getKey()));
       }
-      String[] columns = COLUMNS.clone();
+      String[] columns = Arrays.copyOf(COLUMNS, COLUMNS.length - 2);
       session.console().table(MAPPER.createArrayNode().add(answer), columns);
       session.console().line("");
       session
--- a/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/PresetUse.java
+++ b/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/PresetUse.java
@@ -37,11 +37,20 @@
     ObjectNode body = JsonNodeFactory.instance.objectNode().put("name", preset);
     JsonNode answer = session.change("PUT", "preset-in-force", body);
     long revision = answer.path("revision").asLong();
-    String what = "preset " + preset + " is in force";
+    String what = "preset " + preset + " put in force";
     if (!wait) {
       return session.accepted(answer, what);
     }
-    Coverage coverage = await(session, revision);
+    Coverage coverage;
+    try {
+      coverage = await(session, revision);
+    } catch (CommandException e) {
+      // The change itself is accepted, so the exit code must not suggest a resend.
+      throw new CommandException(
+          ExitCodes.NOT_IN_FORCE_EVERYWHERE,
+          "daemons-unknown",
+          what + " (revision " + revision + "), but the daemons can't be read: " + e.getMessage());
+    }
     if (session.console().json()) {
       ObjectNode json = answer.deepCopy();
       json.put("daemonsInForce", coverage.inForce);
--- a/cornelspoke-ctl/src/test/java/org/cornelspoke/ctl/CommandsTest.java
+++ b/cornelspoke-ctl/src/test/java/org/cornelspoke/ctl/CommandsTest.java
@@ -94,7 +94,7 @@
     assertThat(tool.run("preset set copy --file " + file).exitCode()).isEqualTo(0);
     assertThat(tool.run("preset show copy").out()).contains("BULK");
     assertThat(tool.run("preset use copy").exitCode()).isEqualTo(0);
-    assertThat(tool.run("preset list").out()).containsMatch("copy .* yes");
+    assertThat(tool.run("preset list").out()).containsMatch("copy .* yes\n");
     assertThat(tool.run("preset list --json").json().path("presetInForce").asText())
         .isEqualTo("copy");
     assertThat(tool.run("preset set fair --set retryRatoi=0.2").exitCode()).isEqualTo(2);
@@ -126,7 +126,7 @@
 
     server.onBackend(backend -> backend.missingRelays = List.of());
     Result done = assertExit(0, "preset use peak --wait");
-    assertThat(done.out()).contains("in force in 1 live daemons");
+    assertThat(done.out()).contains("put in force in 1 live daemons");
     assertThat(done.out()).contains("not live: d2");
   }
 
--- a/cornelspoke-ctl/src/test/java/org/cornelspoke/ctl/FailureTest.java
+++ b/cornelspoke-ctl/src/test/java/org/cornelspoke/ctl/FailureTest.java
@@ -14,6 +14,12 @@
 import org.cornelspoke.daemon.admin.AdminServerFixture;
 import org.cornelspoke.daemon.admin.BackendUnavailableException;
 import org.cornelspoke.daemon.admin.FakeAdminBackend;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.OperatorId;
+import org.cornelspoke.model.RequestId;
+import org.cornelspoke.state.config.Account;
+import org.cornelspoke.state.config.ChangeRequest;
+import org.cornelspoke.state.config.ConfigChange;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -110,11 +116,23 @@
   @Test
   void detectsChangeBetweenReadAndWrite() throws Exception {
     tool.run(CREATE);
-    ToolRunner other = new ToolRunner(server.endpoint());
-    long revision = tool.run("account show fair --json").json().path("configRevision").asLong();
-    other.run("account set fair --rate 11");
-    Result late = tool.run("account set fair --burst 5 --revision " + revision);
+    ConfigChange other = new ConfigChange.SetAccount(new Account(new AccountId("fair"), 11, 20, 1));
+    server.onBackend(
+        backend ->
+            backend.beforeSubmit =
+                () -> {
+                  backend.beforeSubmit = () -> {};
+                  backend.submit(
+                      new ChangeRequest(
+                          new RequestId("other"),
+                          new OperatorId("admin"),
+                          Optional.empty(),
+                          0,
+                          other));
+                });
+    Result late = tool.run("account set fair --burst 5");
     assertThat(late.exitCode()).isEqualTo(3);
+    assertThat(late.err()).contains("SetAccount");
     JsonNode account = tool.run("account show fair --json").json();
     assertThat(account.path("rateTokensPerSecond").asInt()).isEqualTo(11);
     assertThat(account.path("burstTokens").asInt()).isEqualTo(20);
@@ -177,6 +195,18 @@
     assertThat(tool.run("status").out()).contains("quorum           NO");
   }
 
+  /** Guards against an accepted change that looks like one to resend because the wait failed. */
+  @Test
+  void saysThatChangeIsAcceptedWhenDaemonsCannotBeRead() throws Exception {
+    server.onBackend(
+        backend ->
+            backend.daemonsUnavailable =
+                Optional.of(new BackendUnavailableException("no relay", false, 1)));
+    Result result = tool.run("preset use peak --wait --timeout-millis 300");
+    assertThat(result.exitCode()).isEqualTo(6);
+    assertThat(result.err()).contains("preset peak put in force (revision 5), but");
+  }
+
   /** Guards against a resend that prints a key or token which does not work. */
   @Test
   void neverPrintsSecretThatWasNotStored() throws Exception {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsObject.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsObject.java
@@ -209,7 +209,6 @@
       throw broken(field, "must have the form ip:port");
     }
     String ip = text.substring(0, colon);
-    // Endpoint accepts octets above 255, which the JDK would look up as a host name.
     if (!InetAddresses.isInetAddress(ip)) {
       throw broken(field, "must start with an IP number, not a host name: " + ip);
     }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/FakeAdminBackend.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/FakeAdminBackend.java
@@ -51,6 +51,9 @@
   /** When set, every call that needs a quorum fails with it. */
   public Optional<BackendUnavailableException> unavailable = Optional.empty();
 
+  /** When set, the attached daemons can't be read. */
+  public Optional<BackendUnavailableException> daemonsUnavailable = Optional.empty();
+
   /** When true, changes are applied, but their answers are lost as after a leader change. */
   public boolean answersLost;
 
@@ -133,7 +136,9 @@
 
   @Override
   public Promise<AttachedDaemons> daemons() {
-    return Promise.of(new AttachedDaemons(daemons, missingRelays));
+    return daemonsUnavailable.isPresent()
+        ? Promise.ofException(daemonsUnavailable.get())
+        : Promise.of(new AttachedDaemons(daemons, missingRelays));
   }
 
   @Override
