--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/dissemination/LoopThread.java
@@ -0,0 +1,43 @@
+package org.cornelspoke.bench.dissemination;
+
+import io.activej.eventloop.Eventloop;
+import java.lang.management.ManagementFactory;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+
+/** An event loop on its own thread, with the CPU time of that thread. */
+final class LoopThread {
+
+  final Eventloop loop = Eventloop.create();
+  private final Thread thread;
+
+  LoopThread(String name) {
+    loop.keepAlive(true);
+    this.thread = new Thread(loop, name);
+    thread.start();
+  }
+
+  long cpuNanos() {
+    return ManagementFactory.getThreadMXBean().getThreadCpuTime(thread.getId());
+  }
+
+  /** Runs a call on the loop's thread and waits for its result. */
+  <T> T call(Callable<T> body) throws Exception {
+    CompletableFuture<T> future = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          try {
+            future.complete(body.call());
+          } catch (Exception e) {
+            future.completeExceptionally(e);
+          }
+        });
+    return future.get();
+  }
+
+  void stop() throws InterruptedException {
+    loop.keepAlive(false);
+    loop.execute(() -> {});
+    thread.join();
+  }
+}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -13,6 +13,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.cornelspoke.coordination.dedup.ClaimClient;
@@ -60,6 +61,7 @@
   private final long queryNanos;
   private final LongSupplier nanoClock;
   private final Optional<ShareListener> shareListener;
+  private final Consumer<FleetView> viewListener;
   private final ViewTracker tracker;
   private final ClaimCalls claims;
   private final Map<TargetId, Target> published = new LinkedHashMap<>();
@@ -69,7 +71,9 @@
   private boolean publicationScheduled;
   private long queriedAtNanos;
   private long receivedBytes;
+  private long receivedFrames;
   private long sentBytes;
+  private long sentFrames;
 
   private volatile Publication publication = new Publication(FleetView.EMPTY, Optional.empty());
 
@@ -84,6 +88,7 @@
         Math.min(freshnessBoundNanos / QUERIES_PER_BOUND, MAX_QUERY_MILLIS * NANOS_PER_MILLI);
     this.nanoClock = builder.nanoClock;
     this.shareListener = Optional.ofNullable(builder.shareListener);
+    this.viewListener = builder.viewListener;
     this.tracker =
         new ViewTracker(
             builder.daemon,
@@ -207,6 +212,16 @@
     return sentBytes;
   }
 
+  /** Returns the number of frames received. */
+  public long receivedFrames() {
+    return receivedFrames;
+  }
+
+  /** Returns the number of frames sent. */
+  public long sentFrames() {
+    return sentFrames;
+  }
+
   private void tick() {
     if (!running) {
       return;
@@ -234,6 +249,7 @@
     if (isAttached()) {
       byte[] frame = ControlCodec.encode(message);
       sentBytes += frame.length;
+      sentFrames++;
       link.connection.send(frame);
     }
   }
@@ -261,7 +277,11 @@
       reactor.postLast(
           () -> {
             publicationScheduled = false;
+            FleetView former = publication.view();
             publication = new Publication(tracker.view(), tracker.freshAsOfNanos());
+            if (publication.view() != former) {
+              viewListener.accept(publication.view());
+            }
             tracker.changedSubscription().ifPresent(this::send);
           });
     }
@@ -295,6 +315,7 @@
     @Override
     public void onFrame(byte[] frame) {
       receivedBytes += frame.length;
+      receivedFrames++;
       receive(ControlCodec.decode(frame));
     }
 
@@ -342,6 +363,7 @@
     private Set<ServiceName> services = Set.of();
     private long freshnessBoundMillis = 3_000;
     private ShareListener shareListener;
+    private Consumer<FleetView> viewListener = view -> {};
     private LongSupplier nanoClock = System::nanoTime;
     private RandomGenerator random = new SplittableRandom();
 
@@ -390,6 +412,12 @@
       return this;
     }
 
+    /** Sets what is called on the control thread after a new view was published. */
+    public Builder withViewListener(Consumer<FleetView> value) {
+      this.viewListener = value;
+      return this;
+    }
+
     /** Sets the monotonic clock. */
     public Builder withNanoClock(LongSupplier value) {
       this.nanoClock = value;
