Add the consensus service of the control daemon

Cause: the Raft node needs an event loop, a writer thread and peer connections. Result: ConsensusServiceTest, three services over loopback sockets, 3 tests pass: leader loss and restart of all, wipe and replacement followed by the loss of a second VM, no quorum.

--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusMetrics.java
@@ -0,0 +1,62 @@
+package org.cornelspoke.daemon.consensus;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+
+/**
+ * Metrics of the replicated log. Gauges read values that the control thread publishes; all metrics
+ * may be read by any thread.
+ */
+final class ConsensusMetrics {
+
+  private static final String PREFIX = "consensus.";
+
+  private final MetricRegistry registry;
+  private volatile long term;
+  private volatile long commitIndex;
+  private volatile long appliedIndex;
+  private final Timer syncTimer;
+  private final Histogram batchEntries;
+  private final Counter elections;
+  private final Counter syncFailures;
+
+  ConsensusMetrics(MetricRegistry registry) {
+    this.registry = registry;
+    remove();
+    registry.gauge(PREFIX + "term", () -> () -> term);
+    registry.gauge(PREFIX + "commit-index", () -> () -> commitIndex);
+    registry.gauge(PREFIX + "applied-index", () -> () -> appliedIndex);
+    this.syncTimer = registry.timer(PREFIX + "sync");
+    this.batchEntries = registry.histogram(PREFIX + "batch-entries");
+    this.elections = registry.counter(PREFIX + "elections");
+    this.syncFailures = registry.counter(PREFIX + "sync-failures");
+  }
+
+  Timer syncTimer() {
+    return syncTimer;
+  }
+
+  Histogram batchEntries() {
+    return batchEntries;
+  }
+
+  Counter syncFailures() {
+    return syncFailures;
+  }
+
+  void publish(long newTerm, long newCommitIndex, long newAppliedIndex, long electionCount) {
+    term = newTerm;
+    commitIndex = newCommitIndex;
+    appliedIndex = newAppliedIndex;
+    long added = electionCount - elections.getCount();
+    if (added > 0) {
+      elections.inc(added);
+    }
+  }
+
+  void remove() {
+    registry.removeMatching((name, metric) -> name.startsWith(PREFIX));
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -0,0 +1,593 @@
+package org.cornelspoke.daemon.consensus;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.apache.commons.math3.random.Well19937c;
+import org.cornelspoke.coordination.consensus.Member;
+import org.cornelspoke.coordination.consensus.Membership;
+import org.cornelspoke.coordination.consensus.MembershipChange;
+import org.cornelspoke.coordination.consensus.MembershipRefusedException;
+import org.cornelspoke.coordination.consensus.RaftNode;
+import org.cornelspoke.coordination.consensus.RaftSettings;
+import org.cornelspoke.coordination.consensus.ReadResult;
+import org.cornelspoke.coordination.consensus.ReplicatedLog;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.protocol.consensus.PeerMessage;
+import org.cornelspoke.protocol.consensus.PeerMessageCodec;
+import org.cornelspoke.state.StateMachine;
+import org.cornelspoke.state.log.EntryKind;
+import org.cornelspoke.state.log.FileDisk;
+import org.cornelspoke.state.log.LogEntry;
+import org.cornelspoke.state.log.LogStorage;
+import org.cornelspoke.state.log.MemberIdentity;
+import org.cornelspoke.state.log.Snapshot;
+import org.cornelspoke.util.Assert;
+
+/**
+ * This VM's member of the control group: drives {@link RaftNode} on the control event loop, syncs
+ * on a writer thread, and applies committed commands to the state machine.
+ *
+ * <p>On the first start with empty folders the VM with the smallest id forms the group, once it is
+ * connected to all VMs of the settings and all of them are empty. A wiped VM therefore never forms
+ * a second group; an operator adds it as a learner.
+ *
+ * <p>All methods must be called on the control thread, except {@link #awaitStopped}.
+ */
+public final class ConsensusService implements ReplicatedLog {
+
+  private static final System.Logger LOG = System.getLogger(ConsensusService.class.getName());
+  private static final long TICK_MILLIS = 10;
+  private static final long MAINTENANCE_TICKS = 10;
+
+  private final NioReactor reactor;
+  private final VmId vmId;
+  private final Endpoint peerAddress;
+  private final Path dataFolder;
+  private final Map<VmId, Endpoint> peers;
+  private final StateMachine stateMachine;
+  private final ConsensusSettings settings;
+  private final MetricRegistry metricRegistry;
+  private final SecureRandom random = new SecureRandom();
+  private final PendingRequests pending = new PendingRequests();
+  private ConsensusMetrics metrics;
+  private DiskWriter writer;
+  private PeerConnections connections;
+  private RaftNode node;
+  private long appliedIndex;
+  private long snapshotIndex;
+  private long nextCallId;
+  private long ticks;
+  private boolean driveScheduled;
+  private boolean running;
+  private Membership knownMembership = Membership.EMPTY;
+
+  private ConsensusService(Builder builder) {
+    this.reactor = Assert.notNull(builder.reactor, "reactor");
+    this.vmId = Assert.notNull(builder.vmId, "vmId");
+    this.peerAddress = Assert.notNull(builder.peerAddress, "peerAddress");
+    this.dataFolder = Assert.notNull(builder.dataFolder, "dataFolder");
+    this.stateMachine = Assert.notNull(builder.stateMachine, "stateMachine");
+    this.settings = builder.settings;
+    this.metricRegistry = builder.metricRegistry;
+    this.peers = Map.copyOf(builder.peers);
+    Assert.isTrue(!peers.containsKey(vmId), "peers must not contain this VM");
+  }
+
+  /** Returns a builder for a service on the event loop. */
+  public static Builder builder(NioReactor reactor) {
+    return new Builder(reactor);
+  }
+
+  /**
+   * Opens the data folder, restores the state and starts to listen.
+   *
+   * @throws IOException if the folder is damaged or in use, or the address is in use
+   */
+  public void start() throws IOException {
+    Assert.isTrue(node == null, "start must be called once");
+    FileDisk disk = new FileDisk(dataFolder);
+    LogStorage storage = null;
+    boolean started = false;
+    try {
+      storage =
+          LogStorage.open(
+              disk, settings.segmentBytes(), () -> MemberIdentity.random(random::nextLong));
+      node =
+          new RaftNode(
+              settings.raft(),
+              storage.recovered(),
+              new Well19937c(random.nextLong()),
+              System.nanoTime());
+      connections =
+          new PeerConnections(reactor, vmId, peerAddress, peers, this::hello, new PeerEvents());
+      connections.start();
+      started = true;
+    } finally {
+      if (!started) {
+        if (storage != null) {
+          storage.close();
+        }
+        disk.close();
+      }
+    }
+    metrics = new ConsensusMetrics(metricRegistry);
+    writer = new DiskWriter(vmId + "-log-writer", disk, storage, metrics, new WriterEvents());
+    writer.start();
+    // Starting from a random number keeps answers to calls from before a restart apart.
+    nextCallId = random.nextLong() >>> 1;
+    running = true;
+    drive();
+    tick();
+  }
+
+  /** Stops without waiting; unfinished requests are reported as unknown or unavailable. */
+  public void stop() {
+    if (!running) {
+      return;
+    }
+    running = false;
+    connections.stop();
+    writer.stop();
+    pending.endAll("the service stops");
+    metrics.remove();
+  }
+
+  /** Waits, on any thread but the control thread, until the data folder is released. */
+  public void awaitStopped() throws InterruptedException {
+    writer.awaitStopped();
+  }
+
+  /** Returns the address in use. */
+  public InetSocketAddress boundAddress() {
+    return connections.boundAddress();
+  }
+
+  @Override
+  public void propose(byte[] command, ProposalListener listener) {
+    Assert.notNull(command, "command");
+    Assert.notNull(listener, "listener");
+    if (!running) {
+      reactor.post(() -> listener.onNotAppended("the service is not running"));
+    } else if (command.length > RaftSettings.MAX_COMMAND_BYTES) {
+      reactor.post(() -> listener.onNotAppended("the command is too large"));
+    } else if (node.isStorageFailed()) {
+      reactor.post(() -> listener.onNotAppended("the data folder of this VM has failed"));
+    } else if (!proposeHere(command, listener)) {
+      forwardProposal(command, listener);
+    }
+  }
+
+  @Override
+  public void readIndex(ReadListener listener) {
+    Assert.notNull(listener, "listener");
+    if (!running) {
+      reactor.post(() -> listener.onUnavailable("the service is not running"));
+      return;
+    }
+    long requestId = nextCallId++;
+    if (isLeader()) {
+      pending.addRead(requestId, null, listener, deadlineMillis());
+      node.readIndex(requestId);
+      scheduleDrive();
+      return;
+    }
+    Optional<VmId> leader = leader();
+    byte[] frame = PeerMessageCodec.encode(new PeerMessage.ReadCall(requestId));
+    if (leader.isPresent() && connections.send(leader.get(), frame)) {
+      pending.addRead(requestId, leader.get(), listener, deadlineMillis());
+    } else {
+      reactor.post(() -> listener.onUnavailable("no leader is connected"));
+    }
+  }
+
+  @Override
+  public Optional<VmId> leader() {
+    return running
+        ? node.leader().flatMap(id -> node.membership().find(id)).map(Member::vmId)
+        : Optional.empty();
+  }
+
+  @Override
+  public boolean isLeader() {
+    return running && node.role() == RaftNode.Role.LEADER;
+  }
+
+  @Override
+  public long term() {
+    return node == null ? 0 : node.term();
+  }
+
+  @Override
+  public long appliedIndex() {
+    return appliedIndex;
+  }
+
+  /** Returns the members in force; match indexes are known on the leader only. */
+  public List<MemberStatus> members() {
+    List<MemberStatus> result = new ArrayList<>();
+    for (Member member : node.membership().members()) {
+      boolean leads = node.leader().filter(member.identity()::equals).isPresent();
+      result.add(new MemberStatus(member, node.matchIndex(member.identity()), leads));
+    }
+    return result;
+  }
+
+  /**
+   * Adds a VM that is connected to this leader as a learner, under its present identity. The
+   * listener gets an empty result on success.
+   */
+  public void addLearner(VmId learner, ProposalListener listener) {
+    Optional<PeerMessage.Hello> hello = connections.hello(learner);
+    if (hello.isEmpty()) {
+      reactor.post(() -> listener.onNotAppended(learner + " is not connected to this VM"));
+      return;
+    }
+    MemberIdentity identity = hello.get().identity();
+    change(
+        new MembershipChange.AddLearner(
+            new Member(learner, identity, hello.get().peerAddress(), false)),
+        listener);
+  }
+
+  /** Gives a learner that has caught up a vote. */
+  public void promote(MemberIdentity identity, ProposalListener listener) {
+    change(new MembershipChange.Promote(identity), listener);
+  }
+
+  /** Removes a member. */
+  public void remove(MemberIdentity identity, ProposalListener listener) {
+    change(new MembershipChange.Remove(identity), listener);
+  }
+
+  private void change(MembershipChange change, ProposalListener listener) {
+    if (!running) {
+      reactor.post(() -> listener.onNotAppended("the service is not running"));
+      return;
+    }
+    try {
+      long index = node.changeMembership(change);
+      pending.addAppended(index, node.term(), listener, deadlineMillis());
+      scheduleDrive();
+    } catch (MembershipRefusedException e) {
+      reactor.post(() -> listener.onNotAppended(e.getMessage()));
+    }
+  }
+
+  private boolean proposeHere(byte[] command, ProposalListener listener) {
+    OptionalLong index = node.propose(command);
+    if (index.isEmpty()) {
+      return false;
+    }
+    pending.addAppended(index.getAsLong(), node.term(), listener, deadlineMillis());
+    scheduleDrive();
+    return true;
+  }
+
+  private void forwardProposal(byte[] command, ProposalListener listener) {
+    long callId = nextCallId++;
+    Optional<VmId> leader = leader();
+    byte[] frame =
+        PeerMessageCodec.encode(new PeerMessage.ProposeCall(callId, ByteBuffer.wrap(command)));
+    if (leader.isPresent() && connections.send(leader.get(), frame)) {
+      pending.addForwarded(callId, leader.get(), listener, deadlineMillis());
+    } else {
+      reactor.post(() -> listener.onNotAppended("no leader is connected"));
+    }
+  }
+
+  private void tick() {
+    if (!running) {
+      return;
+    }
+    guarded(() -> node.tick(System.nanoTime()));
+    if (ticks++ % MAINTENANCE_TICKS == 0) {
+      pending.expire(nowMillis());
+      connections.connectDownLinks();
+      bootstrapIfFirst();
+      metrics.publish(node.term(), node.commitIndex(), appliedIndex, node.electionCount());
+    }
+    drive();
+    reactor.delayBackground(TICK_MILLIS, this::tick);
+  }
+
+  /** The condition that all VMs are empty keeps a wiped VM from forming a second group. */
+  private void bootstrapIfFirst() {
+    if (!node.isBlank() || peers.keySet().stream().anyMatch(p -> isBefore(p, vmId))) {
+      return;
+    }
+    List<Member> members = new ArrayList<>();
+    members.add(new Member(vmId, node.identity(), ownAddress(), true));
+    for (VmId peer : peers.keySet()) {
+      Optional<PeerMessage.Hello> hello = connections.hello(peer);
+      if (hello.isEmpty() || !hello.get().blank()) {
+        return;
+      }
+      members.add(new Member(peer, hello.get().identity(), hello.get().peerAddress(), true));
+    }
+    LOG.log(System.Logger.Level.INFO, "forming the control group: {0}", members);
+    node.bootstrap(new Membership(members));
+  }
+
+  private static boolean isBefore(VmId a, VmId b) {
+    return a.value().compareTo(b.value()) < 0;
+  }
+
+  private PeerMessage.Hello hello() {
+    return new PeerMessage.Hello(vmId, node.identity(), ownAddress(), node.isBlank());
+  }
+
+  private Endpoint ownAddress() {
+    return new Endpoint(peerAddress.ip(), connections.boundAddress().getPort());
+  }
+
+  /** Proposals and frames of one iteration of the event loop share messages and syncs. */
+  private void scheduleDrive() {
+    if (!driveScheduled) {
+      driveScheduled = true;
+      reactor.postLast(
+          () -> {
+            driveScheduled = false;
+            drive();
+          });
+    }
+  }
+
+  private void drive() {
+    if (running) {
+      guarded(this::takeOutputs);
+    }
+  }
+
+  private void takeOutputs() {
+    node.takePersistRequests().forEach(writer::submit);
+    if (!node.membership().equals(knownMembership)) {
+      knownMembership = node.membership();
+      connections.update(knownMembership);
+    }
+    node.takeMessages()
+        .forEach(m -> connections.send(m.to(), PeerMessageCodec.encode(new PeerMessage.Raft(m))));
+    node.takePersistRequests().forEach(writer::submit);
+    node.takeRestore().ifPresent(this::restore);
+    node.takeCommitted().forEach(this::apply);
+    for (ReadResult result : node.takeReadResults()) {
+      pending.onReadResult(result.requestId(), result.confirmed(), result.index());
+    }
+    if (running && appliedIndex - snapshotIndex >= settings.entriesBetweenSnapshots()) {
+      snapshotIndex = appliedIndex;
+      node.snapshotTaken(appliedIndex, stateMachine.snapshot());
+      node.takePersistRequests().forEach(writer::submit);
+    }
+  }
+
+  private void restore(Snapshot snapshot) {
+    stateMachine.restore(snapshot.data());
+    appliedIndex = snapshot.index();
+    snapshotIndex = snapshot.index();
+    pending.onRestored(appliedIndex);
+  }
+
+  private void apply(LogEntry entry) {
+    byte[] result =
+        entry.kind() == EntryKind.COMMAND
+            ? stateMachine.apply(entry.index(), entry.data())
+            : new byte[0];
+    appliedIndex = entry.index();
+    pending.onApplied(entry, result);
+  }
+
+  /** After a fault the state in memory is unknown, so this member stops and serves nothing. */
+  private void guarded(Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      LOG.log(System.Logger.Level.ERROR, "the control group member stops after a fault", e);
+      stop();
+    }
+  }
+
+  private long deadlineMillis() {
+    return nowMillis() + settings.requestTimeoutMillis();
+  }
+
+  private static long nowMillis() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  private final class PeerEvents implements PeerConnections.Listener {
+
+    @Override
+    public void onMessage(VmId from, PeerMessage message) {
+      if (!running) {
+        return;
+      }
+      if (message instanceof PeerMessage.Raft m) {
+        guarded(() -> node.receive(m.message(), System.nanoTime()));
+        scheduleDrive();
+      } else if (message instanceof PeerMessage.ProposeCall m) {
+        onProposeCall(from, m);
+      } else if (message instanceof PeerMessage.ProposeCommitted m) {
+        pending.onForwardedCommitted(m.callId(), m.index(), m.result().array());
+      } else if (message instanceof PeerMessage.ProposeFailed m) {
+        pending.onForwardedFailed(m.callId(), m.notAppended(), m.cause());
+      } else if (message instanceof PeerMessage.ReadCall m) {
+        onReadCall(from, m);
+      } else if (message instanceof PeerMessage.ReadReply m) {
+        pending.onReadResult(m.callId(), m.confirmed(), m.index());
+      }
+    }
+
+    @Override
+    public void onDown(VmId lost) {
+      pending.onDown(lost);
+      for (Member member : node.membership().members()) {
+        if (member.vmId().equals(lost)) {
+          node.unreachable(member.identity());
+        }
+      }
+    }
+
+    private void onProposeCall(VmId from, PeerMessage.ProposeCall call) {
+      ProposalListener reply = new ForwardedReply(from, call.callId());
+      if (!proposeHere(call.command().array(), reply)) {
+        reply.onNotAppended(vmId + " does not lead");
+      }
+    }
+
+    private void onReadCall(VmId from, PeerMessage.ReadCall call) {
+      if (!isLeader()) {
+        send(from, new PeerMessage.ReadReply(call.callId(), false, 0));
+        return;
+      }
+      long requestId = nextCallId++;
+      ReadListener reply =
+          new ReadListener() {
+            @Override
+            public void onCurrent(long index) {
+              send(from, new PeerMessage.ReadReply(call.callId(), true, index));
+            }
+
+            @Override
+            public void onUnavailable(String cause) {
+              send(from, new PeerMessage.ReadReply(call.callId(), false, 0));
+            }
+          };
+      pending.addRead(requestId, null, reply, deadlineMillis());
+      node.readIndex(requestId);
+      scheduleDrive();
+    }
+  }
+
+  private void send(VmId to, PeerMessage message) {
+    connections.send(to, PeerMessageCodec.encode(message));
+  }
+
+  /** Returns the outcome of a forwarded proposal to the VM that forwarded it. */
+  private final class ForwardedReply implements ProposalListener {
+    private final VmId from;
+    private final long callId;
+
+    ForwardedReply(VmId from, long callId) {
+      this.from = from;
+      this.callId = callId;
+    }
+
+    @Override
+    public void onCommitted(long index, byte[] result) {
+      if (result.length > RaftSettings.MAX_COMMAND_BYTES) {
+        onUnknown("the result is too large for a frame");
+        return;
+      }
+      send(from, new PeerMessage.ProposeCommitted(callId, index, ByteBuffer.wrap(result)));
+    }
+
+    @Override
+    public void onNotAppended(String cause) {
+      send(from, new PeerMessage.ProposeFailed(callId, true, cause));
+    }
+
+    @Override
+    public void onUnknown(String cause) {
+      send(from, new PeerMessage.ProposeFailed(callId, false, cause));
+    }
+  }
+
+  private final class WriterEvents implements DiskWriter.Listener {
+
+    @Override
+    public void onPersisted(long sequence) {
+      reactor.execute(
+          () -> {
+            if (running) {
+              guarded(() -> node.persisted(sequence));
+              drive();
+            }
+          });
+    }
+
+    @Override
+    public void onFailed(IOException cause) {
+      LOG.log(System.Logger.Level.ERROR, "data folder failed; giving up leadership", cause);
+      reactor.execute(
+          () -> {
+            if (running) {
+              node.persistFailed();
+              drive();
+            }
+          });
+    }
+  }
+
+  /** Collects the parts of a service. */
+  public static final class Builder {
+    private final NioReactor reactor;
+    private final Map<VmId, Endpoint> peers = new HashMap<>();
+    private VmId vmId;
+    private Endpoint peerAddress;
+    private Path dataFolder;
+    private StateMachine stateMachine;
+    private ConsensusSettings settings = ConsensusSettings.DEFAULT;
+    private MetricRegistry metricRegistry = new MetricRegistry();
+
+    private Builder(NioReactor reactor) {
+      this.reactor = reactor;
+    }
+
+    /** Sets this VM's name and the address on which the other control VMs reach it. */
+    public Builder withVm(VmId id, Endpoint address) {
+      this.vmId = id;
+      this.peerAddress = address;
+      return this;
+    }
+
+    /** Adds one of the other control VMs of the settings. */
+    public Builder withPeer(VmId id, Endpoint address) {
+      peers.put(id, address);
+      return this;
+    }
+
+    /** Sets the folder that holds log, vote, identity and snapshots. */
+    public Builder withDataFolder(Path folder) {
+      this.dataFolder = folder;
+      return this;
+    }
+
+    /** Sets the state that the log drives. */
+    public Builder withStateMachine(StateMachine machine) {
+      this.stateMachine = machine;
+      return this;
+    }
+
+    /** Replaces the default settings. */
+    public Builder withSettings(ConsensusSettings newSettings) {
+      this.settings = newSettings;
+      return this;
+    }
+
+    /** Sets the registry for the metrics whose names start with {@code consensus.}. */
+    public Builder withMetrics(MetricRegistry registry) {
+      this.metricRegistry = registry;
+      return this;
+    }
+
+    /**
+     * Creates the service.
+     *
+     * @throws IllegalArgumentException if a part is missing
+     */
+    public ConsensusService build() {
+      return new ConsensusService(this);
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
@@ -0,0 +1,157 @@
+package org.cornelspoke.daemon.consensus;
+
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.cornelspoke.coordination.consensus.Member;
+import org.cornelspoke.coordination.consensus.Membership;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.protocol.consensus.MalformedFrameException;
+import org.cornelspoke.protocol.consensus.PeerMessage;
+import org.cornelspoke.protocol.consensus.PeerMessageCodec;
+import org.cornelspoke.state.log.MemberIdentity;
+import org.cornelspoke.transport.link.FrameConnection;
+import org.cornelspoke.transport.link.FrameListener;
+import org.cornelspoke.transport.link.FrameServer;
+
+/** Connections to and from the other control VMs. Belongs to the control thread. */
+final class PeerConnections {
+
+  /** Receives what the other VMs send. */
+  interface Listener {
+    void onMessage(VmId from, PeerMessage message);
+
+    /** The connection to a VM was lost; frames handed to it may not have arrived. */
+    void onDown(VmId vmId);
+  }
+
+  private final NioReactor reactor;
+  private final Map<VmId, Endpoint> staticPeers;
+  private final VmId self;
+  private final Supplier<PeerMessage.Hello> hello;
+  private final Listener listener;
+  private final FrameServer server;
+  private final Map<VmId, PeerLink> links = new HashMap<>();
+  private final Map<VmId, PeerMessage.Hello> hellos = new HashMap<>();
+  private final Map<MemberIdentity, VmId> vmIds = new HashMap<>();
+  private final Set<FrameConnection> accepted = new HashSet<>();
+
+  PeerConnections(
+      NioReactor reactor,
+      VmId self,
+      Endpoint address,
+      Map<VmId, Endpoint> staticPeers,
+      Supplier<PeerMessage.Hello> hello,
+      Listener listener) {
+    this.reactor = reactor;
+    this.self = self;
+    this.staticPeers = staticPeers;
+    this.hello = hello;
+    this.listener = listener;
+    this.server = new FrameServer(reactor, address.toSocketAddress(), this::accept);
+    staticPeers.forEach(this::addLink);
+  }
+
+  void start() throws IOException {
+    server.start();
+    connectDownLinks();
+  }
+
+  void stop() {
+    server.stop();
+    links.values().forEach(PeerLink::stop);
+    Set.copyOf(accepted).forEach(FrameConnection::close);
+  }
+
+  InetSocketAddress boundAddress() {
+    return server.boundAddress();
+  }
+
+  void connectDownLinks() {
+    links.values().forEach(PeerLink::connectIfDown);
+  }
+
+  /** Adds links to members that are not in the settings. */
+  void update(Membership membership) {
+    for (Member member : membership.members()) {
+      vmIds.put(member.identity(), member.vmId());
+      if (!member.vmId().equals(self)) {
+        addLink(member.vmId(), member.peerAddress());
+      }
+    }
+  }
+
+  /** Returns the hello of a VM that is connected to this one. */
+  Optional<PeerMessage.Hello> hello(VmId vmId) {
+    return Optional.ofNullable(hellos.get(vmId));
+  }
+
+  Set<VmId> staticPeers() {
+    return staticPeers.keySet();
+  }
+
+  void send(MemberIdentity to, byte[] frame) {
+    VmId vmId = vmIds.get(to);
+    if (vmId != null) {
+      send(vmId, frame);
+    }
+  }
+
+  /** Returns false if the frame was certainly not sent. */
+  boolean send(VmId to, byte[] frame) {
+    PeerLink link = links.get(to);
+    return link != null && link.send(frame);
+  }
+
+  private void addLink(VmId vmId, Endpoint address) {
+    links.computeIfAbsent(vmId, id -> new PeerLink(reactor, id, address, hello, listener::onDown));
+  }
+
+  private void accept(FrameConnection connection) {
+    accepted.add(connection);
+    connection.start(new Incoming(connection));
+  }
+
+  private final class Incoming implements FrameListener {
+    private final FrameConnection connection;
+    private PeerMessage.Hello peer;
+
+    Incoming(FrameConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void onFrame(byte[] frame) {
+      PeerMessage message;
+      try {
+        message = PeerMessageCodec.decode(frame);
+      } catch (MalformedFrameException e) {
+        throw new IllegalArgumentException(e);
+      }
+      if (peer != null) {
+        listener.onMessage(peer.vmId(), message);
+      } else if (message instanceof PeerMessage.Hello first) {
+        peer = first;
+        hellos.put(first.vmId(), first);
+        vmIds.put(first.identity(), first.vmId());
+      } else {
+        throw new IllegalArgumentException("first frame must be a hello");
+      }
+    }
+
+    @Override
+    public void onClosed(Exception cause) {
+      accepted.remove(connection);
+      if (peer != null) {
+        hellos.remove(peer.vmId(), peer);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
@@ -0,0 +1,189 @@
+package org.cornelspoke.daemon.consensus;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.state.log.MemberIdentity;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Three services in one JVM with real sockets and files. */
+class ConsensusServiceTest {
+
+  private final Map<VmId, Endpoint> addresses = new TreeMap<>(Comparator.comparing(VmId::value));
+  private final Map<VmId, RunningVm> vms = new TreeMap<>(Comparator.comparing(VmId::value));
+  private final List<String> committed = new ArrayList<>();
+  @TempDir private Path folder;
+
+  @BeforeEach
+  void startThree() throws Exception {
+    List<ServerSocket> reserved = new ArrayList<>();
+    for (int i = 1; i <= 3; i++) {
+      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      reserved.add(socket);
+      addresses.put(new VmId("control-" + i), new Endpoint("127.0.0.1", socket.getLocalPort()));
+    }
+    for (ServerSocket socket : reserved) {
+      socket.close();
+    }
+    for (VmId vmId : addresses.keySet()) {
+      start(vmId);
+    }
+  }
+
+  @AfterEach
+  void stopAll() throws Exception {
+    for (RunningVm vm : vms.values()) {
+      vm.stop();
+    }
+  }
+
+  /** Guards against a group that loses commands over forwarding, leader loss or a full restart. */
+  @Test
+  void commandsSurviveLeaderLossAndRestartOfAll() throws Exception {
+    for (int i = 0; i < 50; i++) {
+      commit(follower(), "before-" + i);
+    }
+    VmId stopped = leader().vmId;
+    stop(stopped);
+    for (int i = 0; i < 30; i++) {
+      commit(vms.values().iterator().next(), "without-leader-" + i);
+    }
+    start(stopped);
+    assertThat(vms.get(stopped).readCurrent()).isEqualTo(committed);
+    for (VmId vmId : addresses.keySet()) {
+      stop(vmId);
+    }
+    for (VmId vmId : addresses.keySet()) {
+      start(vmId);
+    }
+    for (RunningVm vm : vms.values()) {
+      assertThat(vm.readCurrent()).isEqualTo(committed);
+    }
+    commit(follower(), "after");
+    for (RunningVm vm : vms.values()) {
+      assertThat(vm.readCurrent()).isEqualTo(committed);
+    }
+  }
+
+  /** Guards against a repaired VM that forms a second group, or votes before it has caught up. */
+  @Test
+  void wipedVmIsReplacedAndSecondVmMayThenBeLost() throws Exception {
+    for (int i = 0; i < 40; i++) {
+      commit(follower(), "before-" + i);
+    }
+    VmId wiped = new VmId("control-1");
+    MemberIdentity former = identityOf(wiped);
+    stop(wiped);
+    wipe(wiped);
+    start(wiped);
+    commit(vms.get(new VmId("control-2")), "while-wiped");
+    assertThat(until(l -> l.outcome(r -> l.service.addLearner(wiped, r)))).startsWith("committed");
+    assertThat(until(l -> l.outcome(r -> l.service.remove(former, r)))).startsWith("committed");
+    MemberIdentity present = identityOf(wiped);
+    assertThat(present).isNotEqualTo(former);
+    assertThat(until(l -> l.outcome(r -> l.service.promote(present, r)))).startsWith("committed");
+    stop(new VmId("control-2"));
+    commit(vms.get(wiped), "after-second-loss");
+    for (RunningVm vm : vms.values()) {
+      assertThat(vm.readCurrent()).isEqualTo(committed);
+    }
+  }
+
+  /** Guards against reads and changes that a VM without a quorum reports as done. */
+  @Test
+  void singleVmOfThreeConfirmsNothing() throws Exception {
+    commit(follower(), "first");
+    RunningVm last = follower();
+    for (VmId vmId : addresses.keySet()) {
+      if (!vmId.equals(last.vmId)) {
+        stop(vmId);
+      }
+    }
+    assertThat(last.propose("lost")).isNoneOf("committed #2", "committed #1");
+    Boolean leads = last.call(last.service::isLeader);
+    assertThat(leads).isFalse();
+  }
+
+  private interface Operation {
+    String run(RunningVm leader) throws Exception;
+  }
+
+  /** Repeats an administration command while it is refused, for example before a catch-up. */
+  private String until(Operation operation) throws Exception {
+    String outcome = "";
+    for (int i = 0; i < 1000; i++) {
+      outcome = operation.run(leader());
+      if (!outcome.equals("not-appended")) {
+        return outcome;
+      }
+      Thread.sleep(20);
+    }
+    return outcome;
+  }
+
+  private void commit(RunningVm vm, String command) throws Exception {
+    assertThat(vm.proposeUntilCommitted(command)).isEqualTo("committed #" + (committed.size() + 1));
+    committed.add(command);
+  }
+
+  private RunningVm leader() throws Exception {
+    for (int i = 0; i < 3000; i++) {
+      for (RunningVm vm : vms.values()) {
+        boolean leads = vm.call(vm.service::isLeader);
+        if (leads) {
+          return vm;
+        }
+      }
+      Thread.sleep(10);
+    }
+    throw new IllegalStateException("no leader");
+  }
+
+  private RunningVm follower() throws Exception {
+    RunningVm leader = leader();
+    return vms.values().stream().filter(vm -> vm != leader).findFirst().orElseThrow();
+  }
+
+  private MemberIdentity identityOf(VmId vmId) throws Exception {
+    RunningVm leader = leader();
+    return leader.call(
+        () ->
+            leader.service.members().stream()
+                .map(MemberStatus::member)
+                .filter(m -> m.vmId().equals(vmId))
+                .findFirst()
+                .orElseThrow()
+                .identity());
+  }
+
+  private void start(VmId vmId) throws Exception {
+    vms.put(vmId, new RunningVm(vmId, folder.resolve(vmId.value()), addresses));
+  }
+
+  private void stop(VmId vmId) throws Exception {
+    vms.remove(vmId).stop();
+  }
+
+  private void wipe(VmId vmId) throws IOException {
+    try (Stream<Path> files = Files.list(folder.resolve(vmId.value()))) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+  }
+}
