--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
@@ -23,6 +23,36 @@
     assertWithMessage("seed %s", seed).that(cluster.checker.violations()).isEmpty();
   }
 
+  /**
+   * Guards against losses while wiped VMs are replaced one after the other, under the same faults.
+   */
+  @Property(seed = "4712", tries = 100, shrinking = ShrinkingMode.OFF)
+  void repairsUnderFaultsBreakNoInvariant(@ForAll long seed) {
+    SimulatedCluster cluster = new SimulatedCluster(seed, 3, Mutation.NONE);
+    cluster.bootstrap(3);
+    cluster.run(10 * SimulatedCluster.HEARTBEAT);
+    new RandomFaults(cluster, true).run(1200);
+    if (cluster.checker.violations().isEmpty()) {
+      cluster.settleAndCheck();
+    }
+    assertWithMessage("seed %s", seed).that(cluster.checker.violations()).isEmpty();
+  }
+
+  /** Guards against a repair schedule that never completes a repair. */
+  @Test
+  void randomRunsCompleteRepairs() {
+    int repairs = 0;
+    for (long seed = 0; seed < 20; seed++) {
+      SimulatedCluster cluster = new SimulatedCluster(seed, 3, Mutation.NONE);
+      cluster.bootstrap(3);
+      cluster.run(10 * SimulatedCluster.HEARTBEAT);
+      RandomFaults faults = new RandomFaults(cluster, true);
+      faults.run(1200);
+      repairs += faults.repairs();
+    }
+    assertThat(repairs).isGreaterThan(40);
+  }
+
   /** Guards against a fault schedule so harsh that the properties above hold for want of work. */
   @Test
   void randomRunsAcknowledgeCommandsAndConfirmReads() {
@@ -43,6 +73,12 @@
     assertThat(violatingSeeds(Mutation.ACKNOWLEDGE_BEFORE_SYNC)).isGreaterThan(0);
   }
 
+  /** Shows that the checker reports votes alone that were sent before the sync. */
+  @Test
+  void checkerReportsVoteBeforeSync() {
+    assertThat(violatingSeeds(Mutation.VOTE_BEFORE_SYNC)).isGreaterThan(0);
+  }
+
   /** Shows that the checker reports reads that no heartbeat round confirmed. */
   @Test
   void checkerReportsReadsWithoutRound() {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RandomFaults.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RandomFaults.java
@@ -1,15 +1,26 @@
 package org.cornelspoke.coordination.consensus;
 
 import java.util.Random;
+import org.cornelspoke.state.log.MemberIdentity;
 
 /** Drives one seeded run: proposals, reads, and faults of network, machines and disks. */
 final class RandomFaults {
 
   private final SimulatedCluster cluster;
   private final Random random;
+  private final boolean withWipes;
+  private SimulatedVm underRepair;
+  private MemberIdentity formerIdentity;
+  private int repairs;
   private long nextRead;
 
   RandomFaults(SimulatedCluster cluster) {
+    this(cluster, false);
+  }
+
+  /** With wipes, an operator replaces each wiped VM before the next one may be wiped. */
+  RandomFaults(SimulatedCluster cluster, boolean withWipes) {
+    this.withWipes = withWipes;
     this.cluster = cluster;
     this.random = cluster.random;
   }
@@ -22,6 +33,11 @@
     }
   }
 
+  /** Returns how many wiped VMs have become voters again. */
+  int repairs() {
+    return repairs;
+  }
+
   /** Proposes on any VM, so that a deposed leader gets commands too. */
   void loadStep() {
     for (SimulatedVm vm : cluster.vms) {
@@ -47,9 +63,16 @@
       case 10 -> cluster.lossRate = random.nextInt(3) * 0.15;
       case 11 -> cluster.duplicateRate = random.nextInt(3) * 0.2;
       case 12 -> cluster.maxDelay = SimulatedCluster.HEARTBEAT / (1 + random.nextInt(8));
-      case 13, 14 -> changeMembership(vm);
+      case 13, 14 -> {
+        if (!withWipes) {
+          changeMembership(vm);
+        }
+      }
       default -> {}
     }
+    if (withWipes) {
+      cluster.leader().ifPresent(leader -> repairStep(leader.node, vm));
+    }
     if (!vm.isUp() && random.nextInt(3) == 0) {
       vm.start();
     } else if (vm.isUp() && vm.node.isStorageFailed() && random.nextInt(3) == 0) {
@@ -75,4 +98,31 @@
       cluster.change(new MembershipChange.Remove(vm.node.identity()));
     }
   }
+
+  private void repairStep(RaftNode leader, SimulatedVm vm) {
+    Membership membership = leader.membership();
+    boolean committed = leader.commitIndex() == leader.lastIndex();
+    if (underRepair == null) {
+      if (committed && vm.isUp() && membership.isVoter(vm.node.identity())) {
+        underRepair = vm;
+        formerIdentity = vm.node.identity();
+        vm.wipe();
+      }
+      return;
+    }
+    if (!underRepair.isUp()) {
+      return;
+    }
+    MemberIdentity present = underRepair.node.identity();
+    if (membership.find(present).isEmpty()) {
+      cluster.change(new MembershipChange.AddLearner(underRepair.asMember(false)));
+    } else if (membership.find(formerIdentity).isPresent()) {
+      cluster.change(new MembershipChange.Remove(formerIdentity));
+    } else if (!membership.isVoter(present)) {
+      cluster.change(new MembershipChange.Promote(present));
+    } else if (committed) {
+      underRepair = null;
+      repairs++;
+    }
+  }
 }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedCluster.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedCluster.java
@@ -26,6 +26,7 @@
   enum Mutation {
     NONE,
     ACKNOWLEDGE_BEFORE_SYNC,
+    VOTE_BEFORE_SYNC,
     KEEP_IDENTITY_ON_WIPE,
     READ_WITHOUT_ROUND
   }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedVm.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedVm.java
@@ -154,7 +154,11 @@
     node.takeMessages().forEach(m -> cluster.send(this, m));
     for (PersistRequest request : node.takePersistRequests()) {
       persistQueue.add(request);
-      if (cluster.mutation == SimulatedCluster.Mutation.ACKNOWLEDGE_BEFORE_SYNC) {
+      boolean early =
+          cluster.mutation == SimulatedCluster.Mutation.ACKNOWLEDGE_BEFORE_SYNC
+              || (cluster.mutation == SimulatedCluster.Mutation.VOTE_BEFORE_SYNC
+                  && request.hardState().isPresent());
+      if (early) {
         node.persisted(request.sequence());
         node.takeMessages().forEach(m -> cluster.send(this, m));
       }
