--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/consensus/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the control group's replicated log. */
+package org.cornelspoke.bench.consensus;
