--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpExchange.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpExchange.java
@@ -1,10 +1,14 @@
 package org.cornelspoke.transport.http;
 
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.model.Verdict;
 import org.cornelspoke.util.Assert;
 
 /** One whole request and the way to answer it. Belongs to the reactor thread. */
 public final class HttpExchange {
 
+  private static final int INTERNAL_ERROR = 500;
+
   private final HttpServerConnection connection;
   private final RequestHead head;
   private final byte[] body;
@@ -51,6 +55,15 @@
     connection.respond(this, response);
   }
 
+  /** Answers after a fault of the handler, which may have started something. */
+  void fail() {
+    if (!ended) {
+      respond(
+          HttpResponse.refusal(
+              INTERNAL_ERROR, RefusalReason.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, -1));
+    }
+  }
+
   void abandon() {
     if (!ended && !abandoned) {
       abandoned = true;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
@@ -31,6 +31,8 @@
   /** Connections that may wait to be accepted; callers reconnect in bursts after a failure. */
   private static final int BACKLOG = 1_024;
 
+  private static final System.Logger LOGGER = System.getLogger(HttpServer.class.getName());
+
   private final SimpleServer server;
   private final HttpHandler handler;
   private final int maxBodyBytes;
@@ -38,6 +40,7 @@
   private final Counter connectionCount;
   private final Meter requests;
   private final Meter malformed;
+  private final Meter faults;
   private int serving;
   private boolean closing;
 
@@ -59,6 +62,7 @@
     this.connectionCount = metrics.counter(metricPrefix + ".connections");
     this.requests = metrics.meter(metricPrefix + ".requests");
     this.malformed = metrics.meter(metricPrefix + ".malformed");
+    this.faults = metrics.meter(metricPrefix + ".faults");
     this.server =
         SimpleServer.builder(reactor, this::accept)
             .withListenAddress(address)
@@ -138,7 +142,13 @@
   void serve(HttpExchange exchange) {
     requests.mark();
     serving++;
-    handler.onRequest(exchange);
+    try {
+      handler.onRequest(exchange);
+    } catch (RuntimeException e) {
+      faults.mark();
+      LOGGER.log(System.Logger.Level.ERROR, "fault while serving a request", e);
+      exchange.fail();
+    }
   }
 
   void onServed() {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.cornelspoke.coordination.admission.GateLoad;
+import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.protocol.call.CallCodec;
 import org.cornelspoke.protocol.call.CallEnding;
 import org.cornelspoke.protocol.call.CallHead;
@@ -157,7 +159,14 @@
     }
     lastId = call.correlationId();
     if (call.bodyBytes() > server.maxBodyBytes()) {
-      throw new ProtocolException("body is too large");
+      // Peers may be configured with another limit; their other calls must not suffer from it.
+      respond(
+          call.correlationId(),
+          new CallEnding(
+              new CallResult.Refused(RefusalReason.TOO_LARGE, 0),
+              call.head().extraAttempts(),
+              GateLoad.IDLE));
+      return;
     }
     BodyAssembler body = new BodyAssembler(call.bodyBytes(), call.chunk());
     if (body.isComplete()) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -121,7 +121,13 @@
             ? parts.digests().of(idempotencyKey)
             : parts
                 .digests()
-                .of(new byte[0], "nested", head.service().value(), head.method(), idempotencyKey);
+                .of(
+                    new byte[0],
+                    "nested",
+                    head.service().value(),
+                    head.method(),
+                    head.requestTarget(),
+                    idempotencyKey);
     claimKey = new ClaimKey(head.account(), keyHash);
     claimAttempt = parts.parents().newId();
     String fingerprint = parts.digests().of(exchange.body(), head.method(), head.requestTarget());
@@ -203,6 +209,7 @@
    */
   private void onAbandoned() {
     with.metrics().abandoned.inc();
+    with.metrics().onRefused(RefusalReason.CANCELLED);
     if (forwarding != null && claimKey == null) {
       forwarding.cancel();
       finish();
