--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/AbstractRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/AbstractRuntime.java
@@ -9,8 +9,8 @@
 /** Owns the control thread of a process and the order of start and stop. */
 abstract class AbstractRuntime implements DaemonFactory.Daemon {
 
-  private final Eventloop control = Eventloop.create();
   private final MetricRegistry metrics = new MetricRegistry();
+  private final Eventloop control = EventLoops.create("control", metrics);
   private final Thread controlThread;
   private final CountDownLatch stopped = new CountDownLatch(1);
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -29,7 +29,7 @@
   private static final double INITIAL_RETRY_RATIO = 0.1;
 
   private final TrafficSettings settings;
-  private final Eventloop traffic = Eventloop.create();
+  private final Eventloop traffic;
   private final HolderChannel shares;
   private final ControlClient client;
   private final TrafficDaemon daemon;
@@ -38,6 +38,7 @@
   TrafficRuntime(TrafficSettings settings) {
     super(settings.daemonId().value());
     this.settings = settings;
+    this.traffic = EventLoops.create("traffic", metrics());
     this.shares = new HolderChannel(traffic, control());
     this.client =
         ControlClient.builder()
