--- /dev/null
+++ b/spec/ControlGroup.tla
@@ -0,0 +1,267 @@
+---------------------------- MODULE ControlGroup ----------------------------
+(* Elections, replication, commit, read index and replacement of members of the control group.    *)
+(*                                                                                                *)
+(* Messages are kept in growing sets or are read from the history of a leader's log, so every     *)
+(* message may be lost, delayed, doubled or reordered.                                            *)
+(* A step that changes term, vote or log syncs it at the same time; with SyncFirst = FALSE the    *)
+(* vote is sent before it is synced, and a crash takes it back.                                   *)
+EXTENDS Integers, Sequences, FiniteSets, TLC
+
+CONSTANTS
+  Server,          \* identities of data folders; a replaced VM gets an unused one
+  InitialVoters,   \* the first configuration
+  MaxTerm, MaxLog, MaxCrashes, MaxWipes, MaxReads,
+  SyncFirst,       \* term and vote are synced before a vote is sent
+  CheckLog,        \* votes go only to candidates whose log is at least as up to date
+  OwnTermOnly,     \* only entries of the leader's own term are committed by counting
+  NewIdentity,     \* a wiped data folder comes back under a new identity
+  OneAtATime,      \* a membership change starts only after the former one is committed
+  QuorumRead       \* a read is confirmed by a majority after it arrived
+
+VARIABLES
+  term, vote, role, log, commit,
+  synced,          \* term and vote that a crash leaves behind
+  gone,            \* identities whose data folder is lost
+  requests,        \* vote requests sent so far
+  votes,           \* votes sent so far
+  leaderLog,       \* per term, the log of its leader so far
+  acks,            \* acknowledgements sent so far
+  acked,           \* entries acknowledged to a proposer
+  read,            \* per server, the read that waits for confirmation
+  staleRead,       \* a read was confirmed that missed an acknowledged entry
+  crashes, wipes, reads
+
+vars == <<term, vote, role, log, commit, synced, gone, requests, votes, leaderLog, acks, acked,
+          read, staleRead, crashes, wipes, reads>>
+
+None == "none"
+Terms == 1..MaxTerm
+Max(S) == CHOOSE x \in S : \A y \in S : y <= x
+
+LastTerm(l) == IF l = <<>> THEN 0 ELSE l[Len(l)].term
+Configs(l) == {i \in 1..Len(l) : l[i].voters # {}}
+ConfigIndex(l) == IF Configs(l) = {} THEN 0 ELSE Max(Configs(l))
+Voters(l) == IF Configs(l) = {} THEN InitialVoters ELSE l[ConfigIndex(l)].voters
+Quorum(S, l) == Cardinality(S \cap Voters(l)) * 2 > Cardinality(Voters(l))
+NoRead == [active |-> FALSE, index |-> 0, needed |-> 0, confirmed |-> {}]
+
+Init ==
+  /\ term = [s \in Server |-> 0]
+  /\ vote = [s \in Server |-> None]
+  /\ role = [s \in Server |-> "follower"]
+  /\ log = [s \in Server |-> <<>>]
+  /\ commit = [s \in Server |-> 0]
+  /\ synced = [s \in Server |-> [term |-> 0, vote |-> None]]
+  /\ gone = {}
+  /\ requests = {} /\ votes = {} /\ acks = {} /\ acked = {}
+  /\ leaderLog = [t \in Terms |-> <<>>]
+  /\ read = [s \in Server |-> NoRead]
+  /\ staleRead = FALSE
+  /\ crashes = 0 /\ wipes = 0 /\ reads = 0
+
+Alive(s) == s \notin gone
+
+(* A voter starts an election. It votes for itself. *)
+StartElection(s) ==
+  /\ Alive(s) /\ role[s] # "leader" /\ term[s] < MaxTerm /\ s \in Voters(log[s])
+  /\ term' = [term EXCEPT ![s] = @ + 1]
+  /\ vote' = [vote EXCEPT ![s] = s]
+  /\ role' = [role EXCEPT ![s] = "candidate"]
+  /\ synced' = [synced EXCEPT ![s] = [term |-> term[s] + 1, vote |-> s]]
+  /\ requests' = requests \cup
+       {[term |-> term[s] + 1, from |-> s, lastTerm |-> LastTerm(log[s]), length |-> Len(log[s])]}
+  /\ votes' = votes \cup {[term |-> term[s] + 1, from |-> s, for |-> s]}
+  /\ read' = [read EXCEPT ![s] = NoRead]
+  /\ UNCHANGED <<log, commit, gone, leaderLog, acks, acked, staleRead, crashes, wipes, reads>>
+
+UpToDate(r, s) ==
+  \/ r.lastTerm > LastTerm(log[s])
+  \/ r.lastTerm = LastTerm(log[s]) /\ r.length >= Len(log[s])
+
+GrantVote(s, r) ==
+  /\ Alive(s) /\ r.from # s
+  /\ \/ r.term > term[s]
+     \/ r.term = term[s] /\ vote[s] = None /\ role[s] = "follower"
+  /\ CheckLog => UpToDate(r, s)
+  /\ term' = [term EXCEPT ![s] = r.term]
+  /\ vote' = [vote EXCEPT ![s] = r.from]
+  /\ role' = [role EXCEPT ![s] = "follower"]
+  /\ synced' = IF SyncFirst
+               THEN [synced EXCEPT ![s] = [term |-> r.term, vote |-> r.from]]
+               ELSE synced
+  /\ votes' = votes \cup {[term |-> r.term, from |-> s, for |-> r.from]}
+  /\ read' = [read EXCEPT ![s] = NoRead]
+  /\ UNCHANGED <<log, commit, gone, requests, leaderLog, acks, acked, staleRead, crashes, wipes,
+                 reads>>
+
+(* A new leader appends an entry of its own term, so that it learns what is committed. *)
+BecomeLeader(s) ==
+  /\ Alive(s) /\ role[s] = "candidate" /\ Len(log[s]) < MaxLog
+  /\ Quorum({v.from : v \in {x \in votes : x.term = term[s] /\ x.for = s}}, log[s])
+  /\ role' = [role EXCEPT ![s] = "leader"]
+  /\ log' = [log EXCEPT ![s] = Append(@, [term |-> term[s], voters |-> {}])]
+  /\ leaderLog' = [leaderLog EXCEPT ![term[s]] = log'[s]]
+  /\ acks' = acks \cup {[term |-> term[s], from |-> s, index |-> Len(log'[s])]}
+  /\ UNCHANGED <<term, vote, commit, synced, gone, requests, votes, acked, read, staleRead,
+                 crashes, wipes, reads>>
+
+Append1(s, entry) ==
+  /\ log' = [log EXCEPT ![s] = Append(@, entry)]
+  /\ leaderLog' = [leaderLog EXCEPT ![term[s]] = log'[s]]
+  /\ acks' = acks \cup {[term |-> term[s], from |-> s, index |-> Len(log'[s])]}
+  /\ UNCHANGED <<term, vote, role, commit, synced, gone, requests, votes, acked, read, staleRead,
+                 crashes, wipes, reads>>
+
+Propose(s) ==
+  /\ Alive(s) /\ role[s] = "leader" /\ Len(log[s]) < MaxLog
+  /\ Append1(s, [term |-> term[s], voters |-> {}])
+
+(* One voter is added or removed. *)
+ChangeVoters(s) ==
+  /\ Alive(s) /\ role[s] = "leader" /\ Len(log[s]) < MaxLog
+  /\ OneAtATime =>
+       /\ ConfigIndex(log[s]) <= commit[s]
+       /\ commit[s] > 0 /\ log[s][commit[s]].term = term[s]
+  /\ \E v \in Server :
+       LET new == IF v \in Voters(log[s]) THEN Voters(log[s]) \ {v} ELSE Voters(log[s]) \cup {v}
+       IN /\ new # {} /\ s \in new
+          /\ Append1(s, [term |-> term[s], voters |-> new])
+
+(* A member takes one entry of the log of the leader of term t, or learns of it by a heartbeat. *)
+Accept(s, t) ==
+  /\ Alive(s) /\ t >= term[s] /\ leaderLog[t] # <<>>
+  /\ ~(role[s] = "leader" /\ term[s] = t)
+  /\ \E n \in 1..Len(leaderLog[t]) :
+       /\ \/ n = 1
+          \/ n > 1 /\ Len(log[s]) >= n - 1 /\ log[s][n - 1].term = leaderLog[t][n - 1].term
+       /\ LET same == Len(log[s]) >= n /\ log[s][n].term = leaderLog[t][n].term
+          IN log' = [log EXCEPT ![s] = IF same THEN @
+                                       ELSE Append(SubSeq(@, 1, n - 1), leaderLog[t][n])]
+       /\ acks' = acks \cup {[term |-> t, from |-> s, index |-> n]}
+  /\ term' = [term EXCEPT ![s] = t]
+  /\ vote' = [vote EXCEPT ![s] = IF t > term[s] THEN None ELSE @]
+  /\ role' = [role EXCEPT ![s] = "follower"]
+  /\ synced' = [synced EXCEPT ![s] = [term |-> t, vote |-> IF t > term[s] THEN None ELSE @.vote]]
+  /\ read' = [read EXCEPT ![s] = NoRead]
+  /\ UNCHANGED <<commit, gone, requests, votes, leaderLog, acked, staleRead, crashes, wipes, reads>>
+
+Commit(s) ==
+  /\ Alive(s) /\ role[s] = "leader"
+  /\ \E n \in (commit[s] + 1)..Len(log[s]) :
+       /\ OwnTermOnly => log[s][n].term = term[s]
+       /\ Quorum({a.from : a \in {x \in acks : x.term = term[s] /\ x.index >= n}}, log[s])
+       /\ commit' = [commit EXCEPT ![s] = n]
+       /\ acked' = acked \cup
+            {[index |-> i, entry |-> log[s][i], term |-> term[s]] : i \in (commit[s] + 1)..n}
+  /\ UNCHANGED <<term, vote, role, log, synced, gone, requests, votes, leaderLog, acks, read,
+                 staleRead, crashes, wipes, reads>>
+
+AckedIndex == IF acked = {} THEN 0 ELSE Max({a.index : a \in acked})
+
+StartRead(s) ==
+  /\ Alive(s) /\ role[s] = "leader" /\ reads < MaxReads /\ ~read[s].active
+  /\ commit[s] > 0 /\ log[s][commit[s]].term = term[s]
+  /\ read' = [read EXCEPT ![s] =
+       [active |-> TRUE, index |-> commit[s], needed |-> AckedIndex, confirmed |-> {s}]]
+  /\ reads' = reads + 1
+  /\ UNCHANGED <<term, vote, role, log, commit, synced, gone, requests, votes, leaderLog, acks,
+                 acked, staleRead, crashes, wipes>>
+
+ConfirmRead(s, m) ==
+  /\ Alive(s) /\ Alive(m) /\ read[s].active /\ m # s /\ term[m] <= term[s]
+  /\ m \notin read[s].confirmed
+  /\ read' = [read EXCEPT ![s].confirmed = @ \cup {m}]
+  /\ UNCHANGED <<term, vote, role, log, commit, synced, gone, requests, votes, leaderLog, acks,
+                 acked, staleRead, crashes, wipes, reads>>
+
+FinishRead(s) ==
+  /\ Alive(s) /\ read[s].active
+  /\ QuorumRead => Quorum(read[s].confirmed, log[s])
+  /\ staleRead' = (staleRead \/ read[s].index < read[s].needed)
+  /\ read' = [read EXCEPT ![s] = NoRead]
+  /\ UNCHANGED <<term, vote, role, log, commit, synced, gone, requests, votes, leaderLog, acks,
+                 acked, crashes, wipes, reads>>
+
+Crash(s) ==
+  /\ Alive(s) /\ crashes < MaxCrashes
+  /\ crashes' = crashes + 1
+  /\ role' = [role EXCEPT ![s] = "follower"]
+  /\ term' = [term EXCEPT ![s] = synced[s].term]
+  /\ vote' = [vote EXCEPT ![s] = synced[s].vote]
+  /\ commit' = [commit EXCEPT ![s] = 0]
+  /\ read' = [read EXCEPT ![s] = NoRead]
+  /\ UNCHANGED <<log, synced, gone, requests, votes, leaderLog, acks, acked, staleRead, wipes,
+                 reads>>
+
+(* The data folder of a VM is lost. *)
+Wipe(s) ==
+  /\ Alive(s) /\ wipes < MaxWipes
+  /\ wipes' = wipes + 1
+  /\ role' = [role EXCEPT ![s] = "follower"]
+  /\ term' = [term EXCEPT ![s] = 0]
+  /\ vote' = [vote EXCEPT ![s] = None]
+  /\ log' = [log EXCEPT ![s] = <<>>]
+  /\ commit' = [commit EXCEPT ![s] = 0]
+  /\ synced' = [synced EXCEPT ![s] = [term |-> 0, vote |-> None]]
+  /\ gone' = IF NewIdentity THEN gone \cup {s} ELSE gone
+  /\ read' = [read EXCEPT ![s] = NoRead]
+  /\ UNCHANGED <<requests, votes, leaderLog, acks, acked, staleRead, crashes, reads>>
+
+Next ==
+  \/ \E s \in Server :
+       \/ StartElection(s) \/ BecomeLeader(s) \/ Propose(s) \/ ChangeVoters(s) \/ Commit(s)
+       \/ StartRead(s) \/ FinishRead(s) \/ Crash(s) \/ Wipe(s)
+       \/ \E r \in requests : GrantVote(s, r)
+       \/ \E t \in Terms : Accept(s, t)
+       \/ \E m \in Server : ConfirmRead(s, m)
+
+(* Without membership changes, for the models that leave them out. *)
+NextFixedVoters ==
+  \/ \E s \in Server :
+       \/ StartElection(s) \/ BecomeLeader(s) \/ Propose(s) \/ Commit(s)
+       \/ StartRead(s) \/ FinishRead(s) \/ Crash(s) \/ Wipe(s)
+       \/ \E r \in requests : GrantVote(s, r)
+       \/ \E t \in Terms : Accept(s, t)
+       \/ \E m \in Server : ConfirmRead(s, m)
+
+(* A reachable state: s1 led term 1 and s3 led term 2, each with one entry of its own that no other *)
+(* member has. The known fault of counting replicas of an old entry needs two further terms, and   *)
+(* a search from Init to that depth does not end in the time that CI has.                           *)
+InitTwoLeaders ==
+  \E a, b, c \in Server :
+    /\ Cardinality({a, b, c}) = 3
+    /\ term = [s \in Server |-> IF s = a THEN 1 ELSE 2]
+    /\ vote = [s \in Server |-> IF s = a THEN a ELSE b]
+    /\ role = [s \in Server |-> "follower"]
+    /\ log = [s \in Server |-> IF s = a THEN <<[term |-> 1, voters |-> {}]>>
+                               ELSE IF s = b THEN <<[term |-> 2, voters |-> {}]>>
+                               ELSE <<>>]
+    /\ commit = [s \in Server |-> 0]
+    /\ synced = [s \in Server |-> [term |-> term[s], vote |-> vote[s]]]
+    /\ gone = {}
+    /\ requests = {} /\ votes = {} /\ acked = {}
+    /\ acks = {[term |-> 1, from |-> a, index |-> 1], [term |-> 2, from |-> b, index |-> 1]}
+    /\ leaderLog = [t \in Terms |-> IF t = 1 THEN log[a] ELSE IF t = 2 THEN log[b] ELSE <<>>]
+    /\ read = [s \in Server |-> NoRead]
+    /\ staleRead = FALSE
+    /\ crashes = 0 /\ wipes = 0 /\ reads = 0
+
+Spec == Init /\ [][Next]_vars
+SpecTwoLeaders == InitTwoLeaders /\ [][NextFixedVoters]_vars
+SpecFixedVoters == Init /\ [][NextFixedVoters]_vars
+
+OneLeaderPerTerm ==
+  \A s, m \in Server :
+    s # m /\ role[s] = "leader" /\ role[m] = "leader" => term[s] # term[m]
+
+AcknowledgedNeverLost ==
+  /\ \A a, b \in acked : a.index = b.index => a.entry = b.entry
+  /\ \A s \in Server, a \in acked :
+       role[s] = "leader" /\ term[s] >= a.term =>
+         Len(log[s]) >= a.index /\ log[s][a.index] = a.entry
+
+ReadsAreCurrent == ~staleRead
+
+Symmetry == Permutations(Server)
+VoterSymmetry == Permutations(InitialVoters)
+=============================================================================
