--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
@@ -79,6 +79,10 @@
     this.pendingRestore = s.snapshot;
     this.emittedIndex = s.commitIndex;
     resetElectionTimer();
+    if (s.membership().voterCount() == 1) {
+      // No other member can lead, so waiting for a leader would only lengthen the restart.
+      electionDeadlineNanos = nowNanos;
+    }
   }
 
   /**
--- /dev/null
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftNodeTest.java
@@ -0,0 +1,216 @@
+package org.cornelspoke.coordination.consensus;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.math3.random.Well19937c;
+import org.cornelspoke.coordination.consensus.RaftMessage.AppendRequest;
+import org.cornelspoke.coordination.consensus.RaftMessage.AppendResponse;
+import org.cornelspoke.coordination.consensus.RaftMessage.Heartbeat;
+import org.cornelspoke.coordination.consensus.RaftMessage.HeartbeatResponse;
+import org.cornelspoke.coordination.consensus.RaftMessage.PreVoteResponse;
+import org.cornelspoke.coordination.consensus.RaftMessage.VoteRequest;
+import org.cornelspoke.coordination.consensus.RaftMessage.VoteResponse;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.state.log.EntryKind;
+import org.cornelspoke.state.log.HardState;
+import org.cornelspoke.state.log.LogEntry;
+import org.cornelspoke.state.log.MemberIdentity;
+import org.cornelspoke.state.log.RecoveredLog;
+import org.junit.jupiter.api.Test;
+
+class RaftNodeTest {
+
+  private static final MemberIdentity SELF = MemberIdentity.seeded(1);
+  private static final MemberIdentity B = MemberIdentity.seeded(2);
+  private static final MemberIdentity C = MemberIdentity.seeded(3);
+  private static final MemberIdentity FORMER = MemberIdentity.seeded(4);
+  private static final long LATER = 10L * RaftSettings.DEFAULT.electionTimeoutNanos();
+
+  private long lastSequence;
+
+  /** Guards against votes that leave before they are durable. */
+  @Test
+  void voteIsHeldBackUntilItIsSynced() {
+    RaftNode node = member(SELF, B, C);
+    node.receive(new VoteRequest(B, SELF, 2, 9, 1), 1);
+    assertThat(node.takeMessages()).isEmpty();
+    List<PersistRequest> requests = node.takePersistRequests();
+    node.persisted(requests.get(0).sequence());
+    assertThat(node.takeMessages()).isEmpty();
+    node.persisted(requests.get(requests.size() - 1).sequence());
+    assertThat(node.takeMessages()).containsExactly(new VoteResponse(SELF, B, 2, true));
+  }
+
+  /** Guards against acknowledgements of entries that are not durable. */
+  @Test
+  void acknowledgementIsHeldBackUntilTheEntriesAreSynced() {
+    RaftNode node = member(SELF, B, C);
+    LogEntry entry = new LogEntry(2, 1, EntryKind.COMMAND, new byte[] {1});
+    node.receive(new AppendRequest(B, SELF, 1, 1, 1, List.of(entry), 0), 1);
+    assertThat(node.takeMessages()).isEmpty();
+    persistAll(node);
+    assertThat(node.takeMessages()).containsExactly(new AppendResponse(SELF, B, 1, true, 2, 0, 0));
+  }
+
+  /** Guards against a slow disk that makes a healthy follower look dead. */
+  @Test
+  void heartbeatIsAnsweredWhileEntriesAreNotSynced() {
+    RaftNode node = member(SELF, B, C);
+    LogEntry entry = new LogEntry(2, 1, EntryKind.COMMAND, new byte[] {1});
+    node.receive(new AppendRequest(B, SELF, 1, 1, 1, List.of(entry), 0), 1);
+    node.receive(new Heartbeat(B, SELF, 1, 0, 7), 2);
+    assertThat(node.takeMessages()).containsExactly(new HeartbeatResponse(SELF, B, 1, 7));
+  }
+
+  /** Guards against pre-votes and votes of an unknown or former identity that are counted. */
+  @Test
+  void votesOfUnknownIdentitiesDoNotCount() {
+    RaftNode node = member(SELF, B, C);
+    node.tick(LATER);
+    node.takeMessages();
+    node.receive(new PreVoteResponse(FORMER, SELF, 2, true), LATER);
+    assertThat(node.role()).isEqualTo(RaftNode.Role.PRE_CANDIDATE);
+    node.receive(new PreVoteResponse(B, SELF, 2, true), LATER);
+    persistAll(node);
+    node.receive(new VoteResponse(FORMER, SELF, 2, true), LATER);
+    assertThat(node.role()).isEqualTo(RaftNode.Role.CANDIDATE);
+    node.receive(new VoteResponse(C, SELF, 2, true), LATER);
+    assertThat(node.role()).isEqualTo(RaftNode.Role.LEADER);
+  }
+
+  /** Guards against a leader that counts its own vote before it is durable. */
+  @Test
+  void ownVoteCountsOnlyWhenSynced() {
+    RaftNode node = member(SELF);
+    node.tick(LATER);
+    assertThat(node.role()).isEqualTo(RaftNode.Role.CANDIDATE);
+    persistAll(node);
+    assertThat(node.role()).isEqualTo(RaftNode.Role.LEADER);
+  }
+
+  /** Guards against acknowledgements of a former identity, or of a learner, that commit entries. */
+  @Test
+  void acknowledgementsOfNonVotersCommitNothing() throws Exception {
+    RaftNode node = leader();
+    long index = node.lastIndex();
+    node.receive(new AppendResponse(FORMER, SELF, 2, true, index, 0, 0), LATER);
+    assertThat(node.commitIndex()).isEqualTo(0);
+    node.receive(new AppendResponse(B, SELF, 2, true, index, 0, 0), LATER);
+    assertThat(node.commitIndex()).isEqualTo(index);
+    Member learner = new Member(new VmId("d"), FORMER, address(), false);
+    node.changeMembership(new MembershipChange.AddLearner(learner));
+    persistAll(node);
+    node.receive(new AppendResponse(FORMER, SELF, 2, true, index + 1, 0, 0), LATER);
+    assertThat(node.commitIndex()).isEqualTo(index);
+  }
+
+  /** Guards against a wiped VM that answers in the name of its former folder. */
+  @Test
+  void messagesForAnotherIdentityAreDropped() {
+    RaftNode node = member(SELF, B, C);
+    node.receive(new VoteRequest(B, FORMER, 5, 9, 1), 1);
+    assertThat(node.term()).isEqualTo(1);
+    persistAll(node);
+    assertThat(node.takeMessages()).isEmpty();
+  }
+
+  /** Guards against a read index confirmed by answers to an earlier heartbeat round. */
+  @Test
+  void readIndexNeedsARoundThatBeganLater() {
+    RaftNode node = leader();
+    node.receive(new AppendResponse(B, SELF, 2, true, node.lastIndex(), 0, 0), LATER);
+    long earlierRound = round(node.takeMessages());
+    node.readIndex(1);
+    long newRound = round(node.takeMessages());
+    assertThat(newRound).isGreaterThan(earlierRound);
+    node.receive(new HeartbeatResponse(B, SELF, 2, earlierRound), LATER);
+    node.takeMessages();
+    assertThat(node.takeReadResults()).isEmpty();
+    node.receive(new HeartbeatResponse(B, SELF, 2, newRound), LATER);
+    node.takeMessages();
+    assertThat(node.takeReadResults()).containsExactly(new ReadResult(1, true, 2));
+  }
+
+  /** Guards against a commit of an earlier term's entry by counting, and against early reads. */
+  @Test
+  void newLeaderConfirmsNoReadBeforeItsFirstCommit() {
+    RaftNode node = leader();
+    node.readIndex(1);
+    node.receive(new HeartbeatResponse(B, SELF, 2, round(node.takeMessages())), LATER);
+    node.receive(new AppendResponse(B, SELF, 2, true, 1, 0, 0), LATER);
+    node.takeMessages();
+    assertThat(node.commitIndex()).isEqualTo(0);
+    assertThat(node.takeReadResults()).isEmpty();
+  }
+
+  /** Guards against a member that votes, acknowledges or leads after its disk has failed. */
+  @Test
+  void failedStorageSilencesTheMember() {
+    RaftNode node = leader();
+    node.readIndex(1);
+    node.persistFailed();
+    assertThat(node.role()).isEqualTo(RaftNode.Role.FOLLOWER);
+    assertThat(node.propose(new byte[1]).isPresent()).isFalse();
+    assertThat(node.takeReadResults()).containsExactly(new ReadResult(1, false, 0));
+    node.receive(new VoteRequest(B, SELF, 9, 9, 9), LATER);
+    node.tick(2 * LATER);
+    assertThat(node.takeMessages()).isEmpty();
+    assertThat(node.takePersistRequests()).isEmpty();
+  }
+
+  /** Guards against commands that do not fit into a frame to the followers. */
+  @Test
+  void oversizedCommandIsRefused() {
+    RaftNode node = leader();
+    byte[] large = new byte[RaftSettings.MAX_COMMAND_BYTES + 1];
+    assertThrows(IllegalArgumentException.class, () -> node.propose(large));
+  }
+
+  private RaftNode leader() {
+    RaftNode node = member(SELF, B, C);
+    node.tick(LATER);
+    node.receive(new PreVoteResponse(B, SELF, 2, true), LATER);
+    persistAll(node);
+    node.receive(new VoteResponse(B, SELF, 2, true), LATER);
+    persistAll(node);
+    node.takeMessages();
+    assertThat(node.role()).isEqualTo(RaftNode.Role.LEADER);
+    return node;
+  }
+
+  private void persistAll(RaftNode node) {
+    for (PersistRequest request : node.takePersistRequests()) {
+      lastSequence = request.sequence();
+    }
+    node.persisted(lastSequence);
+  }
+
+  private static long round(List<RaftMessage> messages) {
+    return messages.stream()
+        .filter(Heartbeat.class::isInstance)
+        .mapToLong(m -> ((Heartbeat) m).round())
+        .max()
+        .orElse(0);
+  }
+
+  private static RaftNode member(MemberIdentity... voters) {
+    List<Member> members = new ArrayList<>();
+    for (MemberIdentity voter : voters) {
+      members.add(new Member(new VmId("vm-" + voter), voter, address(), true));
+    }
+    LogEntry first = new LogEntry(1, 1, EntryKind.MEMBERSHIP, new Membership(members).encode());
+    RecoveredLog recovered =
+        new RecoveredLog(
+            SELF, new HardState(1, Optional.empty()), Optional.empty(), List.of(first));
+    return new RaftNode(RaftSettings.DEFAULT, recovered, new Well19937c(1), 0);
+  }
+
+  private static Endpoint address() {
+    return new Endpoint("127.0.0.1", 1);
+  }
+}
