--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessage.java
@@ -41,4 +41,10 @@
 
   /** Answer to a read call. */
   record ReadReply(long callId, boolean confirmed, long index) implements PeerMessage {}
+
+  /** Asks for a {@link Pong} on the same connection. */
+  record Ping() implements PeerMessage {}
+
+  /** Shows that the receiver of a {@link Ping} is reachable. */
+  record Pong() implements PeerMessage {}
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessageCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessageCodec.java
@@ -28,6 +28,8 @@
   private static final int PROPOSE_FAILED = 4;
   private static final int READ_CALL = 5;
   private static final int READ_REPLY = 6;
+  private static final int PING = 7;
+  private static final int PONG = 8;
 
   private PeerMessageCodec() {}
 
@@ -77,6 +79,10 @@
       out.packInt(READ_CALL).packLong(m.callId());
     } else if (message instanceof ReadReply m) {
       out.packInt(READ_REPLY).packLong(m.callId()).packBoolean(m.confirmed()).packLong(m.index());
+    } else if (message instanceof PeerMessage.Ping) {
+      out.packInt(PING);
+    } else if (message instanceof PeerMessage.Pong) {
+      out.packInt(PONG);
     }
   }
 
@@ -90,6 +96,8 @@
       case PROPOSE_FAILED -> new ProposeFailed(in.readLong(), in.readBoolean(), in.readText());
       case READ_CALL -> new ReadCall(in.readLong());
       case READ_REPLY -> new ReadReply(in.readLong(), in.readBoolean(), in.readLong());
+      case PING -> new PeerMessage.Ping();
+      case PONG -> new PeerMessage.Pong();
       default -> new Raft(RaftMessageFormat.read(type, in));
     };
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -285,7 +285,7 @@
     guarded(() -> node.tick(System.nanoTime()));
     if (ticks++ % MAINTENANCE_TICKS == 0) {
       pending.expire(nowMillis());
-      connections.connectDownLinks();
+      connections.maintain();
       bootstrapIfFirst();
       metrics.publish(node.term(), node.commitIndex(), appliedIndex, node.electionCount());
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
@@ -32,6 +32,8 @@
     void onDown(VmId vmId);
   }
 
+  private static final byte[] PONG = PeerMessageCodec.encode(new PeerMessage.Pong());
+
   private final NioReactor reactor;
   private final Map<VmId, Endpoint> staticPeers;
   private final VmId self;
@@ -61,7 +63,7 @@
 
   void start() throws IOException {
     server.start();
-    connectDownLinks();
+    maintain();
   }
 
   void stop() {
@@ -74,8 +76,10 @@
     return server.boundAddress();
   }
 
-  void connectDownLinks() {
-    links.values().forEach(PeerLink::connectIfDown);
+  /** Opens the links that are down and checks the others. */
+  void maintain() {
+    long timeMillis = nowMillis();
+    links.values().forEach(link -> link.maintain(timeMillis));
   }
 
   /** Adds links to members that are not in the settings. */
@@ -111,7 +115,15 @@
   }
 
   private void addLink(VmId vmId, Endpoint address) {
-    links.computeIfAbsent(vmId, id -> new PeerLink(reactor, id, address, hello, listener::onDown));
+    links.computeIfAbsent(
+        vmId,
+        id ->
+            new PeerLink(
+                reactor, id, address, hello, listener::onDown, PeerConnections::nowMillis));
+  }
+
+  private static long nowMillis() {
+    return System.nanoTime() / 1_000_000;
   }
 
   private void accept(FrameConnection connection) {
@@ -135,7 +147,9 @@
       } catch (MalformedFrameException e) {
         throw new IllegalArgumentException(e);
       }
-      if (peer != null) {
+      if (peer != null && message instanceof PeerMessage.Ping) {
+        connection.send(PONG);
+      } else if (peer != null) {
         listener.onMessage(peer.vmId(), message);
       } else if (message instanceof PeerMessage.Hello first) {
         peer = first;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerLink.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerLink.java
@@ -3,6 +3,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.time.Duration;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
@@ -12,20 +13,30 @@
 import org.cornelspoke.transport.link.FrameListener;
 
 /**
- * The connection over which this VM sends to one other VM; answers come over the other VM's own
- * connection. Frames for a VM that is not connected are dropped.
+ * The connection over which this VM sends to one other VM; only answers to pings come back on it,
+ * all else comes over the other VM's own connection. Frames for a VM that is not connected are
+ * dropped.
  */
 final class PeerLink {
 
   private static final System.Logger LOG = System.getLogger(PeerLink.class.getName());
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final byte[] PING = PeerMessageCodec.encode(new PeerMessage.Ping());
+
+  /**
+   * Time without an answer to pings after which the connection is opened anew. After a long
+   * partition TCP sends again only every two minutes, which would delay the recovery by as much.
+   */
+  private static final long ANSWER_TIMEOUT_MILLIS = 2_000;
 
   private final NioReactor reactor;
   private final VmId vmId;
   private final Endpoint address;
   private final Supplier<PeerMessage.Hello> hello;
   private final Consumer<VmId> onDown;
+  private final LongSupplier nowMillis;
   private FrameConnection connection;
+  private long answeredMillis;
   private boolean connecting;
   private boolean stopped;
 
@@ -34,17 +45,27 @@
       VmId vmId,
       Endpoint address,
       Supplier<PeerMessage.Hello> hello,
-      Consumer<VmId> onDown) {
+      Consumer<VmId> onDown,
+      LongSupplier nowMillis) {
     this.reactor = reactor;
     this.vmId = vmId;
     this.address = address;
     this.hello = hello;
     this.onDown = onDown;
+    this.nowMillis = nowMillis;
   }
 
-  /** Starts to connect unless the link is up. */
-  void connectIfDown() {
-    if (stopped || connecting || connection != null) {
+  /** Starts to connect if the link is down; otherwise checks that the peer still answers. */
+  void maintain(long timeMillis) {
+    if (stopped || connecting) {
+      return;
+    }
+    if (connection != null) {
+      if (timeMillis - answeredMillis > ANSWER_TIMEOUT_MILLIS) {
+        connection.close();
+      } else {
+        connection.send(PING);
+      }
       return;
     }
     connecting = true;
@@ -80,12 +101,13 @@
       return;
     }
     connection = opened;
+    answeredMillis = nowMillis.getAsLong();
     opened.send(PeerMessageCodec.encode(hello.get()));
     opened.start(
         new FrameListener() {
           @Override
           public void onFrame(byte[] frame) {
-            throw new IllegalStateException("peer answered on the wrong connection");
+            answeredMillis = nowMillis.getAsLong();
           }
 
           @Override
