Test the service with stalled and failing disks

Change: the service opens its folder through a DiskOpener; tests wrap the folder to stall or fail syncs. Conclusion: a leader with a stalled disk commits through the others; one with a failing disk gives up.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -27,6 +27,7 @@
 import org.cornelspoke.protocol.consensus.PeerMessage;
 import org.cornelspoke.protocol.consensus.PeerMessageCodec;
 import org.cornelspoke.state.StateMachine;
+import org.cornelspoke.state.log.Disk;
 import org.cornelspoke.state.log.EntryKind;
 import org.cornelspoke.state.log.FileDisk;
 import org.cornelspoke.state.log.LogEntry;
@@ -56,6 +57,7 @@
   private final Endpoint peerAddress;
   private final Path dataFolder;
   private final Map<VmId, Endpoint> peers;
+  private final DiskOpener diskOpener;
   private final StateMachine stateMachine;
   private final ConsensusSettings settings;
   private final MetricRegistry metricRegistry;
@@ -82,6 +84,7 @@
     this.peerAddress = Assert.notNull(builder.peerAddress, "peerAddress");
     this.dataFolder = Assert.notNull(builder.dataFolder, "dataFolder");
     this.stateMachine = Assert.notNull(builder.stateMachine, "stateMachine");
+    this.diskOpener = builder.diskOpener;
     this.settings = builder.settings;
     this.metricRegistry = builder.metricRegistry;
     this.peers = Map.copyOf(builder.peers);
@@ -101,7 +104,7 @@
    */
   public void start() throws IOException {
     Assert.isTrue(node == null, "start must be called once");
-    FileDisk disk = new FileDisk(dataFolder);
+    Disk disk = diskOpener.open(dataFolder);
     LogStorage storage = null;
     boolean started = false;
     try {
@@ -491,6 +494,11 @@
     }
   }
 
+  /** Opens a data folder. */
+  interface DiskOpener {
+    Disk open(Path folder) throws IOException;
+  }
+
   /** Collects the parts of a service. */
   public static final class Builder {
     private final NioReactor reactor;
@@ -499,6 +507,7 @@
     private Endpoint peerAddress;
     private Path dataFolder;
     private StateMachine stateMachine;
+    private DiskOpener diskOpener = FileDisk::new;
     private ConsensusSettings settings = ConsensusSettings.DEFAULT;
     private MetricRegistry metricRegistry = new MetricRegistry();
 
@@ -525,6 +534,12 @@
       return this;
     }
 
+    /** Replaces the access to the data folder, for tests of slow and failing disks. */
+    Builder withDiskOpener(DiskOpener opener) {
+      this.diskOpener = opener;
+      return this;
+    }
+
     /** Sets the state that the log drives. */
     public Builder withStateMachine(StateMachine machine) {
       this.stateMachine = machine;
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
@@ -128,6 +128,44 @@
     assertThat(electionCount(leader)).isAtLeast(1);
   }
 
+  /**
+   * Guards against syncs that block the event loop: with its own disk stalled, a leader still
+   * answers, sends heartbeats and commits what the two others have synced.
+   */
+  @Test
+  void stalledDiskDelaysNeitherLeaderNorOthers() throws Exception {
+    commit(leader(), "first");
+    RunningVm stalled = leader();
+    stalled.faults.setStalled(true);
+    for (int i = 0; i < 30; i++) {
+      commit(stalled, "stalled-" + i);
+    }
+    assertThat(stalled.readCurrent()).isEqualTo(committed);
+    stalled.faults.setStalled(false);
+    commit(follower(), "after");
+    for (RunningVm vm : vms.values()) {
+      assertThat(vm.readCurrent()).isEqualTo(committed);
+    }
+  }
+
+  /** Guards against a leader that stays, or acknowledges, after its disk has failed. */
+  @Test
+  void failingDiskEndsLeadership() throws Exception {
+    commit(leader(), "first");
+    RunningVm failing = leader();
+    failing.faults.setFailing(true);
+    failing.propose("lost-or-not");
+    for (int i = 0; i < 3000 && leader() == failing; i++) {
+      Thread.sleep(10);
+    }
+    assertThat(failing.metrics.counter("consensus.sync-failures").getCount()).isEqualTo(1);
+    assertThat(failing.propose("refused")).isEqualTo("not-appended");
+    RunningVm next = leader();
+    assertThat(next.proposeUntilCommitted("after")).startsWith("committed");
+    assertThat(next.readCurrent()).containsAtLeast("first", "after");
+    assertThat(next.readCurrent()).doesNotContain("refused");
+  }
+
   /** Guards against two processes on one data folder. */
   @Test
   void secondServiceOnTheSameFolderIsRefused() {
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FaultyDisk.java
@@ -0,0 +1,99 @@
+package org.cornelspoke.daemon.consensus;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.util.List;
+import org.cornelspoke.state.log.Disk;
+
+/** A real folder whose syncs can be stalled or made to fail. */
+final class FaultyDisk implements Disk {
+
+  /** Controls the faults from the test thread. */
+  static final class Switch {
+    private boolean stalled;
+    private boolean failing;
+
+    synchronized void setStalled(boolean value) {
+      stalled = value;
+      notifyAll();
+    }
+
+    synchronized void setFailing(boolean value) {
+      failing = value;
+    }
+
+    private synchronized void beforeSync() throws IOException {
+      try {
+        while (stalled) {
+          wait();
+        }
+      } catch (InterruptedException e) {
+        throw new InterruptedIOException();
+      }
+      if (failing) {
+        throw new IOException("simulated sync failure");
+      }
+    }
+  }
+
+  private final Disk disk;
+  private final Switch faults;
+
+  FaultyDisk(Disk disk, Switch faults) {
+    this.disk = disk;
+    this.faults = faults;
+  }
+
+  @Override
+  public List<String> list() throws IOException {
+    return disk.list();
+  }
+
+  @Override
+  public byte[] read(String name) throws IOException {
+    return disk.read(name);
+  }
+
+  @Override
+  public File create(String name) throws IOException {
+    File file = disk.create(name);
+    return new File() {
+      @Override
+      public void append(byte[] bytes) throws IOException {
+        file.append(bytes);
+      }
+
+      @Override
+      public void sync() throws IOException {
+        faults.beforeSync();
+        file.sync();
+      }
+
+      @Override
+      public void close() throws IOException {
+        file.close();
+      }
+    };
+  }
+
+  @Override
+  public void rename(String from, String to) throws IOException {
+    disk.rename(from, to);
+  }
+
+  @Override
+  public void delete(String name) throws IOException {
+    disk.delete(name);
+  }
+
+  @Override
+  public void syncFolder() throws IOException {
+    faults.beforeSync();
+    disk.syncFolder();
+  }
+
+  @Override
+  public void close() throws IOException {
+    disk.close();
+  }
+}
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/RunningVm.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/RunningVm.java
@@ -18,6 +18,7 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.state.StateMachine;
+import org.cornelspoke.state.log.FileDisk;
 
 /** A service with its event loop thread and a state that lists the applied commands. */
 final class RunningVm {
@@ -33,6 +34,7 @@
   final List<String> state = new ArrayList<>();
   int duplicates;
   int unknownOutcomes;
+  final FaultyDisk.Switch faults = new FaultyDisk.Switch();
   final MetricRegistry metrics = new MetricRegistry();
   private final Eventloop reactor = Eventloop.create();
   private final Thread thread;
@@ -48,6 +50,7 @@
             .withVm(vmId, addresses.get(vmId))
             .withDataFolder(folder)
             .withStateMachine(new ListState())
+            .withDiskOpener(path -> new FaultyDisk(new FileDisk(path), faults))
             .withMetrics(metrics)
             .withSettings(SETTINGS);
     addresses.forEach(
@@ -62,6 +65,7 @@
   }
 
   void stop() throws Exception {
+    faults.setStalled(false);
     reactor.submit(service::stop).get(WAIT_SECONDS, TimeUnit.SECONDS);
     service.awaitStopped();
     reactor.execute(reactor::breakEventloop);
