Keep target ids with one daemon, text free of the locale, and return to preferred relays

Cause: two daemons with one target id would replace each other in the log without end; %d takes digits from the default locale, so replicas could differ; a daemon stayed with a distant relay. Change: a target id belongs to its daemon until it is removed; texts use %s; a daemon returns after a stay of 60 to 120 s; timers of finished proposals and claims are cancelled. Conclusion: each fault has a test, except the timers, which only held memory.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/dissemination/MemoryMeasurement.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/dissemination/MemoryMeasurement.java
@@ -41,6 +41,10 @@
   }
 
   void run(List<Integer> sizes) throws InterruptedException {
+    // Loads classes and lets the collector free what earlier measurements left.
+    usedBytes();
+    view(accounts(sizes.get(0)));
+    targets(sizes.get(0));
     row("daemon heap (bytes), by accounts", sizes, n -> view(accounts(n)));
     row("daemon heap (bytes), by keys", sizes, n -> view(keys(n)));
     row("daemon heap (bytes), by targets", sizes, MemoryMeasurement::targets);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/RelaySessions.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/RelaySessions.java
@@ -189,7 +189,9 @@
   private void addChanges(RelaySession session, List<RegistryChange> changes) {
     var announced = session.announced.orElseThrow();
     for (Target target : announced.values()) {
-      if (!registry.target(target.id()).equals(Optional.of(target))) {
+      Optional<Target> known = registry.target(target.id());
+      boolean taken = known.isPresent() && !known.get().daemon().equals(session.daemon());
+      if (!taken && !known.equals(Optional.of(target))) {
         changes.add(new RegistryChange.Register(target));
       }
     }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
@@ -33,11 +33,18 @@
    */
   private static final double MOVE_AFTER_PART = 2.0 / 3;
 
+  /**
+   * Shortest stay at a relay before the daemon returns to one that the settings name earlier. The
+   * actual stay is up to twice as long, so that daemons do not return all at once.
+   */
+  private static final long MIN_STAY_NANOS = 60_000_000_000L;
+
   private final DaemonId daemon;
   private final DataCentreId dataCentre;
   private final long moveAfterNanos;
   private final RelayChoice choice;
   private final Set<ServiceName> chosenServices;
+  private final RandomGenerator random;
 
   private Map<EntityId, ConfigEntity> entities = new HashMap<>();
   private Revision applied = Revision.NONE;
@@ -54,6 +61,7 @@
   private int relay = -1;
   private boolean connected;
   private long connectedAtNanos;
+  private long stayNanos;
 
   private record ServiceTargets(long version, Map<TargetId, Target> targets) {}
 
@@ -77,6 +85,7 @@
     Assert.isTrue(freshnessBoundNanos > 0, "freshnessBoundNanos must be positive");
     this.chosenServices = Set.copyOf(chosenServices);
     this.moveAfterNanos = (long) (freshnessBoundNanos * MOVE_AFTER_PART);
+    this.random = random;
     this.choice = new RelayChoice(relays, random);
   }
 
@@ -96,6 +105,7 @@
   public List<ControlMessage> connected(long nowNanos) {
     connected = true;
     connectedAtNanos = nowNanos;
+    stayNanos = MIN_STAY_NANOS + random.nextLong(MIN_STAY_NANOS);
     queries.clear();
     dropParts();
     return List.of(
@@ -109,10 +119,24 @@
     if (relay >= 0) {
       choice.failed(relay, nowNanos);
     }
-    relay = -1;
-    connected = false;
-    queries.clear();
-    dropParts();
+    detach();
+  }
+
+  /**
+   * Returns true if a relay that the settings name earlier may be usable again. The caller then
+   * closes the connection and calls {@link #returning} instead of {@link #disconnected}.
+   */
+  public boolean mayReturn(long nowNanos) {
+    if (!connected || nowNanos - connectedAtNanos < stayNanos) {
+      return false;
+    }
+    int preferred = choice.next(nowNanos);
+    return preferred >= 0 && preferred < relay;
+  }
+
+  /** Notes that a usable relay was left for a preferred one. */
+  public void returning() {
+    detach();
   }
 
   /** Returns true if there is a connection that does not keep the daemon fresh. */
@@ -188,6 +212,13 @@
     return Optional.of(subscription());
   }
 
+  private void detach() {
+    relay = -1;
+    connected = false;
+    queries.clear();
+    dropParts();
+  }
+
   private ControlMessage.Subscribe subscription() {
     Set<ServiceName> wanted = wantedServices();
     if (services.keySet().retainAll(wanted)) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityText.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityText.java
@@ -8,7 +8,8 @@
 
 /**
  * Text forms of entities. They are part of the replicated state, so they must not depend on the
- * iteration order of a map, which differs between processes.
+ * iteration order of a map or on the default locale, which differ between processes. The formats
+ * use {@code %s} only, because {@code %d} takes its digits from the locale.
  */
 final class EntityText {
 
@@ -38,14 +39,14 @@
 
   private static String describe(ConfigEntity entity) {
     if (entity instanceof Account account) {
-      return "rate=%s burst=%s weight=%d"
+      return "rate=%s burst=%s weight=%s"
           .formatted(account.rateTokensPerSecond(), account.burstTokens(), account.weight());
     }
     if (entity instanceof ClientKey key) {
       return "account=" + key.account();
     }
     if (entity instanceof Route route) {
-      return "%s %s service=%s class=%s open=%s repeatable=%s timeoutMillis=%d"
+      return "%s %s service=%s class=%s open=%s repeatable=%s timeoutMillis=%s"
           .formatted(
               route.method(),
               route.pathPrefix(),
@@ -70,7 +71,7 @@
   private static String describePreset(Preset preset) {
     StringBuilder text = new StringBuilder();
     text.append(
-        "%s retryBudget=%d retryRatio=%s newestFirstAfterMillis=%d"
+        "%s retryBudget=%s retryRatio=%s newestFirstAfterMillis=%s"
             .formatted(
                 preset.name(),
                 preset.retryBudget(),
@@ -79,7 +80,7 @@
     for (TrafficClass trafficClass : TrafficClass.values()) {
       ClassPolicy policy = preset.policyOf(trafficClass);
       text.append(
-          " %s=(slotShare=%s queueLimit=%d queueTimeoutMillis=%d refused=%s)"
+          " %s=(slotShare=%s queueLimit=%s queueTimeoutMillis=%s refused=%s)"
               .formatted(
                   trafficClass.name().toLowerCase(Locale.ROOT),
                   policy.slotShare(),
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/registry/Registry.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/registry/Registry.java
@@ -126,7 +126,8 @@
     Assert.notNull(target, "target");
     Optional<Target> former = target(target.id());
     if (former.isPresent()) {
-      if (former.get().equals(target)) {
+      // Two daemons that announce one id by mistake would otherwise replace each other for ever.
+      if (former.get().equals(target) || !former.get().daemon().equals(target.daemon())) {
         return;
       }
       if (!former.get().service().equals(target.service())) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/registry/RegistryChange.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/registry/RegistryChange.java
@@ -6,7 +6,7 @@
 /** A change of the registry. Changes travel in batches. */
 public sealed interface RegistryChange {
 
-  /** Adds or replaces a target. */
+  /** Adds or replaces a target. Does nothing while another daemon has a target with this id. */
   record Register(Target target) implements RegistryChange {}
 
   /** Marks a target as draining if the daemon owns it. */
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/dissemination/DisseminationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/dissemination/DisseminationTest.java
@@ -237,6 +237,21 @@
     }
   }
 
+  /** Guards against daemons that stay with a distant relay after their own one has recovered. */
+  @Test
+  void daemonReturnsToThePreferredRelayAfterAStay() {
+    attach(first);
+    assertThat(daemon.mayReturn(now + 200_000 * MILLI)).isFalse();
+    leaveFor(second);
+    second.sessions.confirmed(now);
+    assertThat(exchange(daemon.query(now))).isTrue();
+    assertThat(daemon.mayReturn(now + 59_000 * MILLI)).isFalse();
+    now += 120_000 * MILLI;
+    assertThat(daemon.mayReturn(now)).isTrue();
+    daemon.returning();
+    assertThat(daemon.nextRelay(now)).isEqualTo(OptionalInt.of(0));
+  }
+
   /** Guards against announcements of a silent session that undo those made to another relay. */
   @Test
   void silentSessionNoLongerDecidesAboutTargets() {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/state/config/ConfigStateTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/state/config/ConfigStateTest.java
@@ -4,9 +4,11 @@
 import static org.cornelspoke.state.config.RandomChanges.account;
 import static org.cornelspoke.state.config.RandomChanges.hex;
 import static org.cornelspoke.state.config.RandomChanges.key;
+import static org.cornelspoke.state.config.RandomChanges.preset;
 import static org.cornelspoke.state.config.RandomChanges.request;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.OperatorId;
@@ -157,6 +159,25 @@
     assertThat(state.updateFrom(recent)).isInstanceOf(ConfigUpdate.Delta.class);
   }
 
+  /** Guards against replicas whose states differ because their processes have other locales. */
+  @Test
+  void stateDoesNotDependOnTheLocale() {
+    ConfigState arabic = new ConfigState();
+    List<ChangeRequest> requests =
+        List.of(
+            request("r1", Optional.empty(), 1, create("a")),
+            request("r2", Optional.empty(), 2, new ConfigChange.SetPreset(preset("p", 12))));
+    requests.forEach(state::apply);
+    Locale former = Locale.getDefault();
+    Locale.setDefault(Locale.forLanguageTag("ar-EG-u-nu-arab"));
+    try {
+      requests.forEach(arabic::apply);
+    } finally {
+      Locale.setDefault(former);
+    }
+    assertThat(arabic.image()).isEqualTo(state.image());
+  }
+
   private static ConfigChange create(String account) {
     return new ConfigChange.CreateAccount(account(account, 5));
   }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/state/registry/RegistryTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/state/registry/RegistryTest.java
@@ -71,6 +71,21 @@
     assertThat(registry.target(target.id()).orElseThrow().state()).isEqualTo(TargetState.DRAINING);
   }
 
+  /** Guards against two daemons that replace each other's target in turn and fill the log. */
+  @Test
+  void targetIdBelongsToOneDaemonUntilItIsRemoved() {
+    Target target = target(1, 1, "s0", 5);
+    Target other = target(1, 2, "s0", 5);
+    registry.apply(
+        List.of(new RegistryChange.Register(target), new RegistryChange.Register(other)));
+    assertThat(registry.target(target.id())).isEqualTo(Optional.of(target));
+    registry.apply(
+        List.of(
+            new RegistryChange.Remove(target.id(), target.daemon()),
+            new RegistryChange.Register(other)));
+    assertThat(registry.target(target.id())).isEqualTo(Optional.of(other));
+  }
+
   /** Guards against the removal of a target that was registered again in the meantime. */
   @Test
   void expiryOfAnOlderVersionDoesNothing() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ClaimCalls.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ClaimCalls.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.daemon.controlclient;
 
 import io.activej.reactor.Reactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -42,6 +43,7 @@
       CallId attempt,
       String fingerprintHex,
       long deadlineNanos,
+      ScheduledRunnable timer,
       Consumer<ClaimOutcome> listener) {}
 
   private record End(ControlMessage message, long createdAtNanos, long sentAtNanos) {}
@@ -59,9 +61,9 @@
       long deadlineNanos,
       Consumer<ClaimOutcome> listener) {
     long id = ++correlation;
-    Waiting call = new Waiting(key, attempt, fingerprintHex, deadlineNanos, listener);
+    ScheduledRunnable timer = reactor.delayBackground(millisTo(deadlineNanos), () -> giveUp(id));
+    Waiting call = new Waiting(key, attempt, fingerprintHex, deadlineNanos, timer, listener);
     waiting.put(id, call);
-    reactor.delayBackground(millisTo(deadlineNanos), () -> giveUp(id));
     sender.accept(request(id, call));
   }
 
@@ -86,6 +88,7 @@
       return;
     }
     waiting.remove(reply.correlation());
+    call.timer().cancel();
     call.listener().accept(reply.outcome());
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -230,6 +230,10 @@
     if (link != null && tracker.mustMove(now)) {
       LOGGER.log(Level.INFO, "leaving relay {0}: it renews no freshness", link.address);
       link.close();
+    } else if (link != null && tracker.mayReturn(now)) {
+      LOGGER.log(Level.INFO, "leaving relay {0} for a preferred one", link.address);
+      link.returning = true;
+      link.close();
     }
     if (link == null) {
       OptionalInt relay = tracker.nextRelay(now);
@@ -293,6 +297,7 @@
     private final InetSocketAddress address;
     private FrameConnection connection;
     private boolean closed;
+    private boolean returning;
 
     RelayLink(InetSocketAddress address) {
       this.address = address;
@@ -328,7 +333,11 @@
       boolean attached = connection != null;
       connection = null;
       link = null;
-      tracker.disconnected(nanoClock.getAsLong());
+      if (returning) {
+        tracker.returning();
+      } else {
+        tracker.disconnected(nanoClock.getAsLong());
+      }
       if (attached) {
         LOGGER.log(Level.INFO, "detached from relay {0}: {1}", address, cause.getMessage());
         shareListener.ifPresent(ShareListener::onDetached);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RetryingLog.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RetryingLog.java
@@ -3,6 +3,7 @@
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.Reactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.util.function.LongSupplier;
 import org.cornelspoke.coordination.consensus.ReplicatedLog;
 
@@ -37,11 +38,13 @@
   /** Completes once the applied state is current; fails with {@link UnavailableException}. */
   Promise<Void> readCurrent(long deadlineNanos) {
     SettablePromise<Void> promise = new SettablePromise<>();
-    atDeadline(
-        deadlineNanos,
-        () -> promise.trySetException(new UnavailableException("no answer before the deadline")));
+    ScheduledRunnable timer =
+        atDeadline(
+            deadlineNanos,
+            () ->
+                promise.trySetException(new UnavailableException("no answer before the deadline")));
     read(promise, deadlineNanos);
-    return promise;
+    return promise.whenComplete(timer::cancel);
   }
 
   private void read(SettablePromise<Void> promise, long deadlineNanos) {
@@ -66,9 +69,10 @@
         });
   }
 
-  private void atDeadline(long deadlineNanos, Runnable action) {
+  /** The timer must be cancelled after completion, or it would hold the command until then. */
+  private ScheduledRunnable atDeadline(long deadlineNanos, Runnable action) {
     long millis = Math.max(0, (deadlineNanos - nanoClock.getAsLong()) / NANOS_PER_MILLI);
-    reactor.delayBackground(millis, action);
+    return reactor.delayBackground(millis, action);
   }
 
   private boolean isPast(long deadlineNanos) {
@@ -90,7 +94,8 @@
     }
 
     void start() {
-      atDeadline(deadlineNanos, this::fail);
+      ScheduledRunnable timer = atDeadline(deadlineNanos, this::fail);
+      promise.whenComplete(timer::cancel);
       propose();
     }
 
