--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/ControlBackend.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/ControlBackend.java
@@ -72,6 +72,7 @@
    *
    * @param deadlineNanos monotonic time after which the promise fails with {@link
    *     ProposalFailedException}, which says whether the change may still be accepted
+   * @throws IllegalArgumentException if a text of the change is longer than a command may hold
    */
   public Promise<ChangeResult> submit(ChangeRequest request, long deadlineNanos) {
     return retryingLog
