Accept waiting connections before a listener closes; close silent links

A link peer that never spoke was kept for ever, and a peer could break the request line of an upstream request. Change: the HTTP server listens through the reactor and accepts the backlog before it closes; bound addresses are safe to read from any thread; links silent for 10 s close; method and target from a link are checked. Conclusion: the remaining window is the time between the last accept and the close.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
@@ -217,8 +217,8 @@
   private CallHead readHead(MessageUnpacker in) throws IOException {
     return new CallHead(
         cached(services, in.unpackString(), ServiceName::new),
-        in.unpackString(),
-        in.unpackString(),
+        requestLinePart(in.unpackString()),
+        requestLinePart(in.unpackString()),
         cached(accounts, in.unpackString(), AccountId::new),
         in.unpackInt(),
         TrafficClass.valueOf(in.unpackString()),
@@ -228,6 +228,17 @@
         readHeaders(in));
   }
 
+  /** Method and target are written into a request line, which they must not be able to break. */
+  private static String requestLinePart(String text) throws ProtocolException {
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c <= ' ' || c >= 0x7f) {
+        throw new ProtocolException("request line has a forbidden character");
+      }
+    }
+    return text;
+  }
+
   private static Headers readHeaders(MessageUnpacker in) throws IOException {
     byte[] block = readBinary(in);
     return Headers.parse(block, 0, block.length);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
@@ -3,12 +3,14 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
-import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.net.ServerSocketSettings;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -33,7 +35,11 @@
 
   private static final System.Logger LOGGER = System.getLogger(HttpServer.class.getName());
 
-  private final SimpleServer server;
+  private static final SocketSettings SOCKET_SETTINGS =
+      SocketSettings.builder().withTcpNoDelay(true).build();
+
+  private final NioReactor reactor;
+  private final InetSocketAddress address;
   private final HttpHandler handler;
   private final int maxBodyBytes;
   private final Set<HttpServerConnection> connections = new LinkedHashSet<>();
@@ -41,6 +47,8 @@
   private final Meter requests;
   private final Meter malformed;
   private final Meter faults;
+  private volatile InetSocketAddress boundAddress;
+  private ServerSocketChannel listener;
   private int serving;
   private boolean closing;
 
@@ -56,6 +64,8 @@
       HttpHandler handler,
       MetricRegistry metrics,
       String metricPrefix) {
+    this.reactor = Assert.notNull(reactor, "reactor");
+    this.address = Assert.notNull(address, "address");
     Assert.isTrue(maxBodyBytes > 0, "maxBodyBytes must be positive");
     this.handler = Assert.notNull(handler, "handler");
     this.maxBodyBytes = maxBodyBytes;
@@ -63,12 +73,6 @@
     this.requests = metrics.meter(metricPrefix + ".requests");
     this.malformed = metrics.meter(metricPrefix + ".malformed");
     this.faults = metrics.meter(metricPrefix + ".faults");
-    this.server =
-        SimpleServer.builder(reactor, this::accept)
-            .withListenAddress(address)
-            .withServerSocketSettings(ServerSocketSettings.create(BACKLOG))
-            .withSocketSettings(SocketSettings.builder().withTcpNoDelay(true).build())
-            .build();
   }
 
   /**
@@ -77,12 +81,16 @@
    * @throws IOException if the address is in use
    */
   public void start() throws IOException {
-    server.listen();
+    listener = reactor.listen(address, ServerSocketSettings.create(BACKLOG), this::accept);
+    boundAddress = (InetSocketAddress) listener.getLocalAddress();
   }
 
-  /** Returns the address in use, with the port that the system chose if port 0 was given. */
+  /**
+   * Returns the address in use, with the port that the system chose if port 0 was given. Safe for
+   * use by any thread once the server listens.
+   */
   public InetSocketAddress boundAddress() {
-    return server.getBoundAddresses().get(0);
+    return boundAddress;
   }
 
   /** Answers from now on with {@code Connection: close}, so that callers move elsewhere. */
@@ -90,9 +98,26 @@
     closing = true;
   }
 
-  /** Stops listening. Open connections stay open. */
+  /**
+   * Stops listening. Open connections stay open. Connections that wait to be accepted are accepted
+   * first, because closing the listener would reset them together with their requests.
+   */
   public void stopListening() {
-    server.close();
+    if (listener == null) {
+      return;
+    }
+    try {
+      SocketChannel waiting = listener.accept();
+      while (waiting != null) {
+        waiting.configureBlocking(false);
+        accept(waiting);
+        waiting = listener.accept();
+      }
+    } catch (IOException e) {
+      LOGGER.log(System.Logger.Level.WARNING, "can't accept the last connections", e);
+    }
+    reactor.closeChannel(listener, listener.keyFor(reactor.ensureSelector()));
+    listener = null;
   }
 
   /** Closes connections that carry no request and have been silent for a time. */
@@ -165,8 +190,16 @@
     }
   }
 
-  private void accept(io.activej.net.socket.tcp.ITcpSocket socket) {
-    HttpServerConnection connection = new HttpServerConnection(this, socket);
+  private void accept(SocketChannel channel) {
+    HttpServerConnection connection;
+    try {
+      connection =
+          new HttpServerConnection(this, TcpSocket.wrapChannel(reactor, channel, SOCKET_SETTINGS));
+    } catch (IOException e) {
+      // The caller has closed the connection already.
+      reactor.closeChannel(channel, null);
+      return;
+    }
     connections.add(connection);
     connectionCount.inc();
     connection.start();
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/LinkServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/LinkServer.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cornelspoke.protocol.call.CallCodec;
 import org.cornelspoke.util.Assert;
@@ -19,6 +20,8 @@
  */
 public final class LinkServer {
 
+  private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   private final FrameServer server;
   private final String selfId;
   private final CallCodec codec;
@@ -26,6 +29,7 @@
   private final Consumer<IncomingCall> handler;
   private final Set<ServerLink> links = new LinkedHashSet<>();
   private final Meter malformed;
+  private volatile InetSocketAddress boundAddress;
   private boolean goingAway;
 
   /**
@@ -56,11 +60,12 @@
    */
   public void start() throws IOException {
     server.start();
+    boundAddress = server.boundAddress();
   }
 
-  /** Returns the address in use. */
+  /** Returns the address in use. Safe for use by any thread once the server listens. */
   public InetSocketAddress boundAddress() {
-    return server.boundAddress();
+    return boundAddress;
   }
 
   /**
@@ -73,6 +78,15 @@
     links.forEach(ServerLink::goAway);
   }
 
+  /** Closes links whose peer is silent; a peer that lives sends a ping each second. */
+  public void sweep(long nowNanos) {
+    for (ServerLink link : new ArrayList<>(links)) {
+      if (nowNanos - link.lastReceivedNanos() > SILENCE_NANOS) {
+        link.close();
+      }
+    }
+  }
+
   /** Returns true if every answer has been handed to the sockets. */
   public boolean isIdle() {
     return links.stream().allMatch(ServerLink::isIdle);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
@@ -36,6 +36,7 @@
   private final Map<Long, PartialCall> partialCalls = new HashMap<>();
   private final Map<Long, IncomingCall> calls = new HashMap<>();
   private final Map<Long, BodySender.Body> replyBodies = new HashMap<>();
+  private long lastReceivedNanos = System.nanoTime();
   private boolean greeted;
   private long lastId;
   private long partialBytes;
@@ -49,6 +50,7 @@
 
   @Override
   public void onFrame(byte[] frame) {
+    lastReceivedNanos = System.nanoTime();
     try {
       CallMessage message = codec.decode(frame);
       if (greeted) {
@@ -77,6 +79,10 @@
     }
   }
 
+  long lastReceivedNanos() {
+    return lastReceivedNanos;
+  }
+
   /** Returns true if every answer has been handed to the socket. */
   boolean isIdle() {
     return calls.isEmpty() && bodySender.isEmpty() && connection.isFlushed();
--- a/cornelspoke-core/src/test/java/org/cornelspoke/transport/link/PeerLinkTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/link/PeerLinkTest.java
@@ -167,6 +167,21 @@
     link.abort();
   }
 
+  /** Guards against connections that never say anything and stay open for ever. */
+  @Test
+  void silentCallerIsGivenUp() throws Exception {
+    LinkServer server = server();
+    List<Exception> closed = new ArrayList<>();
+    connect(server.boundAddress(), List.of(), closed);
+    runUntil(() -> server.links() == 1);
+    server.sweep(System.nanoTime() + Duration.ofSeconds(9).toNanos());
+    assertThat(server.links()).isEqualTo(1);
+    server.sweep(System.nanoTime() + Duration.ofSeconds(11).toNanos());
+    assertThat(server.links()).isEqualTo(0);
+    runUntil(() -> !closed.isEmpty());
+    server.close();
+  }
+
   /** Guards against one oversized call that breaks the link under all other calls. */
   @Test
   void oversizedBodyIsRefusedAlone() throws Exception {
@@ -201,6 +216,7 @@
             List.of(hello, new CallMessage.Call(5, head("/"), 2 << 26, bytes(1))),
             List.of(
                 hello, new CallMessage.Call(5, head("/"), 3, bytes(1)), new CallMessage.CallEnd(5)),
+            List.of(hello, new CallMessage.Call(5, head("/a\r\nX: 1"), 1, bytes(1))),
             List.of(hello, new CallMessage.ReplyEnd(5)),
             List.of(
                 hello,
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -25,6 +25,9 @@
     ENDED
   }
 
+  /** Keeps a deadline from overflowing the clock, whatever a peer sends. */
+  private static final long MAX_REMAINING_MILLIS = TimeUnit.DAYS.toMillis(30);
+
   private final LocalCalls calls;
   private final Collaborators with;
   private final LocalUpstream upstream;
@@ -54,7 +57,9 @@
     this.head = head;
     this.body = body;
     this.listener = listener;
-    this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(head.remainingMillis());
+    this.deadlineNanos =
+        startNanos
+            + TimeUnit.MILLISECONDS.toNanos(Math.min(head.remainingMillis(), MAX_REMAINING_MILLIS));
   }
 
   void start() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -178,6 +178,7 @@
       edge.sweep(now);
       local.sweep(now);
       links.onTick(now);
+      linkServer.sweep(now);
     }
     with.reactor().delayBackground(HOUSEKEEPING_MILLIS, this::housekeeping);
   }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/DataPathTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/DataPathTest.java
@@ -3,8 +3,14 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.cornelspoke.daemon.traffic.RawClient.request;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import org.cornelspoke.daemon.traffic.RawClient.Answer;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.PresetName;
 import org.cornelspoke.state.config.ActivePreset;
 import org.junit.jupiter.api.AfterEach;
@@ -106,6 +112,20 @@
     assertThat(fleet.metrics.get("edge").counter("edge.refused.key").getCount()).isEqualTo(2);
   }
 
+  /** Guards against a daemon that starts only in part, or keeps a port that it can't use. */
+  @Test
+  void startFailsIfAnAddressIsInUse() throws Exception {
+    TrafficDaemon first = fleet.start("a");
+    Endpoint used = new Endpoint("127.0.0.1", first.edgeAddress().getPort());
+    TrafficSettings settings =
+        TrafficSettings.builder(new DaemonId("b"), new DataCentreId("here"))
+            .withAddresses(used, TestFleet.ANY_PORT, TestFleet.ANY_PORT)
+            .build();
+    TrafficDaemon second = fleet.build(settings);
+    assertThrows(IOException.class, second::start);
+    second.stop().get(10, TimeUnit.SECONDS);
+  }
+
   /** Guards against a withdrawn key that keeps working on an open connection. */
   @Test
   void withdrawnKeyStopsOnAnOpenConnection() throws Exception {
@@ -123,7 +143,7 @@
   private static int status(TrafficDaemon daemon, String raw) {
     try {
       return RawClient.once(daemon.edgeAddress(), raw).status();
-    } catch (java.io.IOException e) {
+    } catch (IOException e) {
       throw new AssertionError(e);
     }
   }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -74,8 +74,19 @@
             .withMaxBodyBytes(1 << 20)
             .withStopTimes(200, 20_000)
             .build();
+    TrafficDaemon daemon = build(settings, selector);
+    daemon.start();
+    daemons.add(daemon);
+    return daemon;
+  }
+
+  TrafficDaemon build(TrafficSettings settings) {
+    return build(settings, new Fakes.FirstSelector());
+  }
+
+  private TrafficDaemon build(TrafficSettings settings, TargetSelector selector) {
     MetricRegistry registry = new MetricRegistry();
-    metrics.put(name, registry);
+    metrics.put(settings.daemonId().value(), registry);
     RateLimiter limiter =
         (account, deadline, listener, now) -> {
           if (withinRate.get()) {
@@ -84,17 +95,13 @@
             listener.onRefused(1_500);
           }
         };
-    TrafficDaemon daemon =
-        TrafficDaemon.builder(settings, Eventloop.create())
-            .withFleet(this, this)
-            .withAdmission(limiter, claims, (service, slots, now) -> new Fakes.SlotGate(slots))
-            .withSelector(selector)
-            .withRetries(new Fakes.HalfLedger(), new Fakes.OpenThrottle())
-            .withMetrics(registry)
-            .build();
-    daemon.start();
-    daemons.add(daemon);
-    return daemon;
+    return TrafficDaemon.builder(settings, Eventloop.create())
+        .withFleet(this, this)
+        .withAdmission(limiter, claims, (service, slots, now) -> new Fakes.SlotGate(slots))
+        .withSelector(selector)
+        .withRetries(new Fakes.HalfLedger(), new Fakes.OpenThrottle())
+        .withMetrics(registry)
+        .build();
   }
 
   /** Starts a daemon beside an upstream that it has announced. */
