Close the listener only after the selector has let go of it

Cause: repeated runs of the stop test still reset connections (3 of 15 runs): the selector keeps a closed listener open until its next pass, and the kernel completes connections that nobody accepts. Change: cancel the key, wait for the selector, accept the backlog, close.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
@@ -99,25 +99,20 @@
   }
 
   /**
-   * Stops listening. Open connections stay open. Connections that wait to be accepted are accepted
-   * first, because closing the listener would reset them together with their requests.
+   * Stops listening a moment later. Open connections stay open. Connections that wait to be
+   * accepted are accepted first, because closing the listener resets them together with their
+   * requests.
    */
   public void stopListening() {
-    if (listener == null) {
-      return;
-    }
-    try {
-      SocketChannel waiting = listener.accept();
-      while (waiting != null) {
-        waiting.configureBlocking(false);
-        accept(waiting);
-        waiting = listener.accept();
-      }
-    } catch (IOException e) {
-      LOGGER.log(System.Logger.Level.WARNING, "can't accept the last connections", e);
+    if (listener != null && listener.isRegistered()) {
+      listener.keyFor(reactor.ensureSelector()).cancel();
+      reactor.delay(1, this::closeListener);
     }
-    reactor.closeChannel(listener, listener.keyFor(reactor.ensureSelector()));
-    listener = null;
+  }
+
+  /** Returns true until the listener is closed. */
+  public boolean isListening() {
+    return listener != null;
   }
 
   /** Closes connections that carry no request and have been silent for a time. */
@@ -134,8 +129,12 @@
     return serving == 0 && connections.stream().allMatch(HttpServerConnection::isLingering);
   }
 
-  /** Closes every connection, also those that carry a request. */
+  /** Closes the listener and every connection, also those that carry a request. */
   public void closeAll() {
+    if (listener != null) {
+      reactor.closeChannel(listener, listener.keyFor(reactor.ensureSelector()));
+      listener = null;
+    }
     new ArrayList<>(connections).forEach(HttpServerConnection::close);
   }
 
@@ -190,6 +189,32 @@
     }
   }
 
+  /**
+   * The system closes a registered channel only after the selector has let go of it, and until then
+   * it would complete connections that nobody accepts.
+   */
+  private void closeListener() {
+    if (listener == null) {
+      return;
+    }
+    if (listener.isRegistered()) {
+      reactor.delay(1, this::closeListener);
+      return;
+    }
+    try {
+      SocketChannel waiting = listener.accept();
+      while (waiting != null) {
+        waiting.configureBlocking(false);
+        accept(waiting);
+        waiting = listener.accept();
+      }
+      listener.close();
+    } catch (IOException e) {
+      LOGGER.log(System.Logger.Level.WARNING, "can't accept the last connections", e);
+    }
+    listener = null;
+  }
+
   private void accept(SocketChannel channel) {
     HttpServerConnection connection;
     try {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -120,12 +120,7 @@
     try {
       reactor.submit(this::listen).get();
     } catch (ExecutionException e) {
-      reactor.execute(
-          () -> {
-            edge.stopListening();
-            local.stopListening();
-            closeAll();
-          });
+      reactor.execute(this::closeAll);
       throw new IOException("can't listen", e.getCause());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -217,7 +212,11 @@
     long now = System.nanoTime();
     edge.closeIdle(now, LAST_REQUEST_NANOS);
     local.closeIdle(now, 0);
-    boolean answered = edge.onlyLingers() && upstreams.inFlight() == 0 && linkServer.isIdle();
+    boolean answered =
+        !edge.isListening()
+            && edge.onlyLingers()
+            && upstreams.inFlight() == 0
+            && linkServer.isIdle();
     if (answered || now >= stopEndNanos) {
       stopEndNanos = now + LAST_ANSWERS_NANOS;
       awaitClosed();
