--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
@@ -106,6 +106,7 @@
       packer.packBoolean(refusal.verdict() == Verdict.NOT_RUN);
       packer.packLong(refusal.retryAfterMillis());
       packer.packInt(refusal.unusedAttempts());
+      packer.packInt(refusal.callsBelow());
       load(refusal.load());
     } else if (message instanceof CallChunk chunk) {
       head(CALL_CHUNK, chunk.correlationId());
@@ -155,6 +156,7 @@
     packer.packInt(reply.status());
     binary(reply.headers().block());
     packer.packInt(reply.unusedAttempts());
+    packer.packInt(reply.callsBelow());
     load(reply.load());
     packer.packInt(reply.bodyBytes());
     binary(reply.chunk());
@@ -189,6 +191,7 @@
               in.unpackInt(),
               readHeaders(in),
               in.unpackInt(),
+              in.unpackInt(),
               readLoad(in),
               readLength(in),
               readBinary(in));
@@ -201,6 +204,7 @@
               in.unpackBoolean() ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
               in.unpackLong(),
               in.unpackInt(),
+              in.unpackInt(),
               readLoad(in));
       case CANCEL -> new Cancel(id);
       case PING -> new Ping(id);
@@ -213,8 +217,8 @@
   private CallHead readHead(MessageUnpacker in) throws IOException {
     return new CallHead(
         cached(services, in.unpackString(), ServiceName::new),
-        in.unpackString(),
-        in.unpackString(),
+        requestLinePart(in.unpackString()),
+        requestLinePart(in.unpackString()),
         cached(accounts, in.unpackString(), AccountId::new),
         in.unpackInt(),
         TrafficClass.valueOf(in.unpackString()),
@@ -224,6 +228,17 @@
         readHeaders(in));
   }
 
+  /** Method and target are written into a request line, which they must not be able to break. */
+  private static String requestLinePart(String text) throws ProtocolException {
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c <= ' ' || c >= 0x7f) {
+        throw new ProtocolException("request line has a forbidden character");
+      }
+    }
+    return text;
+  }
+
   private static Headers readHeaders(MessageUnpacker in) throws IOException {
     byte[] block = readBinary(in);
     return Headers.parse(block, 0, block.length);
@@ -273,8 +288,8 @@
   private static int fieldCount(int type) {
     return switch (type) {
       case CALL -> 14;
-      case REPLY -> 10;
-      case REFUSAL -> 9;
+      case REPLY -> 11;
+      case REFUSAL -> 10;
       case HELLO -> 5;
       case CALL_CHUNK, REPLY_CHUNK -> 3;
       default -> 2;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
@@ -36,6 +36,7 @@
   private final Map<Long, PartialCall> partialCalls = new HashMap<>();
   private final Map<Long, IncomingCall> calls = new HashMap<>();
   private final Map<Long, BodySender.Body> replyBodies = new HashMap<>();
+  private long lastReceivedNanos = System.nanoTime();
   private boolean greeted;
   private long lastId;
   private long partialBytes;
@@ -49,6 +50,7 @@
 
   @Override
   public void onFrame(byte[] frame) {
+    lastReceivedNanos = System.nanoTime();
     try {
       CallMessage message = codec.decode(frame);
       if (greeted) {
@@ -77,6 +79,10 @@
     }
   }
 
+  long lastReceivedNanos() {
+    return lastReceivedNanos;
+  }
+
   /** Returns true if every answer has been handed to the socket. */
   boolean isIdle() {
     return calls.isEmpty() && bodySender.isEmpty() && connection.isFlushed();
@@ -98,6 +104,7 @@
                   answer.status(),
                   answer.headers(),
                   ending.unusedAttempts(),
+                  ending.callsBelow(),
                   ending.load(),
                   body.length,
                   BodySender.firstChunk(body))));
@@ -120,6 +127,7 @@
         result.verdict(),
         refused ? ((CallResult.Refused) result).retryAfterMillis() : 0,
         ending.unusedAttempts(),
+        ending.callsBelow(),
         ending.load());
   }
 
@@ -165,6 +173,7 @@
           new CallEnding(
               new CallResult.Refused(RefusalReason.TOO_LARGE, 0),
               call.head().extraAttempts(),
+              0,
               GateLoad.IDLE));
       return;
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -25,6 +25,9 @@
     ENDED
   }
 
+  /** Keeps a deadline from overflowing the clock, whatever a peer sends. */
+  private static final long MAX_REMAINING_MILLIS = TimeUnit.DAYS.toMillis(30);
+
   private final LocalCalls calls;
   private final Collaborators with;
   private final LocalUpstream upstream;
@@ -40,6 +43,7 @@
   private CallId callId;
   private UpstreamExchange exchange;
   private long sentNanos;
+  private int callsBelow;
 
   LocalCall(
       LocalCalls calls,
@@ -53,7 +57,9 @@
     this.head = head;
     this.body = body;
     this.listener = listener;
-    this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(head.remainingMillis());
+    this.deadlineNanos =
+        startNanos
+            + TimeUnit.MILLISECONDS.toNanos(Math.min(head.remainingMillis(), MAX_REMAINING_MILLIS));
   }
 
   void start() {
@@ -118,12 +124,7 @@
       return;
     }
     callId = calls.parents().newId();
-    calls
-        .parents()
-        .put(
-            callId,
-            new ParentCalls.Parent(
-                head.account(), head.weight(), head.trafficClass(), deadlineNanos));
+    calls.parents().put(callId, new ParentCalls.Parent(deadlineNanos));
     with.ledger().open(callId, head.extraAttempts());
     Headers extra = calls.upstreamHeaders(head, callId, TimeUnit.NANOSECONDS.toMillis(leftNanos));
     UpstreamRequest request =
@@ -157,12 +158,12 @@
 
   private void end(CallResult result, int unusedAttempts) {
     finish();
-    listener.onEnded(new CallEnding(result, unusedAttempts, upstream.gate.load()));
+    listener.onEnded(new CallEnding(result, unusedAttempts, callsBelow, upstream.gate.load()));
   }
 
   private int closeLedger() {
     int unused = with.ledger().close(callId);
-    calls.parents().remove(callId);
+    callsBelow = calls.parents().remove(callId);
     callId = null;
     return unused;
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -173,6 +173,7 @@
       edge.sweep(now);
       local.sweep(now);
       links.onTick(now);
+      linkServer.sweep(now);
     }
     with.reactor().delayBackground(HOUSEKEEPING_MILLIS, this::housekeeping);
   }
@@ -211,7 +212,11 @@
     long now = System.nanoTime();
     edge.closeIdle(now, LAST_REQUEST_NANOS);
     local.closeIdle(now, 0);
-    boolean answered = edge.onlyLingers() && upstreams.inFlight() == 0 && linkServer.isIdle();
+    boolean answered =
+        !edge.isListening()
+            && edge.onlyLingers()
+            && upstreams.inFlight() == 0
+            && linkServer.isIdle();
     if (answered || now >= stopEndNanos) {
       stopEndNanos = now + LAST_ANSWERS_NANOS;
       awaitClosed();
