Keep rate shares usable under skewed demand

Small holders lost rate while full, a large one kept tokens during recalls, and burst without tokens stayed with holders. Change: holders get less than their demand as rate when their burst is small, the rest as tokens; voluntary recalls leave 10 ms of demand; reports return unused burst; demand is measured in 20 ms slots.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/DemandMeter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/DemandMeter.java
@@ -1,26 +1,41 @@
 package org.cornelspoke.coordination.quota;
 
-/** Estimates arrivals per second from counts in windows of one report interval. */
+import java.util.Arrays;
+
+/**
+ * Estimates arrivals per second: a smoothed rate, replaced by the rate of the last slots when these
+ * show that the demand has changed.
+ */
 final class DemandMeter {
 
-  /** Weight of a window; about one second of arrivals counts. */
+  /** Weight of a window of one report interval; about one second of arrivals counts. */
   private static final double WEIGHT = 0.15;
 
-  /** Standard deviations of a Poisson count beyond which a window shows a change of demand. */
+  /** Standard deviations of a Poisson count beyond which the last slots show a change. */
   private static final double JUMP_DEVIATIONS = 3;
 
+  /** Short slots, so that a holder that has just lost its demand can return its share at once. */
+  private static final long SLOT_NANOS = 20_000_000L;
+
+  private static final int SLOTS = 3;
   private static final double NANOS_PER_SECOND = 1e9;
 
+  private final int[] slots = new int[SLOTS];
+  private long slotStartNanos;
+  private int slotsUsed = 1;
   private double perSecond;
   private int arrivals;
   private long windowStartNanos;
 
   DemandMeter(long nowNanos) {
     windowStartNanos = nowNanos;
+    slotStartNanos = nowNanos;
   }
 
-  void onArrival() {
+  void onArrival(long nowNanos) {
+    advance(nowNanos);
     arrivals++;
+    slots[0]++;
   }
 
   boolean windowIsOlderThan(long ageNanos, long nowNanos) {
@@ -34,20 +49,37 @@
       return;
     }
     double expected = perSecond * seconds;
-    double difference = arrivals - expected;
-    double tolerance = JUMP_DEVIATIONS * Math.sqrt(Math.max(1, expected));
-    double weight = Math.abs(difference) > tolerance ? 1 : WEIGHT;
-    perSecond += weight * (arrivals / seconds - perSecond);
+    boolean jump = isJump(arrivals, expected);
+    perSecond += (jump ? 1 : WEIGHT) * (arrivals / seconds - perSecond);
     arrivals = 0;
     windowStartNanos = nowNanos;
   }
 
-  /** Returns the estimate; at least what has arrived since the window began. */
+  /** Returns the estimate. */
   double perSecond(long nowNanos) {
-    double seconds = Math.max(0.05, (nowNanos - windowStartNanos) / NANOS_PER_SECOND);
-    double current = arrivals / seconds;
-    boolean jump =
-        arrivals > perSecond * seconds + JUMP_DEVIATIONS * Math.sqrt(perSecond * seconds) + 2;
-    return jump ? current : perSecond;
+    advance(nowNanos);
+    double seconds =
+        ((slotsUsed - 1) * SLOT_NANOS + (nowNanos - slotStartNanos)) / NANOS_PER_SECOND;
+    int recent = Arrays.stream(slots).sum();
+    return isJump(recent, perSecond * seconds)
+        ? recent / Math.max(SLOT_NANOS / NANOS_PER_SECOND, seconds)
+        : perSecond;
+  }
+
+  private static boolean isJump(int count, double expected) {
+    return Math.abs(count - expected) > JUMP_DEVIATIONS * Math.sqrt(Math.max(1, expected));
+  }
+
+  private void advance(long nowNanos) {
+    long passed = (nowNanos - slotStartNanos) / SLOT_NANOS;
+    if (passed <= 0) {
+      return;
+    }
+    for (long i = 0; i < Math.min(passed, SLOTS); i++) {
+      System.arraycopy(slots, 0, slots, 1, SLOTS - 1);
+      slots[0] = 0;
+    }
+    slotsUsed = (int) Math.min(SLOTS, slotsUsed + passed);
+    slotStartNanos += passed * SLOT_NANOS;
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -12,8 +12,14 @@
 /** One account at a daemon: its share, the requests that wait for a token, and the demand. */
 final class HeldAccount {
 
-  /** Tokens kept on a voluntary recall, as time of the present demand. */
-  private static final double KEEP_SECONDS = 0.03;
+  /**
+   * Tokens kept on a voluntary recall, as time of the present demand. With 0.03 s a large holder
+   * kept a dozen tokens while requests at small holders waited in vain.
+   */
+  private static final double KEEP_SECONDS = 0.01;
+
+  /** Rate kept on a voluntary recall, as part of the present demand. */
+  private static final double RATE_HEADROOM = 1.05;
 
   private static final int MAX_WAITING = 10_000;
   private static final double MILLIS_PER_SECOND = 1e3;
@@ -65,11 +71,15 @@
       return;
     }
     serve(nowNanos);
-    double keep = recall.keep().levelTokens();
-    if (!recall.forced()) {
-      keep = Math.max(keep, waiters.size() + demand.perSecond(nowNanos) * KEEP_SECONDS);
+    if (recall.forced()) {
+      link.onRecall(recall.keep(), nowNanos);
+    } else if (waiters.isEmpty()) {
+      double needed = demand.perSecond(nowNanos) * RATE_HEADROOM;
+      double level = needed * KEEP_SECONDS;
+      link.onRecall(new TokenShare(needed, level + 1, level), nowNanos);
+    } else {
+      link.giveUp(0, 0, 0, nowNanos);
     }
-    link.onRecall(recall, keep, nowNanos);
   }
 
   /**
@@ -116,7 +126,7 @@
 
   void acquire(long deadlineNanos, RateLimiter.Listener listener, long nowNanos) {
     dropEndedLeases(nowNanos);
-    demand.onArrival();
+    demand.onArrival(nowNanos);
     lastArrivalNanos = nowNanos;
     if (waiters.isEmpty() && tryTake(nowNanos)) {
       listener.onGranted();
@@ -179,7 +189,7 @@
   }
 
   private void report(long nowNanos) {
-    link.report(bucket.share(nowNanos), demand.perSecond(nowNanos), waiters.size(), nowNanos);
+    link.report(TokenShare.EMPTY, demand.perSecond(nowNanos), waiters.size(), nowNanos);
   }
 
   private long retryAfterMillis() {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
@@ -15,11 +15,16 @@
   /** Leases given end this much earlier than the relay's own, since clock speeds differ. */
   private static final double LEASE_PART = 0.98;
 
+  /** Time for which a recall of the leader also takes what daemons return meanwhile. */
+  private static final long RECALL_NANOS = 30_000_000L;
+
   private final ShareTimes times;
   private final TokenBucket spare;
   private final ShareLink link;
   private final ShareBook book;
   private TokenShare forcedKeep;
+  private boolean wantedByOwner;
+  private long recallEndNanos;
   private long lastReportFromHolderNanos;
   private long sessionUsed;
 
@@ -63,15 +68,15 @@
     }
     if (recall.forced()) {
       forcedKeep = recall.keep();
+      recallEndNanos = nowNanos + RECALL_NANOS;
       returnForced(nowNanos);
       return;
     }
-    book.serveWaiting(nowNanos);
-    double keepLevel = Math.max(recall.keep().levelTokens(), book.waiting());
-    double level = Math.max(0, spare.level(nowNanos) - keepLevel);
-    double burst = Math.max(level, book.burst() - recall.keep().burstTokens());
-    double rate = book.rate() - recall.keep().rateTokensPerSecond();
-    link.giveUp(rate, burst, level, nowNanos);
+    wantedByOwner = true;
+    recallEndNanos = nowNanos + RECALL_NANOS;
+    if (!returnUnneeded(nowNanos)) {
+      link.giveUp(0, 0, 0, nowNanos);
+    }
     book.recallFromSatisfied(nowNanos);
   }
 
@@ -93,8 +98,11 @@
   void onReturn(String holder, Return returned, long nowNanos) {
     prepare(nowNanos);
     book.onReturn(holder, returned, nowNanos);
-    returnForced(nowNanos);
     serve(nowNanos);
+    returnForced(nowNanos);
+    if (wantedByOwner) {
+      returnUnneeded(nowNanos);
+    }
   }
 
   void onTick(long nowNanos) {
@@ -127,6 +135,11 @@
 
   private void prepare(long nowNanos) {
     dropEndedLease(nowNanos);
+    if (nowNanos - recallEndNanos >= 0) {
+      // The leader repeats a recall that is still needed.
+      forcedKeep = null;
+      wantedByOwner = false;
+    }
     book.releaseExpired(nowNanos);
   }
 
@@ -156,10 +169,18 @@
     }
   }
 
+  /** Returns the spare capacity to the leader unless a daemon waits for it. */
+  private boolean returnUnneeded(long nowNanos) {
+    book.serveWaiting(nowNanos);
+    if (book.waiting() > 0 || spare.burst() <= 0) {
+      return false;
+    }
+    link.giveUp(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE, nowNanos);
+    return true;
+  }
+
   private void report(long nowNanos) {
-    TokenShare held =
-        new TokenShare(book.rate(), book.burst(), Math.min(book.burst(), book.level(nowNanos)));
-    link.report(held, book.demandPerSecond(), book.waiting(), nowNanos);
+    link.report(book.passedOn(), book.demandPerSecond(), book.waiting(), nowNanos);
   }
 
   private void dropEndedLease(long nowNanos) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
@@ -38,7 +38,7 @@
   private static final double RATE_TOLERANCE = 0.02;
 
   private static final double EXCESS_RATE = 1.2;
-  private static final double EXCESS_BURST = 1.5;
+  private static final double EXCESS_BURST = 1.3;
   private static final double LOW_LEVEL_PART = 0.25;
   private static final long RECALL_NANOS = 20_000_000L;
   private static final double ROUNDING = 1e-7;
@@ -93,6 +93,7 @@
     if (!child.accept(report.sequence())) {
       return;
     }
+    spare.add(child.onReturned(report.returned()), nowNanos);
     child.onReport(report, nowNanos);
     if (leaseNanosAt.applyAsLong(nowNanos) <= 0) {
       // The report is answered by the first grant after a lease has come from above.
@@ -140,9 +141,13 @@
     }
     boolean unserved = false;
     for (ShareChild child : children.values()) {
-      int tokens = (int) Math.min(child.waiting(), spare.level(nowNanos));
-      if (tokens > 0) {
-        grant(child, spare.remove(0, tokens, tokens, nowNanos), nowNanos);
+      if (child.waiting() > 0) {
+        TokenShare added = takeFor(child, nowNanos);
+        if (added.levelTokens() >= 1 || added.rateTokensPerSecond() > 0) {
+          grant(child, added, nowNanos);
+        } else {
+          spare.add(added, nowNanos);
+        }
       }
       unserved |= child.waiting() > 0;
     }
@@ -155,9 +160,9 @@
   void recallFromSatisfied(long nowNanos) {
     for (ShareChild child : children.values()) {
       if (child.waiting() == 0
-          && child.highestLevel(nowNanos) >= 1
+          && (child.rate() > 0 || child.highestLevel(nowNanos) >= 1)
           && child.mayRecall(RECALL_NANOS, nowNanos)) {
-        recall(child, new TokenShare(child.rate(), child.burst(), 0), false, nowNanos);
+        recall(child, TokenShare.EMPTY, false, nowNanos);
       }
     }
   }
@@ -203,35 +208,29 @@
 
   /** Returns the rate of this owner and its holders together. */
   double rate() {
-    double sum = spare.rate();
-    for (ShareChild child : children.values()) {
-      sum += child.rate();
-    }
-    for (LostShare share : lost) {
-      sum += share.rate();
-    }
-    return sum;
+    return spare.rate() + passedOn().rateTokensPerSecond();
   }
 
   /** Returns the burst of this owner and its holders together. */
   double burst() {
-    double sum = spare.burst();
-    for (ShareChild child : children.values()) {
-      sum += child.burst();
-    }
-    for (LostShare share : lost) {
-      sum += share.burst();
-    }
-    return sum;
+    return spare.burst() + passedOn().burstTokens();
   }
 
-  /** Returns spare and reported tokens, an estimate. */
-  double level(long nowNanos) {
-    double sum = spare.level(nowNanos);
+  /** Returns what holders have or have lost, with an estimate of their level. */
+  TokenShare passedOn() {
+    double rate = 0;
+    double burst = 0;
+    double level = 0;
     for (ShareChild child : children.values()) {
-      sum += Math.min(child.burst(), child.reportedLevel());
+      rate += child.rate();
+      burst += child.burst();
+      level += Math.min(child.burst(), child.reportedLevel());
     }
-    return sum;
+    for (LostShare share : lost) {
+      rate += share.rate();
+      burst += share.burst();
+    }
+    return new TokenShare(rate, burst, level);
   }
 
   double demandPerSecond() {
@@ -257,7 +256,13 @@
     child.renew(nowNanos + ShareTimes.expiryNanos(leaseNanos));
     out.accept(
         child.holder(),
-        new Grant(account, child.session(), child.reportSequence(), leaseNanos, added));
+        new Grant(
+            account,
+            child.session(),
+            child.reportSequence(),
+            leaseNanos,
+            added,
+            wantedBurst(child)));
   }
 
   private ShareChild startSession(
@@ -317,26 +322,30 @@
       recall(
           child,
           new TokenShare(Math.min(child.rate(), wantedRate), keepBurst, keepBurst),
-          false,
+          true,
           nowNanos);
     }
   }
 
   private void recall(ShareChild child, TokenShare keep, boolean forced, long nowNanos) {
-    child.onRecalled(nowNanos);
+    child.onRecalled(forced, nowNanos);
     out.accept(child.holder(), new Recall(account, child.session(), keep, forced));
   }
 
   private double wantedRate(ShareChild child) {
+    double burst = wantedBurst(child);
     // A holder that can't keep a whole token is served token by token from the spare capacity.
-    if (wantedBurst(child) < 1) {
+    if (burst < 1) {
       return 0;
     }
+    // The fewer tokens a holder can keep, the more of its rate would be lost while it is full. That
+    // part of the rate stays spare and reaches the holder as tokens when requests wait.
+    double part = burst / (burst + 1);
     double total = rate();
     double demand = demandPerSecond();
     return demand * RATE_HEADROOM <= total
-        ? child.demandPerSecond() * RATE_HEADROOM
-        : total * child.demandPerSecond() / demand;
+        ? part * child.demandPerSecond() * RATE_HEADROOM
+        : part * total * child.demandPerSecond() / demand;
   }
 
   private double wantedBurst(ShareChild child) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareChild.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareChild.java
@@ -16,6 +16,7 @@
   private long expiresNanos;
   private long recalledNanos;
   private boolean recalled;
+  private boolean recallForced;
 
   ShareChild(String holder, long session) {
     this.holder = holder;
@@ -70,6 +71,10 @@
     rate -= known.rateTokensPerSecond();
     burst -= known.burstTokens();
     level = Math.max(0, level - known.levelTokens());
+    if (!recallForced && known.rateTokensPerSecond() > 0) {
+      // What the holder kept is the rate that it needs now.
+      demandPerSecond = Math.min(demandPerSecond, rate);
+    }
     return known;
   }
 
@@ -78,8 +83,9 @@
     return !recalled || nowNanos - recalledNanos >= intervalNanos;
   }
 
-  void onRecalled(long nowNanos) {
+  void onRecalled(boolean forced, long nowNanos) {
     recalled = true;
+    recallForced = forced;
     recalledNanos = nowNanos;
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
@@ -4,7 +4,6 @@
 import java.util.Deque;
 import java.util.function.Consumer;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
-import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Report;
 import org.cornelspoke.coordination.quota.ShareMessage.Return;
 import org.cornelspoke.model.AccountId;
@@ -21,6 +20,8 @@
   /** Longest time; the owner remembers the waiting requests, so asking more often helps little. */
   private static final long MAX_ASK_NANOS = 80_000_000L;
 
+  private static final double MIN_RETURNED_BURST = 0.5;
+
   private record SentReport(long sequence, long sentNanos) {}
 
   private final AccountId account;
@@ -35,6 +36,7 @@
   private long lastReportNanos;
   private long askNanos = MIN_ASK_NANOS;
   private SentReport answered;
+  private double targetBurst = Double.MAX_VALUE;
 
   ShareLink(AccountId account, TokenBucket bucket, Consumer<ShareMessage> toOwner) {
     this.account = account;
@@ -93,17 +95,32 @@
     return session;
   }
 
-  void report(TokenShare held, double demandPerSecond, int waiting, long nowNanos) {
+  /**
+   * Sends a report and gives up burst that is neither wanted by the owner's last grant nor in use.
+   *
+   * @param passedOn what was passed on to others
+   */
+  void report(TokenShare passedOn, double demandPerSecond, int waiting, long nowNanos) {
     if (!connected) {
       return;
     }
+    TokenShare returned = sequence == 0 ? TokenShare.EMPTY : takeUnused(passedOn, nowNanos);
     sequence++;
     unanswered.add(new SentReport(sequence, nowNanos));
     lastReportNanos = nowNanos;
     if (waiting > 0) {
       askNanos = Math.min(MAX_ASK_NANOS, 2 * askNanos);
     }
-    toOwner.accept(new Report(account, session, sequence, held, demandPerSecond, waiting));
+    TokenShare held = bucket.share(nowNanos).merge(passedOn);
+    toOwner.accept(
+        new Report(account, session, sequence, held, returned, demandPerSecond, waiting));
+  }
+
+  private TokenShare takeUnused(TokenShare passedOn, long nowNanos) {
+    TokenShare own = bucket.share(nowNanos);
+    double excess = own.burstTokens() + passedOn.burstTokens() - targetBurst;
+    double unused = Math.min(excess, own.burstTokens() - own.levelTokens());
+    return unused < MIN_RETURNED_BURST ? TokenShare.EMPTY : bucket.remove(0, unused, 0, nowNanos);
   }
 
   boolean isCurrent(ShareMessage message) {
@@ -122,23 +139,19 @@
         leased = true;
       }
     }
+    targetBurst = grant.targetBurst();
     if (grant.added().levelTokens() >= 1) {
       askNanos = MIN_ASK_NANOS;
     }
     bucket.add(grant.added(), nowNanos);
   }
 
-  /**
-   * Returns what exceeds the amounts to keep.
-   *
-   * @param keepLevel tokens to keep
-   */
-  void onRecall(Recall recall, double keepLevel, long nowNanos) {
+  /** Returns what exceeds the amounts to keep. */
+  void onRecall(TokenShare keep, long nowNanos) {
     TokenShare held = bucket.share(nowNanos);
-    double level = Math.max(0, held.levelTokens() - keepLevel);
-    double burst = Math.max(level, held.burstTokens() - recall.keep().burstTokens());
-    giveUp(
-        held.rateTokensPerSecond() - recall.keep().rateTokensPerSecond(), burst, level, nowNanos);
+    double level = Math.max(0, held.levelTokens() - keep.levelTokens());
+    double burst = Math.max(level, held.burstTokens() - keep.burstTokens());
+    giveUp(held.rateTokensPerSecond() - keep.rateTokensPerSecond(), burst, level, nowNanos);
   }
 
   /** Takes a part out of the bucket and returns it to the owner. */
@@ -155,5 +168,6 @@
     sequence = 0;
     unanswered.clear();
     answered = null;
+    targetBurst = Double.MAX_VALUE;
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
@@ -24,6 +24,7 @@
    *
    * @param sequence number of the message in the session, from 1
    * @param held rate, burst and level held, with all that was passed on to others
+   * @param returned burst without tokens that the holder gives up; nothing in the first report
    * @param demandPerSecond requests per second that arrive at the holder
    * @param waiting requests that wait for a token
    */
@@ -32,6 +33,7 @@
       long session,
       long sequence,
       TokenShare held,
+      TokenShare returned,
       double demandPerSecond,
       int waiting)
       implements ShareMessage {
@@ -40,6 +42,7 @@
     public Report {
       Assert.notNull(account, "account");
       Assert.notNull(held, "held");
+      Assert.notNull(returned, "returned");
       Assert.isTrue(sequence >= 1, "sequence must be 1 or more");
       Assert.isTrue(
           demandPerSecond >= 0 && Double.isFinite(demandPerSecond),
@@ -54,9 +57,15 @@
    * @param acknowledged sequence of the report that is answered, or 0 if none is
    * @param leaseNanos length of the lease, from the time when that report was sent
    * @param added what the holder gets in addition
+   * @param targetBurst burst that the holder should keep; it returns more when it is not in use
    */
   record Grant(
-      AccountId account, long session, long acknowledged, long leaseNanos, TokenShare added)
+      AccountId account,
+      long session,
+      long acknowledged,
+      long leaseNanos,
+      TokenShare added,
+      double targetBurst)
       implements ShareMessage {
 
     /** Checks the parts. */
@@ -65,6 +74,7 @@
       Assert.notNull(added, "added");
       Assert.isTrue(acknowledged >= 0, "acknowledged must be 0 or more");
       Assert.isTrue(leaseNanos >= 0, "leaseNanos must be 0 or more");
+      Assert.notNegative(targetBurst, "targetBurst");
     }
   }
 
@@ -78,10 +88,10 @@
   }
 
   /**
-   * Owner to holder: return what exceeds the given amounts.
+   * Owner to holder: return a part of the share.
    *
-   * @param keep what the holder may keep
-   * @param forced false if the holder may also keep what it needs at this moment
+   * @param keep what the holder may keep if the recall is forced
+   * @param forced false if the holder decides what it does not need at this moment
    */
   record Recall(AccountId account, long session, TokenShare keep, boolean forced)
       implements ShareMessage {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
@@ -28,8 +28,8 @@
   private static final int RECALL = 4;
   private static final int RETURN = 5;
 
-  private static final int REPORT_SIZE = 9;
-  private static final int GRANT_SIZE = 8;
+  private static final int REPORT_SIZE = 12;
+  private static final int GRANT_SIZE = 9;
   private static final int RESET_SIZE = 3;
   private static final int RECALL_SIZE = 7;
   private static final int RETURN_SIZE = 7;
@@ -67,6 +67,7 @@
       writeHead(packer, REPORT_SIZE, REPORT, report);
       packer.packLong(report.sequence());
       writeShare(packer, report.held());
+      writeShare(packer, report.returned());
       packer.packDouble(report.demandPerSecond());
       packer.packInt(report.waiting());
     } else if (message instanceof Grant grant) {
@@ -74,6 +75,7 @@
       packer.packLong(grant.acknowledged());
       packer.packLong(grant.leaseNanos());
       writeShare(packer, grant.added());
+      packer.packDouble(grant.targetBurst());
     } else if (message instanceof Reset reset) {
       writeHead(packer, RESET_SIZE, RESET, reset);
     } else if (message instanceof Recall recall) {
@@ -116,11 +118,17 @@
               session,
               unpacker.unpackLong(),
               readShare(unpacker),
+              readShare(unpacker),
               unpacker.unpackDouble(),
               unpacker.unpackInt());
       case GRANT ->
           new Grant(
-              account, session, unpacker.unpackLong(), unpacker.unpackLong(), readShare(unpacker));
+              account,
+              session,
+              unpacker.unpackLong(),
+              unpacker.unpackLong(),
+              readShare(unpacker),
+              unpacker.unpackDouble());
       case RESET -> new Reset(account, session);
       case RECALL -> new Recall(account, session, readShare(unpacker), unpacker.unpackBoolean());
       default -> new Return(account, session, unpacker.unpackLong(), readShare(unpacker));
