Add the virtual-time scenario bench

Cause: the decisions of admission, shares, routing and retries need a measure under overload. Change: org.cornelspoke.bench.scenario with seven scenarios, a naive baseline and an ideal bound.

--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/NaiveGate.java
@@ -0,0 +1,81 @@
+package org.cornelspoke.bench.scenario;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.cornelspoke.coordination.admission.Completion;
+import org.cornelspoke.coordination.admission.GateLoad;
+import org.cornelspoke.coordination.admission.GateRequest;
+import org.cornelspoke.coordination.admission.UpstreamGate;
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.state.config.Preset;
+
+/** Baseline: the announced slots as limit and one FIFO queue without classes or deadlines. */
+final class NaiveGate implements UpstreamGate {
+
+  private static final int QUEUE_LIMIT = 1000;
+
+  private record Waiting(Listener listener) implements Ticket {}
+
+  private final Deque<Waiting> queue = new ArrayDeque<>();
+  private int limit;
+  private int inFlight;
+
+  NaiveGate(int slots) {
+    limit = slots;
+  }
+
+  @Override
+  public Ticket submit(GateRequest request, Listener listener, long nowNanos) {
+    Waiting waiting = new Waiting(listener);
+    if (queue.size() >= QUEUE_LIMIT) {
+      listener.onRefused(RefusalReason.OVERLOAD, 1000);
+    } else {
+      queue.add(waiting);
+      dispatch();
+    }
+    return waiting;
+  }
+
+  @Override
+  public void complete(Ticket ticket, Completion completion, long nowNanos) {
+    inFlight--;
+    dispatch();
+  }
+
+  @Override
+  public boolean cancel(Ticket ticket, long nowNanos) {
+    return queue.removeIf(waiting -> waiting == ticket);
+  }
+
+  @Override
+  public void onTick(long nowNanos) {
+    dispatch();
+  }
+
+  @Override
+  public void applyPreset(Preset preset) {
+    // The baseline knows no presets.
+  }
+
+  @Override
+  public void setAnnouncedSlots(int slots) {
+    limit = slots;
+  }
+
+  @Override
+  public void setDraining(boolean draining) {
+    // No scenario drains the baseline.
+  }
+
+  @Override
+  public GateLoad load() {
+    return new GateLoad(inFlight, queue.size(), limit);
+  }
+
+  private void dispatch() {
+    while (inFlight < limit && !queue.isEmpty()) {
+      inFlight++;
+      queue.poll().listener().onAdmitted();
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/Scenario.java
@@ -0,0 +1,126 @@
+package org.cornelspoke.bench.scenario;
+
+import java.util.List;
+import java.util.function.BiConsumer;
+
+/** The scenarios; the trigger lasts from 10 s to 20 s and measurement from 8 s to 32 s. */
+enum Scenario {
+  /**
+   * A deep service takes three times as long while demand doubles and callers retry three times.
+   */
+  SLOW_DEEP_SERVICE,
+  /** One large account sends five times its configured rate. */
+  ACCOUNT_SURGE,
+  /** Half of the slots of the deep service vanish without an announcement. */
+  CAPACITY_HALVES,
+  /** A third of the upstreams restart and are cold for five seconds. */
+  COLD_RESTART,
+  /** The daemons and upstreams of one data centre vanish. */
+  DATA_CENTRE_LOST,
+  /** The keys of a large account are withdrawn while its callers go on. */
+  KEYS_WITHDRAWN,
+  /** The deep service slows and one account sends five times its rate. */
+  SLOW_AND_SURGE;
+
+  static final double TRIGGER_START = 10;
+  static final double TRIGGER_END = 20;
+  static final double MEASURE_START = 8;
+  static final double END = 32;
+
+  private static final double SLOW_FACTOR = 3;
+
+  /** Time for a withdrawn key to become known everywhere. */
+  private static final double KEY_SECONDS = 0.2;
+
+  /** Schedules the trigger; the consumer is told of changes of capacity for the ideal bound. */
+  void schedule(Cluster cluster, Clients clients, IdealBound ideal) {
+    switch (this) {
+      case SLOW_DEEP_SERVICE -> slow(cluster, clients, ideal);
+      case ACCOUNT_SURGE -> surge(cluster, clients);
+      case CAPACITY_HALVES -> halve(cluster, ideal);
+      case COLD_RESTART -> coldRestart(cluster, ideal);
+      case DATA_CENTRE_LOST -> loseDataCentre(cluster, ideal);
+      case KEYS_WITHDRAWN ->
+          cluster.time.at(
+              TRIGGER_START + KEY_SECONDS,
+              () -> cluster.withdrawn.add(cluster.deployment.accounts().get(1).id()));
+      case SLOW_AND_SURGE -> {
+        slow(cluster, clients, ideal);
+        surge(cluster, clients);
+      }
+    }
+  }
+
+  /** Returns true if requests of the account count as wanted at the time. */
+  boolean isWanted(int account, double second) {
+    return this != KEYS_WITHDRAWN || account != 1 || second < TRIGGER_START;
+  }
+
+  private static void slow(Cluster cluster, Clients clients, IdealBound ideal) {
+    String deep = cluster.deployment.deepService();
+    during(
+        cluster,
+        () -> {
+          cluster.nodes(deep).forEach(node -> node.server.setSlowFactor(SLOW_FACTOR));
+          clients.setFactorOfAll(2);
+          clients.setRetries(3);
+        },
+        () -> {
+          cluster.nodes(deep).forEach(node -> node.server.setSlowFactor(1));
+          clients.setFactorOfAll(1);
+          clients.setRetries(0);
+        });
+    ideal.setWorkFactor(deep, SLOW_FACTOR, TRIGGER_START, TRIGGER_END);
+  }
+
+  private static void surge(Cluster cluster, Clients clients) {
+    during(cluster, () -> clients.setFactor(1, 5 * 1.3), () -> clients.setFactor(1, 1));
+  }
+
+  private static void halve(Cluster cluster, IdealBound ideal) {
+    String deep = cluster.deployment.deepService();
+    List<Node> nodes = cluster.nodes(deep);
+    int slots = nodes.get(0).target.slots();
+    during(
+        cluster,
+        () -> nodes.forEach(node -> node.server.setSlots(slots / 2)),
+        () -> nodes.forEach(node -> node.server.setSlots(slots)));
+    ideal.setCapacityFactor(deep, 0.5, TRIGGER_START, TRIGGER_END);
+  }
+
+  private static void coldRestart(Cluster cluster, IdealBound ideal) {
+    BiConsumer<Deployment.Service, List<Node>> restartThird =
+        (service, nodes) -> {
+          int count = Math.max(1, nodes.size() / 3);
+          ideal.setCapacityFactor(
+              service.name(), 1 - (double) count / nodes.size(), TRIGGER_START, TRIGGER_START + 1);
+          // A cold upstream warms up within 5 s; on average it serves half of its capacity.
+          ideal.setCapacityFactor(
+              service.name(), 1 - 0.5 * count / nodes.size(), TRIGGER_START + 1, TRIGGER_START + 6);
+          for (Node node : nodes.subList(0, count)) {
+            cluster.time.at(TRIGGER_START, () -> cluster.kill(node));
+            cluster.time.at(TRIGGER_START + 1, () -> cluster.restart(node));
+          }
+        };
+    cluster
+        .deployment
+        .services()
+        .forEach(service -> restartThird.accept(service, cluster.nodes(service.name())));
+  }
+
+  private static void loseDataCentre(Cluster cluster, IdealBound ideal) {
+    List<Node> lost = cluster.nodes().stream().filter(node -> node.dataCentre == 0).toList();
+    during(cluster, () -> lost.forEach(cluster::kill), () -> lost.forEach(cluster::restart));
+    for (Deployment.Service service : cluster.deployment.services()) {
+      long left =
+          cluster.nodes(service.name()).stream().filter(node -> node.dataCentre != 0).count();
+      ideal.setCapacityFactor(
+          service.name(), (double) left / service.targets(), TRIGGER_START, TRIGGER_END);
+    }
+  }
+
+  private static void during(Cluster cluster, Runnable start, Runnable end) {
+    cluster.time.at(TRIGGER_START, start);
+    cluster.time.at(TRIGGER_END, end);
+  }
+}
--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/ScenarioRun.java
@@ -0,0 +1,21 @@
+package org.cornelspoke.bench.scenario;
+
+import org.apache.commons.math3.random.Well19937c;
+
+/** Runs one scenario once. */
+final class ScenarioRun {
+
+  private ScenarioRun() {}
+
+  static Measures run(Deployment deployment, Scenario scenario, Variant variant, int seed) {
+    VirtualTime time = new VirtualTime();
+    Cluster cluster = new Cluster(time, deployment, variant, new Well19937c(seed));
+    Measures measures = new Measures(deployment, scenario);
+    Clients clients = new Clients(cluster, measures);
+    IdealBound ideal = new IdealBound(deployment);
+    scenario.schedule(cluster, clients, ideal);
+    time.runUntil((long) (Scenario.END * VirtualTime.SECOND));
+    measures.setIdeal(ideal);
+    return measures;
+  }
+}
--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/Scenarios.java
@@ -0,0 +1,103 @@
+package org.cornelspoke.bench.scenario;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.cornelspoke.coordination.admission.LimitAlgorithm;
+import org.cornelspoke.model.TrafficClass;
+
+/** Command {@code scenarios}: runs overload scenarios in virtual time and prints the measures. */
+public final class Scenarios {
+
+  private static final String ALL = "all";
+
+  @Parameter(names = "--seed", description = "seed of all random numbers")
+  private int seed = 1;
+
+  @Parameter(names = "--deployment", description = "cooperative, softwarehouse or all")
+  private String deployment = ALL;
+
+  @Parameter(names = "--scenario", description = "name of a scenario, or all")
+  private String scenario = ALL;
+
+  @Parameter(names = "--limits", description = "compares all limit algorithms")
+  private boolean limits;
+
+  @Parameter(names = "--accounts", description = "prints a line for each account")
+  private boolean accounts;
+
+  private Scenarios() {}
+
+  /** Runs the command; exits with 2 on wrong arguments. */
+  public static void main(String[] args) {
+    Scenarios command = new Scenarios();
+    try {
+      JCommander.newBuilder().addObject(command).programName("scenarios").build().parse(args);
+      command.run();
+    } catch (ParameterException | IllegalArgumentException e) {
+      System.err.println("scenarios: " + e.getMessage());
+      System.exit(2);
+    }
+  }
+
+  private void run() {
+    System.out.println(
+        "deployment     scenario          variant   class1  class2  class3  total"
+            + "   recover  worst   wrongful  overbound  late");
+    List<String> deployments =
+        deployment.equals(ALL) ? List.of("cooperative", "softwarehouse") : List.of(deployment);
+    List<Scenario> scenarios =
+        scenario.equals(ALL)
+            ? List.of(Scenario.values())
+            : List.of(Scenario.valueOf(scenario.toUpperCase(Locale.ROOT).replace('-', '_')));
+    for (String name : deployments) {
+      for (Scenario each : scenarios) {
+        for (Variant variant : variants()) {
+          print(Deployment.of(name), each, variant);
+        }
+      }
+    }
+  }
+
+  private List<Variant> variants() {
+    List<Variant> variants = new ArrayList<>();
+    variants.add(Variant.NAIVE);
+    if (limits) {
+      for (LimitAlgorithm algorithm : LimitAlgorithm.values()) {
+        variants.add(new Variant(false, algorithm));
+      }
+    } else {
+      variants.add(new Variant(false, LimitAlgorithm.DEFAULT));
+    }
+    return variants;
+  }
+
+  private void print(Deployment where, Scenario each, Variant variant) {
+    Measures measures = ScenarioRun.run(where, each, variant, seed);
+    System.out.printf(
+        Locale.ROOT,
+        "%-14s %-17s %-9s %6.3f  %6.3f  %6.3f  %6.3f  %5.1f s  %6.3f  %7.3f%%  %9d  %4d%n",
+        where.name(),
+        each.name().toLowerCase(Locale.ROOT),
+        variant.label(),
+        measures.classRatio(TrafficClass.CRITICAL),
+        measures.classRatio(TrafficClass.INTERACTIVE),
+        measures.classRatio(TrafficClass.BULK),
+        measures.totalRatio(),
+        measures.recoverySeconds(),
+        measures.worstAccountRatio(),
+        measures.wrongfulPart() * 100,
+        measures.overBound(),
+        measures.afterWithdrawal());
+    for (int a = 0; accounts && a < where.accounts().size(); a++) {
+      System.out.printf(
+          Locale.ROOT,
+          "  %-12s %6.3f of its fair share%n",
+          where.accounts().get(a).id(),
+          measures.accountRatio(a));
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/VirtualTime.java
@@ -0,0 +1,52 @@
+package org.cornelspoke.bench.scenario;
+
+import java.util.PriorityQueue;
+
+/** Event queue of a simulation. */
+final class VirtualTime {
+
+  static final long MILLI = 1_000_000L;
+  static final long SECOND = 1_000_000_000L;
+
+  private record Event(long atNanos, long number, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(atNanos, other.atNanos);
+      return byTime != 0 ? byTime : Long.compare(number, other.number);
+    }
+  }
+
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private long nowNanos;
+  private long nextNumber;
+
+  long now() {
+    return nowNanos;
+  }
+
+  void after(long delayNanos, Runnable action) {
+    events.add(new Event(nowNanos + Math.max(0, delayNanos), nextNumber++, action));
+  }
+
+  void at(double seconds, Runnable action) {
+    after((long) (seconds * SECOND) - nowNanos, action);
+  }
+
+  void every(long intervalNanos, Runnable action) {
+    after(
+        intervalNanos,
+        () -> {
+          action.run();
+          every(intervalNanos, action);
+        });
+  }
+
+  void runUntil(long endNanos) {
+    while (!events.isEmpty() && events.peek().atNanos() <= endNanos) {
+      Event event = events.poll();
+      nowNanos = event.atNanos();
+      event.action().run();
+    }
+    nowNanos = endNanos;
+  }
+}
--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/package-info.java
@@ -0,0 +1,2 @@
+/** Overload scenarios in virtual time over the decision classes of the daemon. */
+package org.cornelspoke.bench.scenario;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/LimitAlgorithm.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/LimitAlgorithm.java
@@ -11,6 +11,9 @@
   /** {@link VegasLimit}. */
   VEGAS;
 
+  /** The algorithm that measures best (docs/measurements.md). */
+  public static final LimitAlgorithm DEFAULT = AIMD;
+
   /** Creates a limit for an upstream that has just announced its slots. */
   public ConcurrencyLimit create(int announcedSlots) {
     return switch (this) {
