Count a limit as used when requests of a class wait for its part

Cause: a gate with bulk requests only holds at most 70% of its limit, below the 80% that let the limit rise, so it stayed at its start value of 8.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/Clients.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/Clients.java
@@ -21,6 +21,7 @@
   private final Cluster cluster;
   private final Measures measures;
   private final Map<AccountId, TokenCounter> exact = new HashMap<>();
+  private final Map<AccountId, TokenCounter> exactForAttempts = new HashMap<>();
   private final Map<AccountId, TokenCounter> bound = new HashMap<>();
   private final double[] factor;
   private int retries;
@@ -34,6 +35,7 @@
       factor[a] = 1;
       Account account = accounts.get(a);
       exact.put(account.id(), counter(account));
+      exactForAttempts.put(account.id(), counter(account));
       bound.put(account.id(), counter(account));
       for (int t = 0; t < cluster.deployment.types().size(); t++) {
         arrive(a, t);
@@ -112,6 +114,8 @@
       if (cluster.withdrawn.contains(account.id())) {
         return;
       }
+      measures.onAttempt(
+          accountIndex, exactForAttempts.get(account.id()).tryTake(now), arrivedNanos);
       int incarnation = edge.incarnation;
       edge.limiter.acquire(
           account.id(),
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -84,7 +84,9 @@
       throw new IllegalStateException("ticket is not admitted: " + entry.state());
     }
     entry.end();
-    limit.onCompleted(entry.heldNanos(nowNanos), inFlight, completion, nowNanos);
+    // A limit of which a class may hold only a part is used up when requests of the class wait.
+    int used = waiting() > 0 ? Math.max(inFlight, limit.limit()) : inFlight;
+    limit.onCompleted(entry.heldNanos(nowNanos), used, completion, nowNanos);
     queues.get(entry.request().trafficClass()).onCompleted(entry, completion, nowNanos);
     inFlight--;
     dispatch(nowNanos);
