--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/Clients.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/Clients.java
@@ -1,6 +1,5 @@
 package org.cornelspoke.bench.scenario;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -119,6 +118,7 @@
       int incarnation = edge.incarnation;
       edge.limiter.acquire(
           account.id(),
+          type.trafficClass(),
           now + SHARE_WAIT_NANOS,
           new RateLimiter.Listener() {
             @Override
@@ -169,8 +169,9 @@
       }
     }
 
+    /** Callers know every daemon and try others when one does not accept a connection. */
     private Node pickEdge() {
-      List<Node> edges = new ArrayList<>(cluster.nodes(type.chain().get(0)));
+      List<Node> edges = cluster.nodes();
       for (int i = 0; i < MAX_CONNECT_TRIES; i++) {
         Node edge = edges.get(cluster.random.nextInt(edges.size()));
         if (edge.alive) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -1,13 +1,11 @@
 package org.cornelspoke.coordination.quota;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Iterator;
 import java.util.function.Consumer;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Reset;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.TrafficClass;
 
 /** One account at a daemon: its share, the requests that wait for a token, and the demand. */
 final class HeldAccount {
@@ -27,18 +25,15 @@
   /** Report intervals between reports of a steady demand; well below the lease. */
   private static final int STEADY_INTERVALS = 5;
 
-  private static final int MAX_WAITING = 10_000;
   private static final double MILLIS_PER_SECOND = 1e3;
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
   private static final long MAX_RETRY_AFTER_MILLIS = 30_000;
 
-  private record Waiter(long deadlineNanos, RateLimiter.Listener listener) {}
-
   private final ShareTimes times;
   private final TokenBucket bucket;
   private final ShareLink link;
   private final DemandMeter demand;
-  private final Deque<Waiter> waiters = new ArrayDeque<>();
+  private final TokenQueue waiters = new TokenQueue();
   private TokenBucket formerBucket;
   private long formerEndNanos;
   private long lastArrivalNanos;
@@ -111,13 +106,7 @@
   void onTick(long nowNanos) {
     dropEndedLeases(nowNanos);
     serve(nowNanos);
-    for (Iterator<Waiter> all = waiters.iterator(); all.hasNext(); ) {
-      Waiter waiter = all.next();
-      if (nowNanos - waiter.deadlineNanos() >= 0) {
-        all.remove();
-        waiter.listener().onRefused(retryAfterMillis());
-      }
-    }
+    waiters.refuseExpired(nowNanos, retryAfterMillis());
     if (isUnused(nowNanos)) {
       link.giveUp(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE, nowNanos);
       bucket.clear(nowNanos);
@@ -131,19 +120,19 @@
     askIfWaiting(nowNanos);
   }
 
-  void acquire(long deadlineNanos, RateLimiter.Listener listener, long nowNanos) {
+  void acquire(
+      TrafficClass trafficClass, long deadlineNanos, RateLimiter.Listener listener, long nowNanos) {
     dropEndedLeases(nowNanos);
     demand.onArrival(nowNanos);
     lastArrivalNanos = nowNanos;
-    if (waiters.isEmpty() && tryTake(nowNanos)) {
+    if (!waiters.hasBefore(trafficClass) && tryTake(nowNanos)) {
       listener.onGranted();
       return;
     }
-    if (nowNanos - deadlineNanos >= 0 || waiters.size() >= MAX_WAITING) {
+    if (nowNanos - deadlineNanos >= 0 || !waiters.add(trafficClass, deadlineNanos, listener)) {
       listener.onRefused(retryAfterMillis());
       return;
     }
-    waiters.add(new Waiter(deadlineNanos, listener));
     serve(nowNanos);
     askIfWaiting(nowNanos);
   }
@@ -183,7 +172,7 @@
 
   private void serve(long nowNanos) {
     while (!waiters.isEmpty() && tryTake(nowNanos)) {
-      waiters.poll().listener().onGranted();
+      waiters.poll().onGranted();
     }
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RateLimiter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RateLimiter.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.coordination.quota;
 
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.TrafficClass;
 
 /**
  * Charges requests to the rate shares that this daemon holds.
@@ -17,6 +18,19 @@
    */
   void acquire(AccountId account, long deadlineNanos, Listener listener, long nowNanos);
 
+  /**
+   * As {@link #acquire(AccountId, long, Listener, long)}, for a request of a known class. Among the
+   * requests of an account that wait for a token, those of a higher class are served first.
+   */
+  default void acquire(
+      AccountId account,
+      TrafficClass trafficClass,
+      long deadlineNanos,
+      Listener listener,
+      long nowNanos) {
+    acquire(account, deadlineNanos, listener, nowNanos);
+  }
+
   /** Receives the answer. */
   interface Listener {
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
@@ -8,6 +8,7 @@
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Reset;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.util.Assert;
 
 /**
@@ -82,13 +83,25 @@
     }
   }
 
+  /** Treats the request as {@link TrafficClass#INTERACTIVE}. */
   @Override
   public void acquire(AccountId account, long deadlineNanos, Listener listener, long nowNanos) {
+    acquire(account, TrafficClass.INTERACTIVE, deadlineNanos, listener, nowNanos);
+  }
+
+  @Override
+  public void acquire(
+      AccountId account,
+      TrafficClass trafficClass,
+      long deadlineNanos,
+      Listener listener,
+      long nowNanos) {
+    Assert.notNull(trafficClass, "trafficClass");
     Assert.notNull(account, "account");
     Assert.notNull(listener, "listener");
     accounts
         .computeIfAbsent(account, id -> newAccount(id, nowNanos))
-        .acquire(deadlineNanos, listener, nowNanos);
+        .acquire(trafficClass, deadlineNanos, listener, nowNanos);
   }
 
   /** Returns what is held of the account, for metrics and tests. */
--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenQueue.java
@@ -0,0 +1,78 @@
+package org.cornelspoke.coordination.quota;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.Iterator;
+import java.util.Map;
+import org.cornelspoke.model.TrafficClass;
+
+/** Requests that wait for a token, by class. */
+final class TokenQueue {
+
+  private static final int MAX_WAITING = 10_000;
+
+  private record Waiter(long deadlineNanos, RateLimiter.Listener listener) {}
+
+  private final Map<TrafficClass, Deque<Waiter>> waiters = new EnumMap<>(TrafficClass.class);
+  private int size;
+
+  TokenQueue() {
+    for (TrafficClass trafficClass : TrafficClass.values()) {
+      waiters.put(trafficClass, new ArrayDeque<>());
+    }
+  }
+
+  int size() {
+    return size;
+  }
+
+  boolean isEmpty() {
+    return size == 0;
+  }
+
+  /** Returns true if a request of this class or a higher one waits. */
+  boolean hasBefore(TrafficClass trafficClass) {
+    for (Map.Entry<TrafficClass, Deque<Waiter>> entry : waiters.entrySet()) {
+      if (!trafficClass.outranks(entry.getKey()) && !entry.getValue().isEmpty()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Adds a request, or returns false if too many wait. */
+  boolean add(TrafficClass trafficClass, long deadlineNanos, RateLimiter.Listener listener) {
+    if (size >= MAX_WAITING) {
+      return false;
+    }
+    waiters.get(trafficClass).add(new Waiter(deadlineNanos, listener));
+    size++;
+    return true;
+  }
+
+  /** Removes the oldest request of the highest class. */
+  RateLimiter.Listener poll() {
+    for (Deque<Waiter> queue : waiters.values()) {
+      if (!queue.isEmpty()) {
+        size--;
+        return queue.poll().listener();
+      }
+    }
+    throw new IllegalStateException("no request waits");
+  }
+
+  /** Refuses the requests whose deadline has passed. */
+  void refuseExpired(long nowNanos, long retryAfterMillis) {
+    for (Deque<Waiter> queue : waiters.values()) {
+      for (Iterator<Waiter> all = queue.iterator(); all.hasNext(); ) {
+        Waiter waiter = all.next();
+        if (nowNanos - waiter.deadlineNanos() >= 0) {
+          all.remove();
+          size--;
+          waiter.listener().onRefused(retryAfterMillis);
+        }
+      }
+    }
+  }
+}
