--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/AbstractConcurrencyLimit.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/AbstractConcurrencyLimit.java
@@ -32,9 +32,6 @@
   /** Rejected part of a window that counts as overload; single timeouts happen at any load. */
   private static final double REJECTED_PART = 0.01;
 
-  /** Failed part of a window that counts as overload; server errors often have other causes. */
-  private static final double FAILED_PART = 0.5;
-
   private static final double MIN_REJECTION_FACTOR = 0.7;
   private static final double MAX_REJECTION_FACTOR = 0.95;
 
@@ -110,8 +107,10 @@
   abstract double increase(double limit, double latencyNanos, double baselineNanos);
 
   private void update() {
-    if (window.rejectedPart() > REJECTED_PART || window.failedPart() > FAILED_PART) {
-      double bad = window.rejectedPart() + window.failedPart();
+    // Server errors do not count: most come from nested calls that were refused elsewhere, and a
+    // lower limit here would not help there.
+    if (window.rejectedPart() > REJECTED_PART) {
+      double bad = window.rejectedPart();
       rampUp = false;
       limit =
           clamp(limit * Math.min(MAX_REJECTION_FACTOR, Math.max(MIN_REJECTION_FACTOR, 1 - bad)));
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/LatencyWindow.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/LatencyWindow.java
@@ -67,10 +67,6 @@
     return (double) rejections / samples();
   }
 
-  double failedPart() {
-    return (double) failures / samples();
-  }
-
   int maxInFlight() {
     return maxInFlight;
   }
