--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/AbstractConcurrencyLimit.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/AbstractConcurrencyLimit.java
@@ -17,6 +17,13 @@
   /** Part of the announced slots that a cold upstream gets at first. */
   private static final double INITIAL_PART = 0.2;
 
+  /**
+   * Most requests that a cold upstream gets at first. An upstream that announces ten times its
+   * slots would otherwise queue from the first request on, and the baseline would include that
+   * queue.
+   */
+  private static final double MAX_INITIAL = 8;
+
   private static final double RAMP_UP_FACTOR = 1.5;
 
   /** Lowest limit as part of the announced slots; lower ones make recovery slow to notice. */
@@ -25,9 +32,6 @@
   /** Rejected part of a window that counts as overload; single timeouts happen at any load. */
   private static final double REJECTED_PART = 0.01;
 
-  /** Failed part of a window that counts as overload; server errors often have other causes. */
-  private static final double FAILED_PART = 0.5;
-
   private static final double MIN_REJECTION_FACTOR = 0.7;
   private static final double MAX_REJECTION_FACTOR = 0.95;
 
@@ -52,7 +56,7 @@
   AbstractConcurrencyLimit(int announcedSlots) {
     Assert.isTrue(announcedSlots >= 1, "slots must be 1 or more");
     this.announcedSlots = announcedSlots;
-    limit = clamp(announcedSlots * INITIAL_PART);
+    limit = clamp(Math.min(MAX_INITIAL, announcedSlots * INITIAL_PART));
   }
 
   @Override
@@ -103,8 +107,10 @@
   abstract double increase(double limit, double latencyNanos, double baselineNanos);
 
   private void update() {
-    if (window.rejectedPart() > REJECTED_PART || window.failedPart() > FAILED_PART) {
-      double bad = window.rejectedPart() + window.failedPart();
+    // Server errors do not count: most come from nested calls that were refused elsewhere, and a
+    // lower limit here would not help there.
+    if (window.rejectedPart() > REJECTED_PART) {
+      double bad = window.rejectedPart();
       rampUp = false;
       limit =
           clamp(limit * Math.min(MAX_REJECTION_FACTOR, Math.max(MIN_REJECTION_FACTOR, 1 - bad)));
@@ -132,7 +138,12 @@
   private void onCongestion(double latency) {
     rampUp = false;
     if (congestionLimit == 0) {
+      // The latency at this limit is measured in the next window; this one began at a lower limit.
       congestionLimit = limit;
+      congestionLatencyNanos = 0;
+      return;
+    }
+    if (congestionLatencyNanos == 0) {
       congestionLatencyNanos = latency;
     } else if (limit <= congestionLimit * JUDGED_LIMIT_PART || limit <= clamp(0)) {
       if (latency > congestionLatencyNanos * UNCHANGED_LATENCY_PART) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -1,36 +1,44 @@
 package org.cornelspoke.coordination.quota;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Iterator;
 import java.util.function.Consumer;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Reset;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.TrafficClass;
 
 /** One account at a daemon: its share, the requests that wait for a token, and the demand. */
 final class HeldAccount {
 
-  /** Tokens kept on a voluntary recall, as time of the present demand. */
-  private static final double KEEP_SECONDS = 0.03;
+  /**
+   * Tokens kept on a voluntary recall, as time of the present demand. With 0.03 s a large holder
+   * kept a dozen tokens while requests at small holders waited in vain.
+   */
+  private static final double KEEP_SECONDS = 0.01;
+
+  /** Rate kept on a voluntary recall, as part of the present demand. */
+  private static final double RATE_HEADROOM = 1.05;
+
+  /** Change of demand that is reported without delay. */
+  private static final double DEMAND_TOLERANCE = 0.15;
+
+  /** Report intervals between reports of a steady demand; well below the lease. */
+  private static final int STEADY_INTERVALS = 5;
 
-  private static final int MAX_WAITING = 10_000;
   private static final double MILLIS_PER_SECOND = 1e3;
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
   private static final long MAX_RETRY_AFTER_MILLIS = 30_000;
 
-  private record Waiter(long deadlineNanos, RateLimiter.Listener listener) {}
-
   private final ShareTimes times;
   private final TokenBucket bucket;
   private final ShareLink link;
   private final DemandMeter demand;
-  private final Deque<Waiter> waiters = new ArrayDeque<>();
+  private final TokenQueue waiters = new TokenQueue();
   private TokenBucket formerBucket;
   private long formerEndNanos;
   private long lastArrivalNanos;
   private long sessionUsed;
+  private double reportedDemand;
 
   HeldAccount(AccountId account, ShareTimes times, Consumer<ShareMessage> toOwner, long nowNanos) {
     this.times = times;
@@ -65,11 +73,15 @@
       return;
     }
     serve(nowNanos);
-    double keep = recall.keep().levelTokens();
-    if (!recall.forced()) {
-      keep = Math.max(keep, waiters.size() + demand.perSecond(nowNanos) * KEEP_SECONDS);
+    if (recall.forced()) {
+      link.onRecall(recall.keep(), nowNanos);
+    } else if (waiters.isEmpty()) {
+      double needed = demand.perSecond(nowNanos) * RATE_HEADROOM;
+      double level = needed * KEEP_SECONDS;
+      link.onRecall(new TokenShare(needed, level + 1, level), nowNanos);
+    } else {
+      link.giveUp(0, 0, 0, nowNanos);
     }
-    link.onRecall(recall, keep, nowNanos);
   }
 
   /**
@@ -94,13 +106,7 @@
   void onTick(long nowNanos) {
     dropEndedLeases(nowNanos);
     serve(nowNanos);
-    for (Iterator<Waiter> all = waiters.iterator(); all.hasNext(); ) {
-      Waiter waiter = all.next();
-      if (nowNanos - waiter.deadlineNanos() >= 0) {
-        all.remove();
-        waiter.listener().onRefused(retryAfterMillis());
-      }
-    }
+    waiters.refuseExpired(nowNanos, retryAfterMillis());
     if (isUnused(nowNanos)) {
       link.giveUp(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE, nowNanos);
       bucket.clear(nowNanos);
@@ -109,24 +115,24 @@
     }
     if (demand.windowIsOlderThan(times.reportNanos(), nowNanos)) {
       demand.roll(nowNanos);
-      report(nowNanos);
+      reportIfDue(nowNanos);
     }
     askIfWaiting(nowNanos);
   }
 
-  void acquire(long deadlineNanos, RateLimiter.Listener listener, long nowNanos) {
+  void acquire(
+      TrafficClass trafficClass, long deadlineNanos, RateLimiter.Listener listener, long nowNanos) {
     dropEndedLeases(nowNanos);
-    demand.onArrival();
+    demand.onArrival(nowNanos);
     lastArrivalNanos = nowNanos;
-    if (waiters.isEmpty() && tryTake(nowNanos)) {
+    if (!waiters.hasBefore(trafficClass) && tryTake(nowNanos)) {
       listener.onGranted();
       return;
     }
-    if (nowNanos - deadlineNanos >= 0 || waiters.size() >= MAX_WAITING) {
+    if (nowNanos - deadlineNanos >= 0 || !waiters.add(trafficClass, deadlineNanos, listener)) {
       listener.onRefused(retryAfterMillis());
       return;
     }
-    waiters.add(new Waiter(deadlineNanos, listener));
     serve(nowNanos);
     askIfWaiting(nowNanos);
   }
@@ -149,6 +155,15 @@
     return waiters.isEmpty() && nowNanos - lastArrivalNanos >= times.idleNanos();
   }
 
+  /** Reports a changed demand at once and a steady one at every fifth interval. */
+  private void reportIfDue(long nowNanos) {
+    double change = Math.abs(demand.perSecond(nowNanos) - reportedDemand);
+    if (change > reportedDemand * DEMAND_TOLERANCE
+        || link.reportIsOlderThan(STEADY_INTERVALS * times.reportNanos(), nowNanos)) {
+      report(nowNanos);
+    }
+  }
+
   private void askIfWaiting(long nowNanos) {
     if (!waiters.isEmpty() && link.mayAsk(nowNanos)) {
       report(nowNanos);
@@ -157,7 +172,7 @@
 
   private void serve(long nowNanos) {
     while (!waiters.isEmpty() && tryTake(nowNanos)) {
-      waiters.poll().listener().onGranted();
+      waiters.poll().onGranted();
     }
   }
 
@@ -179,7 +194,8 @@
   }
 
   private void report(long nowNanos) {
-    link.report(bucket.share(nowNanos), demand.perSecond(nowNanos), waiters.size(), nowNanos);
+    reportedDemand = demand.perSecond(nowNanos);
+    link.report(TokenShare.EMPTY, reportedDemand, waiters.size(), nowNanos);
   }
 
   private long retryAfterMillis() {
