Add bin/bench overhead and bin/bench soak

Cause: the added time per call and the invariants under random faults have to be measured on real processes. Load plans have a warm-up that is left out of the latencies.

--- a/bin/lib/deployment.sh
+++ b/bin/lib/deployment.sh
@@ -5,6 +5,7 @@
 bench_jar="cornelspoke-bench/target/cornelspoke-bench.jar"
 # Short start-up counts more than peak speed where 16 daemons share one machine.
 daemon_options="-XX:+UseSerialGC -Xmx64m -XX:TieredStopAtLevel=1 -Xshare:auto"
+upstream_options="-XX:+UseSerialGC -Xmx128m -XX:TieredStopAtLevel=1"
 
 fail() {
   echo "$*" >&2
@@ -49,15 +50,16 @@
 
 # start_upstream NAME: starts the stand-ins of one service in one process.
 start_upstream() {
-  start_process "$1" java -XX:+UseSerialGC -Xmx128m -XX:TieredStopAtLevel=1 \
-    -jar "$bench_jar" upstream --config "$run_folder/$1.json"
+  JDK_JAVA_OPTIONS="$upstream_options" start_process "$1" \
+    java -jar "$bench_jar" upstream --config "$run_folder/$1.json"
 }
 
-# await SECONDS WHAT COMMAND...: repeats the command until it succeeds.
+# await SECONDS WHAT COMMAND...: repeats the command until it succeeds; its output is in await.log.
 await() {
   local end=$((SECONDS + $1)) what="$2"
   shift 2
-  until "$@" >/dev/null 2>&1; do
+  until "$@" >>"$run_folder/await.log" 2>&1; do
+    check_running
     [ "$SECONDS" -lt "$end" ] || fail "$what: not ready in time; see the logs in $run_folder"
     sleep 0.2
   done
@@ -82,7 +84,6 @@
 
 all_healthy() {
   local name
-  check_running
   for name in $(names traffic); do
     is_healthy "$name" || return 1
   done
@@ -91,13 +92,11 @@
 # all_registered: true if the control group knows every target as up.
 all_registered() {
   local up
-  check_running
   up="$(ctl upstream list --json | grep -o '"state" *: *"UP"' | wc -l)"
   [ "$up" -eq "$(names traffic | wc -l)" ]
 }
 
 has_quorum() {
-  check_running
   ctl status --timeout-millis 2000
 }
 
@@ -130,7 +129,8 @@
   await 20 "control group" has_quorum
   echo "control group is ready after $SECONDS s"
   configure
-  echo "8 accounts, their keys and the routes are configured after $SECONDS s"
+  echo "$(wc -l <"$run_folder/ctl-commands") accounts and routes and" \
+    "$(wc -l <"$run_folder/ctl-keys") keys are configured after $SECONDS s"
   await 15 "targets" all_registered
   await 10 "traffic daemons" all_healthy
   echo "every target is registered and healthy after $SECONDS s"
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/Main.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/Main.java
@@ -6,6 +6,9 @@
 import org.cornelspoke.bench.deployment.DeploymentCommand;
 import org.cornelspoke.bench.deployment.DeploymentLoadCommand;
 import org.cornelspoke.bench.load.LoadCommand;
+import org.cornelspoke.bench.overhead.OverheadCommand;
+import org.cornelspoke.bench.soak.SoakCheckCommand;
+import org.cornelspoke.bench.soak.SoakScheduleCommand;
 import org.cornelspoke.bench.upstream.UpstreamCommand;
 
 /** Entry point of the bench program: selects a command by its first argument. */
@@ -22,7 +25,10 @@
         new UpstreamCommand(), //
         new LoadCommand(),
         new DeploymentCommand(),
-        new DeploymentLoadCommand());
+        new DeploymentLoadCommand(),
+        new OverheadCommand(),
+        new SoakScheduleCommand(),
+        new SoakCheckCommand());
   }
 
   /** Runs the command that the arguments select and exits with its code. */
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/deployment/DeploymentCommand.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/deployment/DeploymentCommand.java
@@ -11,7 +11,10 @@
 @Parameters(commandDescription = "Write settings and addresses of a deployment into a run folder")
 public final class DeploymentCommand implements BenchCommand {
 
-  @Parameter(names = "--deployment", required = true, description = "cooperative or softwarehouse")
+  @Parameter(
+      names = "--deployment",
+      required = true,
+      description = "cooperative, softwarehouse or overhead")
   private String deployment;
 
   @Parameter(names = "--run-folder", required = true, description = "folder for the files")
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/deployment/DeploymentFiles.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/deployment/DeploymentFiles.java
@@ -152,7 +152,8 @@
     config.put("controlAddress", nextAddress());
     config.put("announceAddress", daemon.get("localAddress"));
     config.put("edgeAddress", daemon.get("edgeAddress"));
-    config.put("logFile", folder.resolve("requests-" + name + ".jsonl").toString());
+    String log = folder.resolve("requests-" + name + ".jsonl").toString();
+    config.put("logFile", spec.requestLog() ? log : null);
     config.put("seed", index + 1);
     config.put("leaseMillis", LEASE_MILLIS);
     config.put("behaviour", behaviour);
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/deployment/DeploymentLoad.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/deployment/DeploymentLoad.java
@@ -18,6 +18,8 @@
 
   private static final long DEADLINE_MILLIS = 3_000;
   private static final int REQUEST_BODY_BYTES = 200;
+  // The first seconds show the start of the virtual machines, not the layer.
+  private static final long WARMUP_MILLIS = 4_000;
   private static final double SURGE_FACTOR = 3;
 
   private final ObjectMapper mapper = new ObjectMapper();
@@ -61,6 +63,7 @@
         runId,
         seed,
         durationMillis,
+        Math.min(WARMUP_MILLIS, durationMillis / 4),
         Files.readAllLines(folder.resolve("edges")),
         accounts,
         routes,
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/deployment/DeploymentSpec.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/deployment/DeploymentSpec.java
@@ -15,7 +15,8 @@
     List<String> dataCentres,
     List<ServiceSpec> services,
     List<RouteSpec> routes,
-    List<AccountSpec> accounts) {
+    List<AccountSpec> accounts,
+    boolean requestLog) {
 
   private static final int LARGE_ACCOUNTS = 3;
 
@@ -28,9 +29,10 @@
     return switch (name) {
       case "cooperative" -> cooperative();
       case "softwarehouse" -> softwareHouse();
+      case "overhead" -> overhead();
       default ->
           throw new IllegalArgumentException(
-              "--deployment must be cooperative or softwarehouse: " + name);
+              "--deployment must be cooperative, softwarehouse or overhead: " + name);
     };
   }
 
@@ -55,7 +57,8 @@
             get("results", "/hatol", "hatol", INTERACTIVE, false, 0.2),
             get("catalogue", "/katalogo", "katalogo", BULK, false, 0.3),
             get("rules", "/katalogo/rules", "katalogo", BULK, false, 0)),
-        accounts("gapan", "malolos", "angeles", "cabiao", "baliwag", "guagua", "arayat", "jaen"));
+        accounts("gapan", "malolos", "angeles", "cabiao", "baliwag", "guagua", "arayat", "jaen"),
+        true);
   }
 
   private static DeploymentSpec softwareHouse() {
@@ -79,7 +82,21 @@
             get("verification", "/overenie", "overenie", INTERACTIVE, false, 0.2),
             get("bins", "/overenie/bins", "overenie", INTERACTIVE, false, 0),
             get("documents", "/dokumenty", "dokumenty", BULK, false, 0.3)),
-        accounts("zvolen", "lucenec", "brezno", "detva", "krupina", "sliac", "hrinova", "poltar"));
+        accounts("zvolen", "lucenec", "brezno", "detva", "krupina", "sliac", "hrinova", "poltar"),
+        true);
+  }
+
+  /** Returns one target that is called, and another whose daemon forwards calls to the first. */
+  private static DeploymentSpec overhead() {
+    return new DeploymentSpec(
+        "overhead",
+        List.of("local"),
+        List.of(
+            new ServiceSpec("called", 1, 1_000, 0, List.of()),
+            new ServiceSpec("forwarding", 1, 1_000, 0, List.of())),
+        List.of(get("called", "/called", "called", CRITICAL, false, 1)),
+        List.of(new AccountSpec("caller", 100_000, 100_000, 1, 1)),
+        false);
   }
 
   private static RouteSpec unrepeatable(String id, String path, String service, double weight) {
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/GroupStats.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/GroupStats.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
@@ -42,9 +43,10 @@
     }
   }
 
-  void addCompleted(long latency) {
+  void addCompleted(OptionalLong latency) {
     completed++;
-    latencyMicros.recordValue(Math.max(0, Math.min(latency, MAX_LATENCY_MICROS)));
+    latency.ifPresent(
+        value -> latencyMicros.recordValue(Math.max(0, Math.min(value, MAX_LATENCY_MICROS))));
   }
 
   Map<String, Object> asMap(double seconds) {
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadCommand.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadCommand.java
@@ -48,6 +48,7 @@
             plan.runId(),
             seed == null ? plan.seed() : seed,
             durationMillis == null ? plan.durationMillis() : durationMillis,
+            plan.warmupMillis(),
             plan.edges(),
             plan.accounts(),
             plan.routes(),
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadGenerator.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadGenerator.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.commons.math3.random.RandomGenerator;
@@ -136,7 +137,10 @@
     stats.addAttempt(attempt.arrival(), result);
     if (result.isSuccess()) {
       long due = startNanos + attempt.arrival().atNanos();
-      stats.addCompleted(attempt.arrival(), (nanoClock.getAsLong() - due) / 1000);
+      boolean measured = attempt.arrival().atNanos() >= plan.warmupMillis() * 1_000_000;
+      long latency = (nanoClock.getAsLong() - due) / 1000;
+      stats.addCompleted(
+          attempt.arrival(), measured ? OptionalLong.of(latency) : OptionalLong.empty());
       unfinished--;
       return;
     }
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadPlan.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadPlan.java
@@ -10,6 +10,7 @@
  * The load of one run.
  *
  * @param runId text that makes the ids of this run differ from those of other runs
+ * @param warmupMillis requests that are due earlier are left out of the latencies
  * @param edges edge addresses, over which requests are spread evenly
  * @param phases changes of the offered rate; outside of every phase the factor is 1
  */
@@ -17,6 +18,7 @@
     String runId,
     long seed,
     long durationMillis,
+    long warmupMillis,
     List<String> edges,
     List<Caller> accounts,
     List<CalledRoute> routes,
@@ -28,6 +30,7 @@
     Assert.hasText(runId, "runId");
     Assert.isTrue(runId.matches("[a-z0-9]+"), "runId must match [a-z0-9]+");
     Assert.isTrue(durationMillis > 0, "durationMillis must be positive");
+    Assert.isTrue(warmupMillis >= 0, "warmupMillis must be 0 or more");
     Assert.isTrue(edges != null && !edges.isEmpty(), "edges must not be empty");
     edges.forEach(Endpoint::parse);
     Assert.isTrue(accounts != null && !accounts.isEmpty(), "accounts must not be empty");
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadStats.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadStats.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 
 /** Results of a run by class and by account. Belongs to one thread. */
@@ -25,7 +26,7 @@
     }
   }
 
-  void addCompleted(Arrival arrival, long latencyMicros) {
+  void addCompleted(Arrival arrival, OptionalLong latencyMicros) {
     for (GroupStats group : groups(arrival)) {
       group.addCompleted(latencyMicros);
     }
--- a/cornelspoke-bench/src/test/java/org/cornelspoke/bench/load/LoadGeneratorTest.java
+++ b/cornelspoke-bench/src/test/java/org/cornelspoke/bench/load/LoadGeneratorTest.java
@@ -26,6 +26,8 @@
   private static final InetSocketAddress LOOPBACK =
       new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
+  private static final long WARMUP_MILLIS = 100;
+
   private final LoopThread thread = new LoopThread("test");
   private final List<AttemptRecord> attempts = new ArrayList<>();
   private final AtomicLong nanos = new AtomicLong();
@@ -47,7 +49,7 @@
   void completesARequestAndHidesNoWait() {
     // The clock stands 250 ms after the intended time, as after a stall of the generator.
     start(1, 1, LoadGeneratorTest::answerWell);
-    nanos.set(250_000_000);
+    nanos.set(350_000_000);
 
     send(entries(), 1);
 
@@ -57,6 +59,16 @@
     assertThat(attempts.get(0).idempotencyKey()).isEqualTo("a.t-0");
   }
 
+  @Test
+  void leavesTheWarmUpOutOfTheLatencies() {
+    start(1, 1, LoadGeneratorTest::answerWell);
+
+    send(entries(), 1, 0);
+
+    assertThat(generator.stats().total().completed).isEqualTo(1);
+    assertThat(generator.stats().total().latencyMicros.getTotalCount()).isEqualTo(0);
+  }
+
   @Test
   void noticesAnAnswerToAnotherRequest() {
     start(1, 1, exchange -> answer(exchange, "a.t-9.1", 100, 100));
@@ -147,6 +159,7 @@
                       "t",
                       1,
                       1000,
+                      WARMUP_MILLIS,
                       List.of("127.0.0.1:" + server.port()),
                       List.of(caller(burst)),
                       List.of(entries(), files()),
@@ -157,11 +170,15 @@
   }
 
   private void send(LoadPlan.CalledRoute route, int count) {
+    send(route, count, WARMUP_MILLIS * 1_000_000);
+  }
+
+  private void send(LoadPlan.CalledRoute route, int count, long dueNanos) {
     thread.call(
         () -> {
           for (int i = 0; i < count; i++) {
             String edge = "127.0.0.1:" + server.port();
-            generator.send(new Arrival(i, 0, caller(1), route, edge));
+            generator.send(new Arrival(i, dueNanos, caller(1), route, edge));
           }
           return null;
         });
