--- a/bin/lib/deployment.sh
+++ b/bin/lib/deployment.sh
@@ -68,7 +68,7 @@
 check_running() {
   local name
   for name in "${!process_ids[@]}"; do
-    if ! is_own "${process_ids[$name]}"; then
+    if ! is_running "$name"; then
       tail -n 5 "$run_folder/$name.log" >&2 || true
       fail "$name has ended"
     fi
--- a/bin/lib/overhead.sh
+++ b/bin/lib/overhead.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# bin/bench overhead [--rate N] [--rounds N] [--slice-millis N] [--seed S] [--json FILE]
+# bin/bench overhead [--rate N] [--rounds N] [--slice-millis N] [--seed S]
 # Starts one upstream with its daemon, a second daemon that forwards to it and three control
 # daemons; measures direct calls, calls through one daemon and calls through two.
 set -euo pipefail
@@ -21,7 +21,8 @@
 address="$(sed -n 's/.*"address" : "\(.*\)".*/\1/p' "$run_folder/upstream-called.json")"
 key="$(sed -n 's/.*"key" *: *"\([^"]*\)".*/\1/p' "$run_folder/keys/caller-1.json")"
 # The second direct path shows how much two equal paths differ on this machine.
-bench overhead --path.direct="$address" --path.direct-again="$address" \
+run_process overhead "${bench_java[@]}" -jar "$bench_jar" overhead \
+  --json "$run_folder/overhead.json" --path.direct="$address" --path.direct-again="$address" \
   --path.one-daemon="$(sed -n 1p "$run_folder/edges")" \
   --path.two-daemons="$(sed -n 2p "$run_folder/edges")" \
   --pid.upstream="${process_ids[upstream-called]}" \
--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -1,37 +1,67 @@
 # Starts local processes, remembers their ids and ends exactly those. To be sourced; the caller sets
-# run_folder to a folder that every command line of a started process contains.
+# run_folder to the folder for logs and ids.
 
-declare -A process_ids=()
+declare -A process_ids=() start_times=()
 pids_file="$run_folder/pids"
 
+# remember_process NAME PID
+remember_process() {
+  process_ids[$1]=$2
+  start_times[$1]="$(start_time "$2")" || start_times[$1]=ended
+  printf '%s %s %s\n' "$1" "$2" "${start_times[$1]}" >>"$pids_file"
+}
+
 # start_process NAME COMMAND...: runs the command in the background, with output to NAME.log.
 start_process() {
   local name="$1"
   shift
   "$@" >>"$run_folder/$name.log" 2>&1 </dev/null &
-  process_ids[$name]=$!
-  printf '%s %s\n' "$name" "$!" >>"$pids_file"
+  remember_process "$name" "$!"
+  # Without this the shell reports each killed process by itself.
+  disown "$!"
+}
+
+# run_process NAME COMMAND...: runs the command and waits for it. A signal to the script is handled
+# at once, which the shell does not do while it runs a command in the foreground.
+run_process() {
+  local name="$1" code=0
+  shift
+  "$@" </dev/null &
+  remember_process "$name" "$!"
+  wait "$!" || code=$?
+  unset "process_ids[$name]"
+  return "$code"
 }
 
-# is_own PID: true if the process still runs and belongs to the run folder, so that an id that the
-# system has given to another process is never used.
-is_own() {
-  [ -r "/proc/$1/cmdline" ] && tr '\0' ' ' <"/proc/$1/cmdline" 2>/dev/null | grep -qF "$run_folder/"
+# start_time PID: prints when the process started; fails if it has ended.
+start_time() {
+  local stat
+  { stat="$(<"/proc/$1/stat")"; } 2>/dev/null || return 1
+  # The name of the program is in parentheses and may contain spaces.
+  read -ra stat <<<"${stat##*) }"
+  [ "${stat[0]}" != Z ] && [ "${stat[0]}" != X ] && echo "${stat[19]}"
+}
+
+# is_running NAME: true if the process still runs. The start time tells it from another process that
+# the system has given the same id.
+is_running() {
+  local pid="${process_ids[$1]:-}"
+  [ -n "$pid" ] && [ "$(start_time "$pid")" = "${start_times[$1]}" ]
 }
 
 # signal_process NAME SIGNAL: sends a signal if the process still runs.
 signal_process() {
-  local pid="${process_ids[$1]:-}"
-  if [ -n "$pid" ] && is_own "$pid"; then
-    kill "-$2" "$pid" 2>/dev/null || true
+  if is_running "$1"; then
+    kill "-$2" "${process_ids[$1]}" 2>/dev/null || true
   fi
 }
 
 # load_processes: reads the ids of an earlier script; the last id of each name counts.
 load_processes() {
-  local name pid
-  while read -r name pid; do
+  local name pid started
+  while read -r name pid started; do
     process_ids[$name]=$pid
+    start_times[$name]=$started
   done <"$pids_file"
 }
 
@@ -42,7 +72,7 @@
   while [ "$tenths" -gt 0 ]; do
     running=0
     for name in "$@"; do
-      if is_own "${process_ids[$name]:-0}"; then
+      if is_running "$name"; then
         running=1
       fi
     done
@@ -64,7 +94,7 @@
   done
   if ! await_end "$seconds" "$@"; then
     for name in "$@"; do
-      if is_own "${process_ids[$name]:-0}"; then
+      if is_running "$name"; then
         echo "$name did not end within $seconds s and is killed" >&2
         signal_process "$name" KILL
       fi
