Cancel nested calls of the stand-in and bound the start of the demo

Cause: an upstream that stops work when its caller leaves has to cancel its nested calls too, or cascading cancellation can't be observed; a slow start could have taken the demo beyond 60 s. Change: WireClient.start returns a call that can be cancelled; bin/bench load exits with 1 if nothing was completed or an answer was wrong; start-up of the demo is limited to 25 s.

--- a/bin/lib/deployment.sh
+++ b/bin/lib/deployment.sh
@@ -54,10 +54,14 @@
     java -jar "$bench_jar" upstream --config "$run_folder/$1.json"
 }
 
+# Start-up takes 5 to 8 s on a quiet machine; the demo must end within 60 s in every case.
+startup_limit=25
+
 # await SECONDS WHAT COMMAND...: repeats the command until it succeeds; its output is in await.log.
 await() {
   local end=$((SECONDS + $1)) what="$2"
   shift 2
+  [ "$end" -le "$startup_limit" ] || end="$startup_limit"
   until "$@" >>"$run_folder/await.log" 2>&1; do
     check_running
     [ "$SECONDS" -lt "$end" ] || fail "$what: not ready in time; see the logs in $run_folder"
@@ -105,10 +109,10 @@
   export run_folder
   export CORNELSPOKE_ENDPOINTS
   CORNELSPOKE_ENDPOINTS="$(cat "$run_folder/admin-endpoints")"
-  xargs -P 8 -L 1 bin/cornelspokectl --token-file "$run_folder/operator-token" \
+  timeout 20 xargs -P 8 -L 1 bin/cornelspokectl --token-file "$run_folder/operator-token" \
     <"$run_folder/ctl-commands" >"$run_folder/configure.log" || fail "configuration failed"
   mkdir -p "$run_folder/keys"
-  xargs -P 8 -L 1 sh -c 'bin/cornelspokectl --token-file "$run_folder/operator-token" --json \
+  timeout 20 xargs -P 8 -L 1 sh -c 'bin/cornelspokectl --token-file "$run_folder/operator-token" --json \
     key give "$0" --key-id "$1" >"$run_folder/keys/$1.json"' \
     <"$run_folder/ctl-keys" || fail "giving keys failed"
   chmod -R go-rwx "$run_folder/keys"
@@ -118,6 +122,7 @@
 start_deployment() {
   bench deployment --deployment "$1" --run-folder "$run_folder" --keys-per-account "$2"
   local name
+  SECONDS=0
   echo "starting $(names control | wc -l) control daemons, $(names traffic | wc -l) traffic daemons" \
     "and stand-in upstreams; files in $run_folder"
   for name in $(names control) $(names traffic) $(names upstream); do
--- a/bin/lib/overhead.sh
+++ b/bin/lib/overhead.sh
@@ -16,6 +16,7 @@
 trap 'exit 130' INT
 trap 'exit 143' TERM
 
+startup_limit=60
 build_if_needed
 start_deployment overhead 1
 address="$(sed -n 's/.*"address" : "\(.*\)".*/\1/p' "$run_folder/upstream-called.json")"
--- a/bin/lib/soak.sh
+++ b/bin/lib/soak.sh
@@ -90,6 +90,7 @@
   [ "${#changes[@]}" -eq 0 ] || wait "${changes[@]}"
 }
 
+startup_limit=60
 build_if_needed
 start_deployment "$deployment" 2
 touch "$run_folder/changes.tsv"
@@ -103,6 +104,7 @@
 await_end $((seconds + 40)) load || fail "the load generator did not end"
 unset 'process_ids[load]'
 cat "$run_folder/load.log"
+startup_limit=$((SECONDS + 30))
 await 30 "traffic daemons after the faults" all_healthy
 ctl audit --limit 1000 --json >"$run_folder/audit.json"
 ctl config show >"$run_folder/config.json"
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/http/WireClient.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/http/WireClient.java
@@ -2,7 +2,6 @@
 
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
-import io.activej.promise.SettablePromise;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import java.net.InetSocketAddress;
@@ -44,27 +43,38 @@
    */
   public Promise<WireMessage> call(
       InetSocketAddress address, byte[] requestBytes, long timeoutMillis) {
-    SettablePromise<WireMessage> answer = new SettablePromise<>();
+    return start(address, requestBytes, timeoutMillis).answer();
+  }
+
+  /** Sends a request as {@link #call} does and returns it in a form that can be cancelled. */
+  public WireCall start(InetSocketAddress address, byte[] requestBytes, long timeoutMillis) {
+    WireCall call = new WireCall();
     Deque<WireClientConnection> free = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
     WireClientConnection pooled = free.pollLast();
     if (pooled != null) {
-      pooled.exchange(requestBytes, timeoutMillis, answer);
-      return answer;
+      pooled.exchange(requestBytes, timeoutMillis, call);
+      return call;
     }
     TcpSocket.connect(reactor, address, CONNECT_TIMEOUT, SOCKET_SETTINGS)
         .whenComplete(
             (socket, e) -> {
               if (e != null) {
-                answer.setException(
+                call.answer.setException(
                     new WireException(WireException.Kind.CONNECT, String.valueOf(e.getMessage())));
                 return;
               }
+              if (call.isCancelled()) {
+                socket.close();
+                call.answer.setException(
+                    new WireException(WireException.Kind.CANCELLED, "cancelled"));
+                return;
+              }
               WireClientConnection connection =
                   new WireClientConnection(reactor, socket, this, free);
               connection.read();
-              connection.exchange(requestBytes, timeoutMillis, answer);
+              connection.exchange(requestBytes, timeoutMillis, call);
             });
-    return answer;
+    return call;
   }
 
   /** Returns how often bytes arrived on a connection without a request. */
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/http/WireClientConnection.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/http/WireClientConnection.java
@@ -28,8 +28,9 @@
     this.pool = pool;
   }
 
-  void exchange(byte[] request, long timeoutMillis, SettablePromise<WireMessage> result) {
-    answer = result;
+  void exchange(byte[] request, long timeoutMillis, WireCall call) {
+    answer = call.answer;
+    call.onCancel(() -> fail(WireException.Kind.CANCELLED, "cancelled"));
     timeout =
         reactor.delayBackground(timeoutMillis, () -> fail(WireException.Kind.TIMEOUT, "timeout"));
     socket
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/http/WireException.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/http/WireException.java
@@ -18,7 +18,9 @@
     /** No whole answer arrived in time. */
     TIMEOUT,
     /** The peer sent something that is not HTTP/1.1. */
-    MALFORMED
+    MALFORMED,
+    /** The caller cancelled the call. */
+    CANCELLED
   }
 
   private final Kind kind;
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadCommand.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadCommand.java
@@ -14,7 +14,10 @@
 import java.nio.file.StandardOpenOption;
 import org.cornelspoke.bench.BenchCommand;
 
-/** Runs the load of a plan, prints the table and writes JSON. */
+/**
+ * Runs the load of a plan, prints the table and writes JSON. The exit code is 1 if nothing was
+ * completed or an answer was wrong.
+ */
 @Parameters(commandDescription = "Send the load of a plan and report goodput, refusals and latency")
 public final class LoadCommand implements BenchCommand {
 
@@ -64,8 +67,8 @@
             .writerWithDefaultPrettyPrinter()
             .writeValue(Path.of(jsonFile).toFile(), result.figures());
       }
+      return result.completed() > 0 && result.wrongAnswers() == 0 ? 0 : 1;
     }
-    return 0;
   }
 
   private OutputStream open() throws IOException {
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadRun.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadRun.java
@@ -125,6 +125,11 @@
       return total.completed;
     }
 
+    /** Returns how many answers were incomplete, altered or belonged to another request. */
+    public long wrongAnswers() {
+      return total.wrongAnswers;
+    }
+
     /** Returns how many requests were sent. */
     public long offered() {
       return total.offered;
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/upstream/UpstreamJob.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/upstream/UpstreamJob.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.cornelspoke.bench.http.AnswerBody;
+import org.cornelspoke.bench.http.WireCall;
 import org.cornelspoke.bench.http.WireClient;
 import org.cornelspoke.bench.http.WireExchange;
 import org.cornelspoke.bench.http.WireFormat;
@@ -32,6 +33,7 @@
   private Consumer<RequestEvent.Kind> endListener = kind -> {};
   private ScheduledRunnable work;
   private ScheduledRunnable deadline;
+  private WireCall nested;
   private int nestedCount;
   private boolean ended;
 
@@ -96,8 +98,10 @@
     NestedCall call = calls.next();
     byte[] bytes =
         WireFormat.request(call.method(), call.path(), edgeAddress, nestedHeaders(), new byte[0]);
-    client
-        .call(Endpoint.parse(edgeAddress).toSocketAddress(), bytes, NESTED_TIMEOUT_MILLIS)
+    nested =
+        client.start(Endpoint.parse(edgeAddress).toSocketAddress(), bytes, NESTED_TIMEOUT_MILLIS);
+    nested
+        .answer()
         .whenComplete(
             (answer, e) -> {
               if (e == null && answer.status() < 300) {
@@ -167,6 +171,9 @@
     if (deadline != null) {
       deadline.cancel();
     }
+    if (nested != null) {
+      nested.cancel();
+    }
     endListener.accept(kind);
   }
 
--- a/cornelspoke-bench/src/test/java/org/cornelspoke/bench/upstream/StandInUpstreamTest.java
+++ b/cornelspoke-bench/src/test/java/org/cornelspoke/bench/upstream/StandInUpstreamTest.java
@@ -56,6 +56,10 @@
                       + request.header("Cornelspoke-Context").orElse("-")
                       + " "
                       + request.header("Bench-Request-Id").orElse("-"));
+              if (request.path().equals("/hang")) {
+                exchange.onCancel(() -> daemonCalls.add("cancelled /hang"));
+                return;
+              }
               exchange.respond(request.path().startsWith("/v1/") ? 204 : 200, "");
             });
     thread.call(
@@ -186,6 +190,18 @@
     assertThat(awaitDaemonCall("/members")).isEqualTo("/members c a.1/1");
   }
 
+  @Test
+  void cancelsNestedCallsWhenTheCallerLeaves() throws Exception {
+    control(
+        "POST",
+        "{\"nestedCalls\": [{\"whenPathPrefix\": \"/x\", \"method\": \"GET\","
+            + " \"path\": \"/hang\"}]}");
+
+    assertThat(failureAfter("/x", 50)).isEqualTo(WireException.Kind.TIMEOUT);
+
+    assertThat(awaitDaemonCall("cancelled")).isEqualTo("cancelled /hang");
+  }
+
   @Test
   void drainsAndWithdrawsWhenItLeaves() throws Exception {
     awaitDaemonCall("/v1/announce");
