Read the audit trail of a soak run in any order

Cause: the administration API does not say whether entries come oldest first, and the check of revisions would have reported a newest-first trail as violated. Change: entries are sorted by their sequence before they are checked.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/soak/SoakChecker.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/soak/SoakChecker.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -185,7 +186,10 @@
     List<String> violations = new ArrayList<>();
     Map<String, JsonNode> accepted = new HashMap<>();
     long lastRevision = -1;
-    for (JsonNode entry : logs.audit().path("entries")) {
+    List<JsonNode> entries = new ArrayList<>();
+    logs.audit().path("entries").forEach(entries::add);
+    entries.sort(Comparator.comparingLong(entry -> entry.path("sequence").asLong()));
+    for (JsonNode entry : entries) {
       if (!entry.path("outcome").asText().equals("accepted")) {
         continue;
       }
--- a/cornelspoke-bench/src/test/java/org/cornelspoke/bench/soak/SoakCheckerTest.java
+++ b/cornelspoke-bench/src/test/java/org/cornelspoke/bench/soak/SoakCheckerTest.java
@@ -179,6 +179,19 @@
     assertThat(checker().noAcceptedChangeWasLost().violations()).hasSize(3);
   }
 
+  @Test
+  void readsAnAuditTrailInAnyOrder() {
+    succeed(0, "a.r-1.1");
+    audit =
+        audit(
+            "{\"sequence\": 2, \"requestId\": \"y\", \"revision\": 8, \"outcome\":"
+                + " \"accepted\"}, "
+                + "{\"sequence\": 1, \"requestId\": \"x\", \"revision\": 7, \"outcome\":"
+                + " \"accepted\"}");
+
+    assertThat(checker().noAcceptedChangeWasLost().violations()).isEmpty();
+  }
+
   private void succeed(long atMicros, String id) {
     attempts.add(attempt(atMicros, id, 200, null, id, true, "k-1"));
     events.add(started(atMicros, id, null, "a", false));
