Count wrongful refusals of an account by number, not by choice

Cause: in the first run of bin/demo with the real daemon the account that sent three times its load had 843 wrongful refusals, because each refused request that one bucket would have admitted counted, even when another one was admitted instead. Change: wrongful refusals are the attempts by which the admitted ones fall short of the reference bucket; classes show none, as the figure makes sense for an account. For accounts within their rate nothing changes.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/GroupStats.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/GroupStats.java
@@ -20,7 +20,8 @@
   long gaveUp;
   long attempts;
   long withinRate;
-  long wrongfulRefusals;
+  long keyedAttempts;
+  long rateRefusals;
   long wrongAnswers;
 
   void addAttempt(AttemptRecord attempt) {
@@ -28,8 +29,11 @@
     if (attempt.withinRate()) {
       withinRate++;
     }
-    if (attempt.isWrongfulRefusal()) {
-      wrongfulRefusals++;
+    if (attempt.keyId() != null) {
+      keyedAttempts++;
+    }
+    if ("rate".equals(attempt.reason())) {
+      rateRefusals++;
     }
     if (!attempt.intact() || !attempt.belongsToRequest()) {
       wrongAnswers++;
@@ -49,6 +53,15 @@
         value -> latencyMicros.recordValue(Math.max(0, Math.min(value, MAX_LATENCY_MICROS))));
   }
 
+  /**
+   * Returns how many attempts fewer passed the rate check than the rate and burst allow. Only the
+   * number counts: an account over its rate is refused either way, and the daemons need not choose
+   * the same of its requests as one bucket would. Meaningful for one account only.
+   */
+  long wrongfulRefusals() {
+    return Math.max(0, withinRate - (keyedAttempts - rateRefusals));
+  }
+
   Map<String, Object> asMap(double seconds) {
     Map<String, Object> map = new LinkedHashMap<>();
     map.put("offered", offered);
@@ -57,7 +70,8 @@
     map.put("goodputPerSecond", completed / seconds);
     map.put("attempts", attempts);
     map.put("withinRate", withinRate);
-    map.put("wrongfulRefusals", wrongfulRefusals);
+    map.put("keyedAttempts", keyedAttempts);
+    map.put("rateRefusals", rateRefusals);
     map.put("wrongAnswers", wrongAnswers);
     map.put("refusals", refusals);
     map.put("failures", failures);
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadStats.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/load/LoadStats.java
@@ -42,6 +42,11 @@
     return total;
   }
 
+  /** Returns the wrongful refusals of all accounts. */
+  long wrongfulRefusals() {
+    return accounts.values().stream().mapToLong(GroupStats::wrongfulRefusals).sum();
+  }
+
   /** Returns every figure in the form that the JSON file has. */
   Map<String, Object> asMap(double seconds) {
     Map<String, Object> map = new LinkedHashMap<>();
@@ -49,6 +54,10 @@
     map.put("total", total.asMap(seconds));
     map.put("classes", asMap(classes, seconds));
     map.put("accounts", asMap(accounts, seconds));
+    map.put("wrongfulRefusals", wrongfulRefusals());
+    Map<String, Long> wrongful = new TreeMap<>();
+    accounts.forEach((name, group) -> wrongful.put(name, group.wrongfulRefusals()));
+    map.put("wrongfulRefusalsByAccount", wrongful);
     return map;
   }
 
@@ -68,26 +77,28 @@
             "wrongful",
             "mixed-up",
             "refusals and failures"));
-    classes.forEach((name, group) -> row(text, "class " + name, group, seconds));
-    accounts.forEach((name, group) -> row(text, "account " + name, group, seconds));
-    row(text, "total", total, seconds);
+    classes.forEach((name, group) -> row(text, "class " + name, group, "-", seconds));
+    accounts.forEach(
+        (name, group) -> row(text, "account " + name, group, group.wrongfulRefusals(), seconds));
+    row(text, "total", total, wrongfulRefusals(), seconds);
     return text.toString();
   }
 
-  private static void row(StringBuilder text, String name, GroupStats group, double seconds) {
+  private static void row(
+      StringBuilder text, String name, GroupStats group, Object wrongful, double seconds) {
     Map<String, Long> causes = new TreeMap<>(group.refusals);
     causes.putAll(group.failures);
     text.append(
         String.format(
             Locale.ROOT,
-            "%-28s %9d %9d %9.1f %8.2f %8.2f %8d %8d  %s%n",
+            "%-28s %9d %9d %9.1f %8.2f %8.2f %8s %8d  %s%n",
             name,
             group.offered,
             group.completed,
             group.completed / seconds,
             group.percentile(50),
             group.percentile(99),
-            group.wrongfulRefusals,
+            wrongful,
             group.wrongAnswers,
             causes.isEmpty() ? "-" : causes));
   }
