--- a/bin/lib/deployment.sh
+++ b/bin/lib/deployment.sh
@@ -5,6 +5,7 @@
 bench_jar="cornelspoke-bench/target/cornelspoke-bench.jar"
 # Short start-up counts more than peak speed where 16 daemons share one machine.
 daemon_options="-XX:+UseSerialGC -Xmx64m -XX:TieredStopAtLevel=1 -Xshare:auto"
+upstream_options="-XX:+UseSerialGC -Xmx128m -XX:TieredStopAtLevel=1"
 
 fail() {
   echo "$*" >&2
@@ -49,15 +50,20 @@
 
 # start_upstream NAME: starts the stand-ins of one service in one process.
 start_upstream() {
-  start_process "$1" java -XX:+UseSerialGC -Xmx128m -XX:TieredStopAtLevel=1 \
-    -jar "$bench_jar" upstream --config "$run_folder/$1.json"
+  JDK_JAVA_OPTIONS="$upstream_options" start_process "$1" \
+    java -jar "$bench_jar" upstream --config "$run_folder/$1.json"
 }
 
-# await SECONDS WHAT COMMAND...: repeats the command until it succeeds.
+# Start-up takes 5 to 8 s on a quiet machine; the demo must end within 60 s in every case.
+startup_limit=25
+
+# await SECONDS WHAT COMMAND...: repeats the command until it succeeds; its output is in await.log.
 await() {
   local end=$((SECONDS + $1)) what="$2"
   shift 2
-  until "$@" >/dev/null 2>&1; do
+  [ "$end" -le "$startup_limit" ] || end="$startup_limit"
+  until "$@" >>"$run_folder/await.log" 2>&1; do
+    check_running
     [ "$SECONDS" -lt "$end" ] || fail "$what: not ready in time; see the logs in $run_folder"
     sleep 0.2
   done
@@ -66,7 +72,7 @@
 check_running() {
   local name
   for name in "${!process_ids[@]}"; do
-    if ! is_own "${process_ids[$name]}"; then
+    if ! is_running "$name"; then
       tail -n 5 "$run_folder/$name.log" >&2 || true
       fail "$name has ended"
     fi
@@ -82,7 +88,6 @@
 
 all_healthy() {
   local name
-  check_running
   for name in $(names traffic); do
     is_healthy "$name" || return 1
   done
@@ -91,13 +96,11 @@
 # all_registered: true if the control group knows every target as up.
 all_registered() {
   local up
-  check_running
   up="$(ctl upstream list --json | grep -o '"state" *: *"UP"' | wc -l)"
   [ "$up" -eq "$(names traffic | wc -l)" ]
 }
 
 has_quorum() {
-  check_running
   ctl status --timeout-millis 2000
 }
 
@@ -106,10 +109,10 @@
   export run_folder
   export CORNELSPOKE_ENDPOINTS
   CORNELSPOKE_ENDPOINTS="$(cat "$run_folder/admin-endpoints")"
-  xargs -P 8 -L 1 bin/cornelspokectl --token-file "$run_folder/operator-token" \
+  timeout 20 xargs -P 8 -L 1 bin/cornelspokectl --token-file "$run_folder/operator-token" \
     <"$run_folder/ctl-commands" >"$run_folder/configure.log" || fail "configuration failed"
   mkdir -p "$run_folder/keys"
-  xargs -P 8 -L 1 sh -c 'bin/cornelspokectl --token-file "$run_folder/operator-token" --json \
+  timeout 20 xargs -P 8 -L 1 sh -c 'bin/cornelspokectl --token-file "$run_folder/operator-token" --json \
     key give "$0" --key-id "$1" >"$run_folder/keys/$1.json"' \
     <"$run_folder/ctl-keys" || fail "giving keys failed"
   chmod -R go-rwx "$run_folder/keys"
@@ -119,6 +122,7 @@
 start_deployment() {
   bench deployment --deployment "$1" --run-folder "$run_folder" --keys-per-account "$2"
   local name
+  SECONDS=0
   echo "starting $(names control | wc -l) control daemons, $(names traffic | wc -l) traffic daemons" \
     "and stand-in upstreams; files in $run_folder"
   for name in $(names control) $(names traffic) $(names upstream); do
@@ -130,7 +134,8 @@
   await 20 "control group" has_quorum
   echo "control group is ready after $SECONDS s"
   configure
-  echo "8 accounts, their keys and the routes are configured after $SECONDS s"
+  echo "$(wc -l <"$run_folder/ctl-commands") accounts and routes and" \
+    "$(wc -l <"$run_folder/ctl-keys") keys are configured after $SECONDS s"
   await 15 "targets" all_registered
   await 10 "traffic daemons" all_healthy
   echo "every target is registered and healthy after $SECONDS s"
