Serve after a restart only by a proof from after the start

Cause: the model Freshness showed that a restarted daemon which attaches to a relay within the freshness bound can serve by an older revision than its earlier process did. Change: ViewTracker takes a proof of freshness only if it is as of a later time than its first connection. Conclusion: revisions never go back for callers of a restarted daemon either.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
@@ -58,6 +58,7 @@
   private final Map<Long, Long> queries = new LinkedHashMap<>();
   private long sequence;
   private Optional<Long> freshAsOfNanos = Optional.empty();
+  private Optional<Long> firstConnectedNanos = Optional.empty();
   private int relay = -1;
   private boolean connected;
   private long connectedAtNanos;
@@ -105,6 +106,7 @@
   public List<ControlMessage> connected(long nowNanos) {
     connected = true;
     connectedAtNanos = nowNanos;
+    firstConnectedNanos = firstConnectedNanos.or(() -> Optional.of(nowNanos));
     stayNanos = MIN_STAY_NANOS + random.nextLong(MIN_STAY_NANOS);
     queries.clear();
     dropParts();
@@ -314,6 +316,11 @@
       return true;
     }
     long asOf = askedAt - reply.ageNanos().get();
+    if (asOf - firstConnectedNanos.orElseThrow() <= 0) {
+      // An earlier process of this daemon may have served by a revision that is newer than this
+      // proof. A proof from after the start covers all that the earlier process can have applied.
+      return true;
+    }
     if (freshAsOfNanos.isEmpty() || asOf - freshAsOfNanos.get() > 0) {
       freshAsOfNanos = Optional.of(asOf);
     }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/dissemination/DisseminationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/dissemination/DisseminationTest.java
@@ -68,6 +68,26 @@
     assertThat(daemon.view().revision()).isEqualTo(applied);
   }
 
+  /**
+   * Guards against a restarted daemon that serves by an older revision than before: a relay that is
+   * still within the bound may lack what another relay gave to the earlier process.
+   */
+  @Test
+  void restartedDaemonIsNotTakenBackByAnEarlierProof() {
+    second.sessions.confirmed(now);
+    now += 100 * MILLI;
+    change(new ConfigChange.CreateAccount(RandomChanges.account("a", 1)), first);
+    now += 100 * MILLI;
+    attachWithoutExchange(second);
+    now += 100 * MILLI;
+    assertThat(exchange(daemon.query(now))).isTrue();
+    assertThat(daemon.freshAsOfNanos()).isEqualTo(Optional.empty());
+    now += 100 * MILLI;
+    second.sessions.confirmed(now);
+    exchange(daemon.query(now));
+    assertThat(daemon.freshAsOfNanos()).isEqualTo(Optional.of(now));
+  }
+
   /** Guards against a lagging relay that keeps a daemon: it renews nothing and is left. */
   @Test
   void laggingRelayRenewsNoFreshnessAndIsLeft() {
@@ -270,6 +290,8 @@
 
   private void attach(Relay relay) {
     attachWithoutExchange(relay);
+    // A proof counts only if it is from after the start of the daemon.
+    now += MILLI;
     relay.sessions.confirmed(now);
     assertThat(exchange(daemon.query(now))).isTrue();
     // The services that the configuration routes are known only now.
