--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/dissemination/SingleMemberLog.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/dissemination/SingleMemberLog.java
@@ -22,7 +22,7 @@
 
   @Override
   public void propose(byte[] command, ProposalListener listener) {
-    reactor.post(
+    reactor.postLast(
         () -> {
           applied++;
           listener.onCommitted(applied, machine.apply(applied, command));
@@ -31,7 +31,7 @@
 
   @Override
   public void readIndex(ReadListener listener) {
-    reactor.post(() -> listener.onCurrent(applied));
+    reactor.postLast(() -> listener.onCurrent(applied));
   }
 
   @Override
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/relay/FakeGroup.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/relay/FakeGroup.java
@@ -10,7 +10,8 @@
 
 /**
  * Log members in one event loop without network. The first member leads. A member that is cut off
- * applies nothing, and its proposals and reads fail.
+ * applies nothing, and its proposals and reads fail. Calls take effect in the order in which they
+ * were made; {@code post} would run the latest one first and so hide races.
  */
 final class FakeGroup {
 
@@ -50,7 +51,7 @@
 
     @Override
     public void propose(byte[] command, ProposalListener listener) {
-      reactor.post(
+      reactor.postLast(
           () -> {
             if (cutOff) {
               listener.onNotAppended("no leader");
@@ -69,7 +70,7 @@
 
     @Override
     public void readIndex(ReadListener listener) {
-      reactor.post(
+      reactor.postLast(
           () -> {
             if (cutOff) {
               listener.onUnavailable("no quorum");
