--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/Main.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/Main.java
@@ -7,6 +7,7 @@
 import org.cornelspoke.bench.deployment.DeploymentLoadCommand;
 import org.cornelspoke.bench.load.LoadCommand;
 import org.cornelspoke.bench.overhead.OverheadCommand;
+import org.cornelspoke.bench.slopes.SlopesCommand;
 import org.cornelspoke.bench.soak.SoakCheckCommand;
 import org.cornelspoke.bench.soak.SoakScheduleCommand;
 import org.cornelspoke.bench.upstream.UpstreamCommand;
@@ -27,6 +28,7 @@
         new DeploymentCommand(),
         new DeploymentLoadCommand(),
         new OverheadCommand(),
+        new SlopesCommand(),
         new SoakScheduleCommand(),
         new SoakCheckCommand());
   }
