Leave the gate before acting on its decision

Cause: a refusal answered its caller inside the gate's method, and a pipelined request of that caller then entered the same gate again. The lease test failed in 1 of 6 repeated runs: more than its 150 ms lease passed before the first check on a busy machine. Change: decisions of a gate are acted on after its method has returned; the gate of the tests fails on re-entry. The lease test replaces a short lease by a long one and then by a short one, so it checks renewal and withdrawal without depending on the time between two steps. Conclusion: gates need not be re-entrant for the traffic path.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -21,6 +21,7 @@
   private enum State {
     WAITING,
     ADMITTED,
+    REFUSED,
     RUNNING,
     ENDED
   }
@@ -38,6 +39,7 @@
   private final long deadlineNanos;
   private State state = State.WAITING;
   private UpstreamGate.Ticket ticket;
+  private CallResult refusal;
   private boolean submitted;
   private TimerWheel.Timer deadline;
   private CallId callId;
@@ -67,10 +69,8 @@
     GateRequest request =
         new GateRequest(head.account(), head.weight(), head.trafficClass(), deadlineNanos);
     ticket = upstream.gate.submit(request, this, startNanos);
-    if (state == State.ADMITTED) {
-      run();
-    }
     submitted = true;
+    runDecision();
     if (state != State.ENDED) {
       deadline = with.timers().schedule(deadlineNanos, this::onDeadline);
     }
@@ -78,17 +78,13 @@
 
   @Override
   public void onAdmitted() {
-    state = State.ADMITTED;
-    // While submit runs, the ticket that complete needs is not yet known. Later the gate may be in
-    // the middle of another method, which must not be entered again.
-    if (submitted) {
-      with.reactor().post(this::runIfAdmitted);
-    }
+    decide(State.ADMITTED);
   }
 
   @Override
   public void onRefused(RefusalReason reason, long retryAfterMillis) {
-    end(new CallResult.Refused(reason, Math.max(0, retryAfterMillis)), head.extraAttempts());
+    refusal = new CallResult.Refused(reason, Math.max(0, retryAfterMillis));
+    decide(State.REFUSED);
   }
 
   /** Gives up the call without an answer. */
@@ -98,7 +94,7 @@
     }
     if (state == State.WAITING) {
       upstream.gate.cancel(ticket, System.nanoTime());
-    } else {
+    } else if (state != State.REFUSED) {
       if (exchange != null) {
         exchange.cancel();
       }
@@ -107,9 +103,22 @@
     finish();
   }
 
-  private void runIfAdmitted() {
+  /**
+   * Acts on a decision only after the gate's method has returned: what follows may offer the next
+   * request to the same gate, and while submit runs, the ticket is not yet known.
+   */
+  private void decide(State decision) {
+    state = decision;
+    if (submitted) {
+      with.reactor().post(this::runDecision);
+    }
+  }
+
+  private void runDecision() {
     if (state == State.ADMITTED) {
       run();
+    } else if (state == State.REFUSED) {
+      end(refusal, head.extraAttempts());
     }
   }
 
@@ -147,6 +156,9 @@
       }
       return;
     }
+    if (state == State.REFUSED) {
+      return;
+    }
     boolean notRun = exchange == null || exchange.cancel();
     upstream.gate.complete(ticket, Completion.TIMEOUT, now);
     end(
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/FailureTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/FailureTest.java
@@ -4,6 +4,8 @@
 import static org.cornelspoke.daemon.traffic.RawClient.request;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cornelspoke.daemon.traffic.RawClient.Answer;
@@ -76,6 +78,39 @@
     }
   }
 
+  /** Guards against a refusal that offers the caller's next request to a gate in mid-change. */
+  @Test
+  void pipelinedRefusalsLeaveTheGateFirst() throws Exception {
+    CountDownLatch release = new CountDownLatch(1);
+    try (StandInUpstream upstream =
+        new StandInUpstream(
+            (head, body, socket) -> {
+              release.await();
+              StandInUpstream.answer(socket, 200, "ok");
+            })) {
+      TrafficDaemon daemon = fleet.start("a");
+      TestFleet.announce(daemon, "svc", upstream, 1);
+      List<RawClient> waiting = new ArrayList<>();
+      String fee = request("POST", "/fees", "", TestFleet.KEY);
+      for (int i = 0; i < 21; i++) {
+        waiting.add(new RawClient(daemon.edgeAddress()));
+        waiting.get(i).send(fee);
+      }
+      TestFleet.await(() -> fleet.metrics.get("a").counter("edge.attempts").getCount() == 21);
+      try (RawClient client = new RawClient(daemon.edgeAddress())) {
+        client.send(fee.repeat(30));
+        for (int i = 0; i < 30; i++) {
+          assertThat(client.read().reason()).isEqualTo("overload");
+        }
+      }
+      release.countDown();
+      for (RawClient client : waiting) {
+        assertThat(client.read().status()).isEqualTo(200);
+        client.close();
+      }
+    }
+  }
+
   /** Guards against a deadline that is not kept, and against a late answer for somebody else. */
   @Test
   void deadlineEndsTheExchange() throws Exception {
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
@@ -31,15 +31,21 @@
 
   private Fakes() {}
 
-  /** First come, first served, up to the announced slots. */
+  /**
+   * First come, first served, up to the announced slots; refuses what would wait for long. Fails if
+   * a listener enters the gate again, as a gate in the middle of a change could not take that.
+   */
   static final class SlotGate implements UpstreamGate {
 
     private record Waiting(UpstreamGate.Listener listener) implements Ticket {}
 
     private final Deque<Waiting> queue = new ArrayDeque<>();
     private int slots;
+    private static final int MAX_QUEUE = 20;
+
     private int inFlight;
     private boolean draining;
+    private boolean entered;
 
     SlotGate(int slots) {
       this.slots = slots;
@@ -48,24 +54,37 @@
     @Override
     public Ticket submit(GateRequest request, UpstreamGate.Listener listener, long nowNanos) {
       Waiting ticket = new Waiting(listener);
+      enter();
       if (draining) {
         listener.onRefused(RefusalReason.DRAINING, 1_000);
       } else if (inFlight < slots) {
         inFlight++;
         listener.onAdmitted();
-      } else {
+      } else if (queue.size() < MAX_QUEUE) {
         queue.add(ticket);
+      } else {
+        listener.onRefused(RefusalReason.OVERLOAD, 1_000);
       }
+      entered = false;
       return ticket;
     }
 
     @Override
     public void complete(Ticket ticket, Completion completion, long nowNanos) {
+      enter();
       inFlight--;
       if (!queue.isEmpty()) {
         inFlight++;
         queue.remove().listener().onAdmitted();
       }
+      entered = false;
+    }
+
+    private void enter() {
+      if (entered) {
+        throw new IllegalStateException("the gate was entered again by its listener");
+      }
+      entered = true;
     }
 
     @Override
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LocalApiTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LocalApiTest.java
@@ -25,14 +25,16 @@
     try (StandInUpstream upstream = StandInUpstream.answering("ok")) {
       TrafficDaemon daemon = fleet.start("a");
       String announcement =
-          "{\"service\":\"svc\",\"address\":\"%s\",\"slots\":5,\"leaseMillis\":150}"
-              .formatted(upstream.address());
-      assertThat(TestFleet.local(daemon, "/v1/announce", announcement).status()).isEqualTo(204);
-      assertThat(fleet.isRegistered("a:svc")).isTrue();
-      for (int i = 0; i < 10; i++) {
-        Thread.sleep(30);
-        assertThat(TestFleet.local(daemon, "/v1/announce", announcement).status()).isEqualTo(204);
+          "{\"service\":\"svc\",\"address\":\"" + upstream.address() + "\",\"slots\":5,";
+      // The long lease replaces the short one, whose end must then have no effect.
+      for (int leaseMillis : new int[] {200, 600_000}) {
+        String body = announcement + "\"leaseMillis\":" + leaseMillis + "}";
+        assertThat(TestFleet.local(daemon, "/v1/announce", body).status()).isEqualTo(204);
       }
+      Thread.sleep(400);
+      assertThat(fleet.isRegistered("a:svc")).isTrue();
+      String last = announcement + "\"leaseMillis\":100}";
+      assertThat(TestFleet.local(daemon, "/v1/announce", last).status()).isEqualTo(204);
       TestFleet.await(() -> !fleet.isRegistered("a:svc"));
       assertThat(fleet.metrics.get("a").counter("local.leases-ended").getCount()).isAtLeast(1);
       Answer answer = RawClient.once(daemon.edgeAddress(), request("GET", "/open", ""));
