Reserve the closed port of the pool test; count share messages by kind

Cause: a test closed a listening socket and expected a refused connection; another process took the free port and the test waited for ever. Change: the test binds a port without listening. bin/bench slopes prints the messages by kind.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/slopes/ShareFleet.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/slopes/ShareFleet.java
@@ -47,6 +47,7 @@
     long daemonCpuNanos;
     long relayCpuNanos;
     long ownerCpuNanos;
+    final Map<String, Long> daemonMessagesByKind = new TreeMap<>();
     long granted;
     long refused;
   }
@@ -170,6 +171,7 @@
 
   private void countDaemon(ShareMessage message) {
     totals.daemonMessages++;
+    totals.daemonMessagesByKind.merge(message.getClass().getSimpleName(), 1L, Long::sum);
     totals.daemonBytes += ShareMessageCodec.encode(message).length;
   }
 
--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/slopes/SlopesCommand.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/slopes/SlopesCommand.java
@@ -67,6 +67,7 @@
             .toList();
     out.println();
     fit("bytes/s per daemon over active accounts", byAccounts, r -> r.size().accounts());
+    kinds(byAccounts);
     out.println();
     head();
     List<Row> byDaemons =
@@ -109,6 +110,20 @@
     return row;
   }
 
+  /** Prints the messages between daemon and relay by kind, per second and active account. */
+  private void kinds(List<Row> rows) {
+    for (Row row : rows) {
+      out.printf(Locale.ROOT, "%d active accounts, messages/s of each:", row.size().accounts());
+      row.totals()
+          .daemonMessagesByKind
+          .forEach(
+              (kind, count) ->
+                  out.printf(
+                      Locale.ROOT, " %s %.1f", kind, row.perDaemon(count) / row.size().accounts()));
+      out.println();
+    }
+  }
+
   private void fit(String label, List<Row> rows, ToDoubleFunction<Row> size) {
     SimpleRegression regression = new SimpleRegression();
     for (Row row : rows) {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamPoolTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamPoolTest.java
@@ -183,11 +183,14 @@
         socket,
         "HTTP/1.1 503 X\r\nCornelspoke-Shed: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n");
     assertThat(shed.get()).isEqualTo(new CallResult.Refused(RefusalReason.OVERLOAD, 3_000));
-    server.close();
-    int closedPort = server.getLocalPort();
-    CompletableFuture<CallResult> refused = new CompletableFuture<>();
-    reactor.execute(() -> newPool(closedPort).send(request("POST"), refused::complete));
-    assertThat(refused.get()).isEqualTo(new CallResult.Refused(RefusalReason.NO_TARGET, 0));
+    try (Socket bound = new Socket()) {
+      // Bound without listening, so that no other process can take the port and accept.
+      bound.bind(new Endpoint("127.0.0.1", 0).toSocketAddress());
+      int closedPort = bound.getLocalPort();
+      CompletableFuture<CallResult> refused = new CompletableFuture<>();
+      reactor.execute(() -> newPool(closedPort).send(request("POST"), refused::complete));
+      assertThat(refused.get()).isEqualTo(new CallResult.Refused(RefusalReason.NO_TARGET, 0));
+    }
   }
 
   /** Guards against a late answer of a cancelled exchange that reaches the next request. */
