--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.math3.random.Well19937c;
 import org.cornelspoke.coordination.admission.DefaultUpstreamGate;
-import org.cornelspoke.coordination.admission.GradientLimit;
+import org.cornelspoke.coordination.admission.LimitAlgorithm;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.retry.DefaultRetryLedger;
 import org.cornelspoke.coordination.retry.DefaultRetryThrottle;
@@ -100,7 +100,7 @@
 
   private UpstreamGate gate(int slots) {
     Preset preset = client.current().activePreset().orElseGet(BuiltInPresets::ordinary);
-    return new DefaultUpstreamGate(preset, new GradientLimit(slots));
+    return new DefaultUpstreamGate(preset, LimitAlgorithm.DEFAULT.create(slots));
   }
 
   private Health health() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -89,6 +89,7 @@
     with.rateLimiter()
         .acquire(
             head.account(),
+            head.trafficClass(),
             Math.min(deadlineNanos, now + waitNanos),
             new RateLimiter.Listener() {
               @Override
