--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/DemandMeter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/DemandMeter.java
@@ -11,9 +11,6 @@
   /** Weight of a window of one report interval; about one second of arrivals counts. */
   private static final double WEIGHT = 0.15;
 
-  /** Arrivals of this time determine the estimate: windows of 0.1 s with the weight above. */
-  private static final double MEMORY_SECONDS = 0.1 * (2 - WEIGHT) / WEIGHT;
-
   /** Standard deviations of a Poisson count beyond which the last slots show a change. */
   private static final double JUMP_DEVIATIONS = 3;
 
@@ -41,11 +38,6 @@
     slots[0]++;
   }
 
-  /** Returns the standard deviation of the estimate for a steady Poisson demand. */
-  static double deviation(double perSecond) {
-    return Math.sqrt(perSecond / MEMORY_SECONDS);
-  }
-
   boolean windowIsOlderThan(long ageNanos, long nowNanos) {
     return nowNanos - windowStartNanos >= ageNanos;
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -22,12 +22,6 @@
   /** Change of demand that is reported without delay. */
   private static final double DEMAND_TOLERANCE = 0.15;
 
-  /**
-   * Deviations of the estimate that are not taken for a change. Without this rule a share of 10
-   * requests per second was reported at nearly every interval.
-   */
-  private static final double DEMAND_DEVIATIONS = 2.5;
-
   /** Report intervals between reports of a steady demand; well below the lease. */
   private static final int STEADY_INTERVALS = 5;
 
@@ -164,8 +158,7 @@
   /** Reports a changed demand at once and a steady one at every fifth interval. */
   private void reportIfDue(long nowNanos) {
     double change = Math.abs(demand.perSecond(nowNanos) - reportedDemand);
-    double noise = DEMAND_DEVIATIONS * DemandMeter.deviation(reportedDemand);
-    if (change > Math.max(noise, reportedDemand * DEMAND_TOLERANCE)
+    if (change > reportedDemand * DEMAND_TOLERANCE
         || link.reportIsOlderThan(STEADY_INTERVALS * times.reportNanos(), nowNanos)) {
       report(nowNanos);
     }
