--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -86,7 +86,7 @@
 
   /**
    * Starts anew. The owner promised not to reissue the share before the lease ends, so it remains
-   * usable until then; this bridges the restart of an owner.
+   * usable until then; this covers the restart of an owner.
    */
   void onReset(Reset reset, long nowNanos) {
     dropEndedLeases(nowNanos);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
@@ -36,7 +36,7 @@
   }
 
   /**
-   * Starts to talk to an owner, the same as before or another one.
+   * Opens a session with an owner, the same as before or another one.
    *
    * @param session a number greater than any that this holder used before, also before a restart,
    *     and by more than the number of leases lost since; wall-clock microseconds will do
@@ -49,7 +49,7 @@
     }
   }
 
-  /** Ends the conversation; shares stay usable until their leases end. */
+  /** Ends the session; shares stay usable until their leases end. */
   public void onDisconnected(long nowNanos) {
     connected = false;
     accounts.values().forEach(HeldAccount::onDisconnected);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
@@ -6,8 +6,8 @@
 /**
  * Message between the holder of rate shares and their owner.
  *
- * <p>A session is one uninterrupted conversation about one account. Within it messages arrive in
- * order and once. The number of a later session of the same holder is greater; messages of another
+ * <p>A session is one uninterrupted exchange about one account. Within it messages arrive in order
+ * and once. The number of a later session of the same holder is greater; messages of another
  * session are ignored, so nothing from before a lost connection takes effect after it.
  */
 public sealed interface ShareMessage {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareRelay.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareRelay.java
@@ -41,7 +41,7 @@
   }
 
   /**
-   * Starts to talk to a leader.
+   * Opens a session with a leader.
    *
    * @param session as for {@link ShareHolder#onConnected}
    */
@@ -51,7 +51,7 @@
     accounts.values().forEach(account -> account.onConnected(session, nowNanos));
   }
 
-  /** Ends the conversation with the leader; what was issued stays usable until the leases end. */
+  /** Ends the session with the leader; what was issued stays usable until the leases end. */
   public void onDisconnected(long nowNanos) {
     connected = false;
     accounts.values().forEach(RelayedAccount::onDisconnected);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
@@ -29,7 +29,7 @@
  */
 public final class FleetView {
 
-  /** The view of a daemon that has not yet heard from the control group. */
+  /** The view of a daemon that has not yet received a configuration. */
   public static final FleetView EMPTY = new FleetView(Revision.NONE, List.of(), Map.of());
 
   private final Revision revision;
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/dissemination/DisseminationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/dissemination/DisseminationTest.java
@@ -165,7 +165,7 @@
     assertThat(daemon.freshAsOfNanos()).isEqualTo(Optional.empty());
   }
 
-  /** Guards against a withdrawn key that still opens the door after the delta. */
+  /** Guards against a withdrawn key that is still accepted after the delta. */
   @Test
   void withdrawnKeyIsUnknownAfterTheDelta() {
     change(new ConfigChange.CreateAccount(RandomChanges.account("a", 1)), first);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -195,7 +195,7 @@
 
   /**
    * Requests are taken until the upstream has finished, because it may still make nested calls;
-   * they go to other targets, and each answer asks the caller to leave.
+   * they go to other targets, and each answer carries {@code Connection: close}.
    */
   private void awaitDrained() {
     long now = System.nanoTime();
