--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/slopes/SlopesCommand.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/slopes/SlopesCommand.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.PrintStream;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.function.ToDoubleFunction;
@@ -29,7 +30,7 @@
   private double callsPerSecond = 80;
 
   @Parameter(description = "arguments after -- go to the part")
-  private List<String> rest = List.of();
+  private List<String> rest = new ArrayList<>();
 
   private final PrintStream out = System.out;
 
