--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ControlMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ControlMessage.java
@@ -6,6 +6,7 @@
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
@@ -115,4 +116,13 @@
 
   /** Tells the leader's relay which daemons are attached to the sender. */
   record AttachmentReport(List<DaemonId> daemons) implements ControlMessage {}
+
+  /** Tells a daemon where the relays of the present members of the control group are. */
+  record Relays(List<Endpoint> endpoints) implements ControlMessage {
+
+    /** Copies the list. */
+    public Relays {
+      endpoints = List.copyOf(endpoints);
+    }
+  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/RelayChoice.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/RelayChoice.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.coordination.dissemination;
 
+import java.util.Arrays;
 import java.util.random.RandomGenerator;
 
 /** Chooses the next relay: the first in settings order that is not held down, after a backoff. */
@@ -16,9 +17,9 @@
   private static final int MAX_DOUBLINGS = 8;
 
   private final RandomGenerator random;
-  private final long[] heldDownUntilNanos;
-  private final boolean[] heldDown;
-  private final int[] failures;
+  private long[] heldDownUntilNanos;
+  private boolean[] heldDown;
+  private int[] failures;
   private int attempts;
   private boolean waiting;
   private long notBeforeNanos;
@@ -30,6 +31,15 @@
     this.failures = new int[relays];
   }
 
+  /** Adds relays behind the known ones. */
+  void grow(int relays) {
+    if (relays > heldDown.length) {
+      heldDownUntilNanos = Arrays.copyOf(heldDownUntilNanos, relays);
+      heldDown = Arrays.copyOf(heldDown, relays);
+      failures = Arrays.copyOf(failures, relays);
+    }
+  }
+
   /** Holds a relay down and starts the backoff. */
   void failed(int relay, long nowNanos) {
     failures[relay]++;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
@@ -116,6 +116,11 @@
         query(nowNanos));
   }
 
+  /** Sets the number of relays; new ones are numbered after those that are known. */
+  public void setRelays(int relays) {
+    choice.grow(relays);
+  }
+
   /** Notes that the relay was not reached, was lost, or was left. */
   public void disconnected(long nowNanos) {
     if (relay >= 0) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/retry/DefaultRetryThrottle.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/retry/DefaultRetryThrottle.java
@@ -18,7 +18,9 @@
 
   private double ratio;
   private double saved;
-  private double savedMinimum = 1;
+  private final double maxSaved;
+  private final double minimumPerSecond;
+  private double savedMinimum;
   private long minimumAsOfNanos;
   private boolean started;
 
@@ -28,12 +30,27 @@
    * @param ratio extra attempts per request, between 0 and 1
    */
   public DefaultRetryThrottle(double ratio) {
+    this(ratio, MAX_SAVED, 1);
+  }
+
+  /**
+   * Creates a throttle with bounds of its own.
+   *
+   * @param maxSaved unused extra attempts that are kept
+   * @param minimumPerSecond extra attempts that need no requests
+   */
+  public DefaultRetryThrottle(double ratio, double maxSaved, double minimumPerSecond) {
+    Assert.isTrue(maxSaved >= 0, "maxSaved must be 0 or more");
+    Assert.isTrue(minimumPerSecond >= 0, "minimumPerSecond must be 0 or more");
+    this.maxSaved = maxSaved;
+    this.minimumPerSecond = minimumPerSecond;
+    this.savedMinimum = Math.min(1, minimumPerSecond);
     setRatio(ratio);
   }
 
   @Override
   public void onRequest(long nowNanos) {
-    saved = Math.min(MAX_SAVED, saved + ratio);
+    saved = Math.min(maxSaved, saved + ratio);
   }
 
   @Override
@@ -58,7 +75,10 @@
 
   private void refillMinimum(long nowNanos) {
     if (started) {
-      savedMinimum = Math.min(1, savedMinimum + (nowNanos - minimumAsOfNanos) / NANOS_PER_SECOND);
+      savedMinimum =
+          Math.min(
+              1,
+              savedMinimum + minimumPerSecond * (nowNanos - minimumAsOfNanos) / NANOS_PER_SECOND);
     }
     started = true;
     minimumAsOfNanos = nowNanos;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/model/RefusalReason.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/model/RefusalReason.java
@@ -18,6 +18,8 @@
   RATE("rate", 429),
   /** The queue is full or the class is being shed. */
   OVERLOAD("overload", 503),
+  /** The upstream declared that it is full and did not run the request. */
+  SHED("shed", 503),
   /** The preset in force refuses this class. */
   PRESET("preset", 503),
   /** The remaining time is shorter than the expected wait and service time. */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.protocol.consensus;
 
 import java.nio.ByteBuffer;
+import java.util.List;
 import org.cornelspoke.coordination.consensus.RaftMessage;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
@@ -47,4 +48,16 @@
 
   /** Shows that the receiver of a {@link Ping} is reachable. */
   record Pong() implements PeerMessage {}
+
+  /** Tells a VM that has connected which VMs are members, so that it can reach the leader. */
+  record Members(List<Address> addresses) implements PeerMessage {
+
+    /** Name and peer address of a member. */
+    public record Address(VmId vmId, Endpoint endpoint) {}
+
+    /** Copies the list. */
+    public Members {
+      addresses = List.copyOf(addresses);
+    }
+  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessageCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessageCodec.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.protocol.consensus.PeerMessage.Hello;
@@ -30,6 +32,8 @@
   private static final int READ_REPLY = 6;
   private static final int PING = 7;
   private static final int PONG = 8;
+  private static final int MEMBERS = 9;
+  private static final int MAX_MEMBERS = 1_000;
 
   private PeerMessageCodec() {}
 
@@ -83,6 +87,11 @@
       out.packInt(PING);
     } else if (message instanceof PeerMessage.Pong) {
       out.packInt(PONG);
+    } else if (message instanceof PeerMessage.Members m) {
+      out.packInt(MEMBERS).packInt(m.addresses().size());
+      for (PeerMessage.Members.Address address : m.addresses()) {
+        out.packString(address.vmId().value()).packString(address.endpoint().toString());
+      }
     }
   }
 
@@ -98,10 +107,25 @@
       case READ_REPLY -> new ReadReply(in.readLong(), in.readBoolean(), in.readLong());
       case PING -> new PeerMessage.Ping();
       case PONG -> new PeerMessage.Pong();
+      case MEMBERS -> readMembers(in);
       default -> new Raft(RaftMessageFormat.read(type, in));
     };
   }
 
+  private static PeerMessage.Members readMembers(FieldReader in) throws MalformedFrameException {
+    int count = in.readInt();
+    if (count < 0 || count > MAX_MEMBERS) {
+      throw new MalformedFrameException("number of members out of range", null);
+    }
+    List<PeerMessage.Members.Address> addresses = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      addresses.add(
+          new PeerMessage.Members.Address(
+              new VmId(in.readText()), Endpoint.parse(in.readText())));
+    }
+    return new PeerMessage.Members(addresses);
+  }
+
   private static Hello readHello(FieldReader in) throws MalformedFrameException {
     if (!in.readText().equals(MAGIC) || in.readInt() != VERSION) {
       throw new MalformedFrameException("not a peer connection of this version", null);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/control/ControlCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/control/ControlCodec.java
@@ -9,6 +9,7 @@
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
@@ -81,6 +82,9 @@
     } else if (message instanceof ControlMessage.AttachmentReport report) {
       head(out, MessageType.ATTACHMENT_REPORT, 0);
       out.list(report.daemons(), (DaemonId daemon) -> out.text(daemon.value()));
+    } else if (message instanceof ControlMessage.Relays relays) {
+      head(out, MessageType.RELAYS, 0);
+      out.list(relays.endpoints(), (Endpoint endpoint) -> out.text(endpoint.toString()));
     } else {
       return false;
     }
@@ -188,6 +192,7 @@
           new ControlMessage.StatusReply(correlation, in.flag(), in.list(() -> readStatus(in)));
       case ATTACHMENT_REPORT ->
           new ControlMessage.AttachmentReport(in.list(() -> new DaemonId(in.text())));
+      case RELAYS -> new ControlMessage.Relays(in.list(() -> Endpoint.parse(in.text())));
       default -> readClaim(type, correlation, in);
     };
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/control/MessageType.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/control/MessageType.java
@@ -22,7 +22,8 @@
   CLAIM_END_REPLY(16, 2),
   STATUS_QUERY(17, 2),
   STATUS_REPLY(18, 4),
-  ATTACHMENT_REPORT(19, 3);
+  ATTACHMENT_REPORT(19, 3),
+  RELAYS(20, 3);
 
   private final int code;
   private final int fields;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/ChangeCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/ChangeCodec.java
@@ -17,6 +17,7 @@
 import org.cornelspoke.state.config.Operator;
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.config.Route;
+import org.cornelspoke.state.config.RoutingDocument;
 
 /** Encodes change requests, their results and audit entries. Stateless. */
 public final class ChangeCodec {
@@ -33,6 +34,7 @@
   private static final int SET_OPERATOR = 10;
   private static final int DELETE_OPERATOR = 11;
   private static final int ROTATE_CONTEXT_SECRET = 12;
+  private static final int REPLACE_ROUTING = 13;
 
   private static final int ACCEPTED = 1;
   private static final int CONFLICT = 2;
@@ -137,12 +139,22 @@
       text(out, DELETE_OPERATOR, delete.operator().value());
     } else if (change instanceof ConfigChange.RotateContextSecret rotate) {
       text(out, ROTATE_CONTEXT_SECRET, rotate.secretHex());
+    } else if (change instanceof ConfigChange.ReplaceRouting replace) {
+      out.array(6).number(REPLACE_ROUTING).number(replace.baseVersion());
+      EntityCodec.write(out, replace.document());
+      out.list(replace.routes(), (Route route) -> EntityCodec.write(out, route));
+      out.list(replace.accounts(), (Account account) -> EntityCodec.write(out, account));
+      out.list(replace.keys(), (ClientKey key) -> EntityCodec.write(out, key));
     }
   }
 
   private static ConfigChange readChange(MessageReader in) {
-    in.array(2);
+    int size = in.arraySize();
     int type = in.integer();
+    int expected = type == REPLACE_ROUTING ? 6 : 2;
+    if (size != expected) {
+      throw new MalformedMessageException("change must have " + expected + " fields: " + size);
+    }
     return switch (type) {
       case CREATE_ACCOUNT -> new ConfigChange.CreateAccount(entity(in, Account.class));
       case SET_ACCOUNT -> new ConfigChange.SetAccount(entity(in, Account.class));
@@ -156,6 +168,13 @@
       case SET_OPERATOR -> new ConfigChange.SetOperator(entity(in, Operator.class));
       case DELETE_OPERATOR -> new ConfigChange.DeleteOperator(new OperatorId(in.text()));
       case ROTATE_CONTEXT_SECRET -> new ConfigChange.RotateContextSecret(in.text());
+      case REPLACE_ROUTING ->
+          new ConfigChange.ReplaceRouting(
+              in.number(),
+              entity(in, RoutingDocument.class),
+              in.list(() -> entity(in, Route.class)),
+              in.list(() -> entity(in, Account.class)),
+              in.list(() -> entity(in, ClientKey.class)));
       default -> throw MessageReader.unknownType("change", type);
     };
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/EntityCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/EntityCodec.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.state.codec;
 
+import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
 import java.util.Map;
 import org.cornelspoke.model.AccountId;
@@ -20,6 +21,8 @@
 import org.cornelspoke.state.config.Operator;
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.config.Route;
+import org.cornelspoke.state.config.RoutingDocument;
+import org.cornelspoke.state.config.WeightedService;
 
 /** Encodes configuration entities as {@code [kind code, fields...]}. Stateless. */
 public final class EntityCodec {
@@ -45,6 +48,9 @@
       out.array(3).number(code).number(secret.number()).text(secret.secretHex());
     } else if (entity instanceof Operator operator) {
       out.array(3).number(code).text(operator.id().value()).text(operator.tokenHashHex());
+    } else if (entity instanceof RoutingDocument document) {
+      out.array(3).number(code).number(document.version());
+      out.bytes(document.text().getBytes(StandardCharsets.UTF_8));
     }
   }
 
@@ -62,6 +68,8 @@
           case ACTIVE_PRESET -> new ActivePreset(new PresetName(in.text()));
           case CONTEXT_SECRET -> new ContextSecret(in.integer(), in.text());
           case OPERATOR -> new Operator(new OperatorId(in.text()), in.text());
+          case ROUTING_DOCUMENT ->
+              new RoutingDocument(in.number(), new String(in.bytes(), StandardCharsets.UTF_8));
         };
     if (size != fields(kind)) {
       throw new MalformedMessageException(kind + " must have " + fields(kind) + " fields");
@@ -84,10 +92,10 @@
     return switch (kind) {
       case ACCOUNT -> 5;
       case CLIENT_KEY -> 4;
-      case ROUTE -> 9;
+      case ROUTE -> 12;
       case PRESET -> 6;
       case ACTIVE_PRESET -> 2;
-      case CONTEXT_SECRET, OPERATOR -> 3;
+      case CONTEXT_SECRET, OPERATOR, ROUTING_DOCUMENT -> 3;
     };
   }
 
@@ -101,12 +109,16 @@
   }
 
   private static void writeRoute(MessageWriter out, int code, Route route) {
-    out.array(9).number(code).text(route.id().value()).text(route.method());
-    out.text(route.pathPrefix()).text(route.service().value());
+    out.array(12).number(code).text(route.id().value()).text(route.host()).text(route.method());
+    out.text(route.pathPrefix());
+    out.list(
+        route.services(),
+        (WeightedService part) -> out.array(2).text(part.service().value()).real(part.weight()));
     out.constant(route.trafficClass(), TrafficClass.values())
         .flag(route.open())
         .flag(route.repeatable());
-    out.number(route.timeoutMillis());
+    out.number(route.timeoutMillis()).number(route.latencyObjectiveMillis());
+    out.number(route.maxAttempts());
   }
 
   private static Route readRoute(MessageReader in) {
@@ -114,11 +126,19 @@
         new RouteId(in.text()),
         in.text(),
         in.text(),
-        new ServiceName(in.text()),
+        in.text(),
+        in.list(() -> readPart(in)),
         in.constant(TrafficClass.values()),
         in.flag(),
         in.flag(),
-        in.number());
+        in.number(),
+        in.number(),
+        in.integer());
+  }
+
+  private static WeightedService readPart(MessageReader in) {
+    in.array(2);
+    return new WeightedService(new ServiceName(in.text()), in.real());
   }
 
   private static void writePreset(MessageWriter out, int code, Preset preset) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/Account.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/Account.java
@@ -13,6 +13,9 @@
 public record Account(AccountId id, double rateTokensPerSecond, double burstTokens, int weight)
     implements ConfigEntity {
 
+  /** Rate of an account that has no limit, in requests per second. */
+  public static final double UNLIMITED_TOKENS_PER_SECOND = 1e9;
+
   /** Checks the limits. */
   public Account {
     Assert.notNull(id, "id");
@@ -24,6 +27,11 @@
     Assert.isTrue(weight >= 1, "weight must be 1 or more");
   }
 
+  /** Returns true if the rate bounds the account. */
+  public boolean isLimited() {
+    return rateTokensPerSecond < UNLIMITED_TOKENS_PER_SECOND;
+  }
+
   @Override
   public EntityId entityId() {
     return new EntityId(EntityKind.ACCOUNT, id.value());
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlan.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlan.java
@@ -8,9 +8,19 @@
  *
  * @param entity the entity that the audit trail names
  * @param rule the broken rule; empty if the change is allowed
+ * @param conflict true if the rule is that the change builds on what is no longer in force
  */
 record ChangePlan(
-    EntityId entity, List<ConfigEntity> put, List<EntityId> removed, Optional<String> rule) {
+    EntityId entity,
+    List<ConfigEntity> put,
+    List<EntityId> removed,
+    Optional<String> rule,
+    boolean conflict) {
+
+  ChangePlan(
+      EntityId entity, List<ConfigEntity> put, List<EntityId> removed, Optional<String> rule) {
+    this(entity, put, removed, rule, false);
+  }
 
   static ChangePlan put(ConfigEntity value) {
     return new ChangePlan(value.entityId(), List.of(value), List.of(), Optional.empty());
@@ -23,4 +33,8 @@
   static ChangePlan rejected(EntityId entity, String rule) {
     return new ChangePlan(entity, List.of(), List.of(), Optional.of(rule));
   }
+
+  static ChangePlan conflict(EntityId entity, String rule) {
+    return new ChangePlan(entity, List.of(), List.of(), Optional.of(rule), true);
+  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlanner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlanner.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Pattern;
 import org.cornelspoke.model.AccountId;
@@ -13,6 +15,8 @@
 
   private static final Pattern SHA256_HEX = Pattern.compile("[0-9a-f]{64}");
   private static final int KEPT_SECRETS = 2;
+  private static final List<EntityKind> REPLACED_KINDS =
+      List.of(EntityKind.ACCOUNT, EntityKind.CLIENT_KEY, EntityKind.ROUTE);
 
   private final EntityStore entities;
 
@@ -72,6 +76,9 @@
     if (change instanceof ConfigChange.DeleteOperator delete) {
       return deleteOperator(delete.operator());
     }
+    if (change instanceof ConfigChange.ReplaceRouting replace) {
+      return replaceRouting(replace);
+    }
     return rotateSecret(((ConfigChange.RotateContextSecret) change).secretHex());
   }
 
@@ -106,6 +113,41 @@
         : ChangePlan.put(key);
   }
 
+  /** Entities that stay as they are keep their revision, so that a delta holds the changes only. */
+  private ChangePlan replaceRouting(ConfigChange.ReplaceRouting replace) {
+    long current =
+        entities
+            .get(RoutingDocument.ID)
+            .map(entity -> ((RoutingDocument) entity).version())
+            .orElse(0L);
+    if (replace.baseVersion() != current) {
+      return ChangePlan.conflict(RoutingDocument.ID, "version " + current + " is in force");
+    }
+    if (replace.document().version() <= current) {
+      return ChangePlan.rejected(RoutingDocument.ID, "the version must be above " + current);
+    }
+    Map<EntityId, ConfigEntity> wanted = new LinkedHashMap<>();
+    replace.accounts().forEach(account -> wanted.put(account.entityId(), account));
+    replace.keys().forEach(key -> wanted.put(key.entityId(), key));
+    replace.routes().forEach(route -> wanted.put(route.entityId(), route));
+    List<EntityId> removed = new ArrayList<>();
+    for (EntityKind kind : REPLACED_KINDS) {
+      for (ConfigEntity present : entities.live(kind)) {
+        if (!wanted.containsKey(present.entityId())) {
+          removed.add(present.entityId());
+        }
+      }
+    }
+    List<ConfigEntity> put = new ArrayList<>(List.of(replace.document()));
+    wanted.forEach(
+        (id, entity) -> {
+          if (!entities.get(id).equals(Optional.of(entity))) {
+            put.add(entity);
+          }
+        });
+    return new ChangePlan(RoutingDocument.ID, put, removed, Optional.empty());
+  }
+
   private ChangePlan setOperator(Operator operator) {
     return SHA256_HEX.matcher(operator.tokenHashHex()).matches()
         ? ChangePlan.put(operator)
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigChange.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigChange.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.state.config;
 
+import java.util.List;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.KeyId;
 import org.cornelspoke.model.OperatorId;
@@ -44,4 +45,27 @@
 
   /** Adds a context secret with the next number and drops all but the newest two. */
   record RotateContextSecret(String secretHex) implements ConfigChange {}
+
+  /**
+   * Replaces all routes, accounts and keys together.
+   *
+   * @param baseVersion version of the document that the change builds on, 0 if there is none; the
+   *     change conflicts with every other one
+   * @param document the text that is kept; its version must be above the present one
+   */
+  record ReplaceRouting(
+      long baseVersion,
+      RoutingDocument document,
+      List<Route> routes,
+      List<Account> accounts,
+      List<ClientKey> keys)
+      implements ConfigChange {
+
+    /** Copies the lists. */
+    public ReplaceRouting {
+      routes = List.copyOf(routes);
+      accounts = List.copyOf(accounts);
+      keys = List.copyOf(keys);
+    }
+  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigState.java
@@ -81,6 +81,11 @@
     return audit.sequence();
   }
 
+  /** Returns the document that operators replaced the routing with last. */
+  public Optional<RoutingDocument> routingDocument() {
+    return entities.get(RoutingDocument.ID).map(RoutingDocument.class::cast);
+  }
+
   /** Returns the name of the preset in force. */
   public PresetName activePreset() {
     return ((ActivePreset) entities.get(ActivePreset.ID).orElseThrow()).name();
@@ -139,7 +144,7 @@
   private ChangeResult decide(ChangeRequest request) {
     ChangePlan plan = planner.plan(request.operator(), request.change());
     Optional<Revision> expected = request.expectedRevision();
-    if (expected.isPresent() && !expected.get().equals(revision)) {
+    if (plan.conflict() || (expected.isPresent() && !expected.get().equals(revision))) {
       Optional<AuditEntry> winner = audit.lastAccepted();
       record(request, plan, CONFLICT, text(plan.entity()), plannedText(plan));
       return new ChangeResult.Conflict(revision, winner);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityKind.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityKind.java
@@ -8,7 +8,8 @@
   PRESET(4),
   ACTIVE_PRESET(5),
   CONTEXT_SECRET(6),
-  OPERATOR(7);
+  OPERATOR(7),
+  ROUTING_DOCUMENT(8);
 
   private final int code;
 
@@ -23,6 +24,6 @@
 
   /** Returns true if traffic daemons need entities of this kind. */
   public boolean isSentToTrafficDaemons() {
-    return this != OPERATOR;
+    return this != OPERATOR && this != ROUTING_DOCUMENT;
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityText.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityText.java
@@ -3,6 +3,7 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.StringJoiner;
 import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.model.TrafficClass;
 
@@ -46,11 +47,12 @@
       return "account=" + key.account();
     }
     if (entity instanceof Route route) {
-      return "%s %s service=%s class=%s open=%s repeatable=%s timeoutMillis=%s"
+      return "%s %s%s service=%s class=%s open=%s repeatable=%s timeoutMillis=%s"
           .formatted(
               route.method(),
+              route.host(),
               route.pathPrefix(),
-              route.service(),
+              parts(route),
               route.trafficClass(),
               route.open(),
               route.repeatable(),
@@ -65,9 +67,21 @@
     if (entity instanceof ContextSecret secret) {
       return "number=" + secret.number();
     }
+    if (entity instanceof RoutingDocument document) {
+      return "version=" + document.version();
+    }
     return "present";
   }
 
+  private static String parts(Route route) {
+    if (route.services().size() == 1) {
+      return route.service().value();
+    }
+    StringJoiner text = new StringJoiner("+");
+    route.services().forEach(part -> text.add(part.service() + ":" + part.weight()));
+    return text.toString();
+  }
+
   private static String describePreset(Preset preset) {
     StringBuilder text = new StringBuilder();
     text.append(
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
@@ -18,6 +18,7 @@
 import org.cornelspoke.state.config.ContextSecret;
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.config.Route;
+import org.cornelspoke.state.config.WeightedService;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.util.Assert;
 
@@ -67,10 +68,15 @@
     return revision;
   }
 
-  /** Returns the route of a request, or empty if none matches. */
-  public Optional<Route> route(String method, String path) {
+  /**
+   * Returns the route of a request, or empty if none matches.
+   *
+   * @param host the host that the request names, in lower case without a port
+   * @param path the path without its query
+   */
+  public Optional<Route> route(String host, String method, String path) {
     for (Route route : routes) {
-      if (route.matches(method, path)) {
+      if (route.matches(host, method, path)) {
         return Optional.of(route);
       }
     }
@@ -125,7 +131,11 @@
 
   /** Returns the services that the routes name. */
   public List<ServiceName> routedServices() {
-    return routes.stream().map(Route::service).distinct().toList();
+    return routes.stream()
+        .flatMap(route -> route.services().stream())
+        .map(WeightedService::service)
+        .distinct()
+        .toList();
   }
 
   private void add(ConfigEntity entity) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/BodyReader.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/BodyReader.java
@@ -82,6 +82,11 @@
     return untilClose || state == State.DONE;
   }
 
+  /** Returns true if only the end of the connection ends this body. */
+  boolean endsWithConnection() {
+    return untilClose;
+  }
+
   /** Returns the bytes read. */
   byte[] body() {
     return size == body.length ? body : Arrays.copyOf(body, size);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/ForwardedHeaders.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/ForwardedHeaders.java
@@ -32,6 +32,15 @@
    * product's own headers.
    */
   public static Headers ofRequest(Headers headers) {
+    return copyRequest(headers, (lines, line) -> false).build();
+  }
+
+  /**
+   * As {@link #ofRequest}, as lines to which others can be added.
+   *
+   * @param reserved tells further lines that don't travel on
+   */
+  public static Headers.Builder copyRequest(Headers headers, ReservedLines reserved) {
     Set<String> nominated = nominated(headers);
     Headers.Builder kept = new Headers.Builder();
     for (int line = 0; line < headers.size(); line++) {
@@ -39,11 +48,19 @@
           && !headers.nameIs(line, "content-length")
           && !headers.nameIs(line, "authorization")
           && !headers.nameIs(line, "expect")
-          && !headers.nameStartsWith(line, OWN_PREFIX)) {
+          && !headers.nameStartsWith(line, OWN_PREFIX)
+          && !reserved.contains(headers, line)) {
         kept.addLine(headers, line);
       }
     }
-    return kept.build();
+    return kept;
+  }
+
+  /** Tells which header lines of a caller are not forwarded. */
+  public interface ReservedLines {
+
+    /** Returns true if the line stays behind. */
+    boolean contains(Headers headers, int line);
   }
 
   /**
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
@@ -1,5 +1,8 @@
 package org.cornelspoke.transport.http;
 
+import java.util.regex.Pattern;
+import java.util.regex.Matcher;
+import java.util.concurrent.TimeUnit;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.tcp.TcpSocket;
 import java.io.IOException;
@@ -15,11 +18,20 @@
 final class UpstreamConnection implements SocketReader.Sink {
 
   private static final int MAX_INTERIM_ANSWERS = 8;
-  private static final int SHED_STATUS = 503;
-  private static final String SHED_HEADER = "cornelspoke-shed";
-  private static final String SHED_VALUE = "1";
+
+  /** Late answers of earlier requests that are skipped before the connection is given up. */
+  private static final int MAX_SKIPPED_ANSWERS = 2;
+
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
+  /** Upstreams that announce nothing usually keep idle connections for 5 s or more. */
+  private static final long DEFAULT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  /** Leaves time for a request to arrive before the upstream closes the connection. */
+  private static final double USED_IDLE_PART = 0.8;
+
+  private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
+
   private final UpstreamPool pool;
   private final TcpSocket socket;
   private final SocketReader reader;
@@ -29,10 +41,12 @@
   private ResponseHead head;
   private BodyReader bodyReader;
   private int interimAnswers;
+  private int skippedAnswers;
   private boolean writing;
   private boolean closed;
   private long writtenBytes;
   private long idleSinceNanos;
+  private long idleLimitNanos = DEFAULT_IDLE_NANOS;
 
   UpstreamConnection(UpstreamPool pool, TcpSocket socket) {
     this.pool = pool;
@@ -65,7 +79,7 @@
    * as its answer.
    */
   boolean isReusable() {
-    if (closed) {
+    if (closed || System.nanoTime() - idleSinceNanos > idleLimitNanos) {
       return false;
     }
     try {
@@ -82,6 +96,7 @@
     head = null;
     bodyReader = null;
     interimAnswers = 0;
+    skippedAnswers = 0;
     writtenBytes = 0;
     writing = true;
     socket
@@ -132,18 +147,37 @@
   }
 
   private void parse() throws HttpSyntaxException {
+    while (exchange != null && readAnswer()) {
+      if (isOfOtherRequest() && head.keepAlive() && skippedAnswers < MAX_SKIPPED_ANSWERS) {
+        skippedAnswers++;
+        head = null;
+        pool.onSurplus();
+      } else {
+        finish();
+      }
+    }
+  }
+
+  /** Returns true once a whole answer has been read. */
+  private boolean readAnswer() throws HttpSyntaxException {
     while (head == null) {
       int length = HeadParser.findEnd(in);
       if (length < 0) {
-        return;
+        return false;
       }
       ResponseHead parsed = HeadParser.parseResponse(in.array(), in.head(), length);
       in.consume(length);
       acceptHead(parsed);
     }
-    if (bodyReader.read(in)) {
-      finish();
-    }
+    return bodyReader.read(in);
+  }
+
+  private boolean isOfOtherRequest() {
+    return judge() == AnswerPolicy.Kind.OTHER_REQUEST;
+  }
+
+  private AnswerPolicy.Kind judge() {
+    return pool.answerPolicy().judge(exchange.request().headers(), head.status(), head.headers());
   }
 
   private void acceptHead(ResponseHead parsed) throws HttpSyntaxException {
@@ -161,7 +195,7 @@
       bodyReader = BodyReader.chunked(pool.maxBodyBytes());
     } else if (parsed.contentLength() >= 0) {
       bodyReader = BodyReader.ofLength(parsed.contentLength(), pool.maxBodyBytes());
-    } else if (!parsed.keepAlive()) {
+    } else if (!parsed.keepAlive() || pool.answerPolicy().endsWithConnection()) {
       bodyReader = BodyReader.untilClose(pool.maxBodyBytes());
     } else {
       // Without any length a truncated answer would look complete.
@@ -175,30 +209,47 @@
 
   private void finish() {
     UpstreamExchange done = exchange;
-    CallResult answer = result();
+    AnswerPolicy.Kind kind = judge();
+    CallResult answer = result(kind);
     exchange = null;
+    boolean clean = kind != AnswerPolicy.Kind.UNUSABLE && skippedAnswers == 0;
     if (in.size() > 0) {
       pool.onSurplus();
       close();
-    } else if (writing || !head.keepAlive() || socket.isClosed()) {
+    } else if (writing || !clean || !head.keepAlive() || bodyReader.endsWithConnection()) {
+      close();
+    } else if (socket.isClosed()) {
       close();
     } else {
       idleSinceNanos = System.nanoTime();
+      idleLimitNanos = idleLimitNanos(head.headers().get("keep-alive"));
       pool.onIdle(this);
     }
     done.end(answer);
   }
 
-  private CallResult result() {
+  private CallResult result(AnswerPolicy.Kind kind) {
     Headers headers = head.headers();
-    if (head.status() == SHED_STATUS && SHED_VALUE.equals(headers.get(SHED_HEADER))) {
-      return new CallResult.Refused(
-          RefusalReason.OVERLOAD, retryAfterMillis(headers.get("retry-after")));
+    return switch (kind) {
+      case NOT_EXECUTED ->
+          new CallResult.Refused(RefusalReason.SHED, retryAfterMillis(headers.get("retry-after")));
+      case ANSWER ->
+          new CallResult.Answered(
+              head.status(),
+              ForwardedHeaders.ofResponse(headers, isBodyless(head.status())),
+              bodyReader.body());
+      case OTHER_REQUEST, UNUSABLE -> new CallResult.Failed(RefusalReason.UPSTREAM_FAILED);
+    };
+  }
+
+  /** Returns how long the connection may be idle; the upstream closes it soon after. */
+  private static long idleLimitNanos(String keepAlive) {
+    Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(keepAlive == null ? "" : keepAlive);
+    if (!matcher.find()) {
+      return DEFAULT_IDLE_NANOS;
     }
-    return new CallResult.Answered(
-        head.status(),
-        ForwardedHeaders.ofResponse(headers, isBodyless(head.status())),
-        bodyReader.body());
+    long announced = TimeUnit.SECONDS.toNanos(Long.parseLong(matcher.group(1)));
+    return Math.min(DEFAULT_IDLE_NANOS, (long) (announced * USED_IDLE_PART));
   }
 
   private static long retryAfterMillis(String seconds) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamPool.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamPool.java
@@ -43,6 +43,7 @@
   private final NioReactor reactor;
   private final InetSocketAddress address;
   private final int maxBodyBytes;
+  private final AnswerPolicy answerPolicy;
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
   private final Set<UpstreamConnection> open = new HashSet<>();
   private final Counter surplus;
@@ -64,7 +65,9 @@
       Endpoint upstream,
       int maxBodyBytes,
       int maxConnections,
+      AnswerPolicy answerPolicy,
       MetricRegistry metrics) {
+    this.answerPolicy = Assert.notNull(answerPolicy, "answerPolicy");
     this.reactor = Assert.notNull(reactor, "reactor");
     this.address = upstream.toSocketAddress();
     this.maxBodyBytes = maxBodyBytes;
@@ -110,6 +113,10 @@
     return maxBodyBytes;
   }
 
+  AnswerPolicy answerPolicy() {
+    return answerPolicy;
+  }
+
   void onIdle(UpstreamConnection connection) {
     if (closed) {
       connection.close();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Main.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Main.java
@@ -78,11 +78,21 @@
       out.println(options.settings + ": ok");
       return EXIT_OK;
     }
-    Logging.configure(settings.log());
     return serve(settings);
   }
 
+  /**
+   * Starts a daemon and returns the exit code after it has stopped.
+   *
+   * @param factory builds the daemon
+   * @param err receives the cause if the daemon can't start
+   */
+  public static int serve(DaemonSettings settings, DaemonFactory factory, PrintStream err) {
+    return new Main(factory, System.out, err).serve(settings);
+  }
+
   private int serve(DaemonSettings settings) {
+    Logging.configure(settings.log());
     DaemonFactory.Daemon daemon;
     try {
       daemon = factory.create(settings);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -1,5 +1,7 @@
 package org.cornelspoke.daemon.consensus;
 
+import org.cornelspoke.coordination.consensus.MembershipKeeper;
+import java.util.function.Consumer;
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
@@ -42,7 +44,8 @@
  *
  * <p>On the first start with empty folders the VM with the smallest id forms the group, once it is
  * connected to all VMs of the settings and all of them are empty. A wiped VM therefore never forms
- * a second group; an operator adds it as a learner.
+ * a second group; an operator adds it as a learner, or with {@link Builder#withAutomaticMembership}
+ * the leader does.
  *
  * <p>All methods must be called on the control thread, except {@link #awaitStopped}.
  */
@@ -52,6 +55,9 @@
   private static final long TICK_MILLIS = 10;
   private static final long MAINTENANCE_TICKS = 10;
 
+  /** Peers send a ping every 100 ms. */
+  private static final long HEARD_MILLIS = 500;
+
   private final NioReactor reactor;
   private final VmId vmId;
   private final Endpoint peerAddress;
@@ -65,6 +71,10 @@
   private final PendingRequests pending = new PendingRequests();
   private final LocalOperations local = new LocalOperations();
   private final LeaderCalls calls;
+  private final boolean mayFormGroup;
+  private final boolean automaticMembership;
+  private final Consumer<Membership> membershipListener;
+  private final MembershipKeeper keeper = new MembershipKeeper();
   private ConsensusMetrics metrics;
   private DiskWriter writer;
   private PeerConnections connections;
@@ -88,6 +98,9 @@
     this.settings = builder.settings;
     this.metricRegistry = builder.metricRegistry;
     this.peers = Map.copyOf(builder.peers);
+    this.mayFormGroup = builder.mayFormGroup;
+    this.automaticMembership = builder.automaticMembership;
+    this.membershipListener = builder.membershipListener;
     this.calls = new LeaderCalls(vmId, local, this::send);
     Assert.isTrue(!peers.containsKey(vmId), "peers must not contain this VM");
   }
@@ -290,6 +303,7 @@
       pending.expire(nowMillis());
       connections.maintain();
       bootstrapIfFirst();
+      keepMembership();
       metrics.publish(node.term(), node.commitIndex(), appliedIndex, node.electionCount());
     }
     drive();
@@ -298,7 +312,9 @@
 
   /** The condition that all VMs are empty keeps a wiped VM from forming a second group. */
   private void bootstrapIfFirst() {
-    if (!node.isBlank() || peers.keySet().stream().anyMatch(p -> isBefore(p, vmId))) {
+    if (!mayFormGroup
+        || !node.isBlank()
+        || peers.keySet().stream().anyMatch(p -> isBefore(p, vmId))) {
       return;
     }
     List<Member> members = new ArrayList<>();
@@ -314,6 +330,38 @@
     node.bootstrap(new Membership(members));
   }
 
+  private void keepMembership() {
+    if (!automaticMembership) {
+      return;
+    }
+    if (!isLeader()) {
+      keeper.reset();
+      return;
+    }
+    List<Member> heard =
+        connections.heardWithin(HEARD_MILLIS).stream()
+            .map(h -> new Member(h.vmId(), h.identity(), h.peerAddress(), false))
+            .toList();
+    keeper
+        .next(
+            node.membership(),
+            node.identity(),
+            heard,
+            node::matchIndex,
+            node.commitIndex(),
+            System.nanoTime())
+        .ifPresent(this::changeMembership);
+  }
+
+  private void changeMembership(MembershipChange change) {
+    try {
+      node.changeMembership(change);
+      LOG.log(System.Logger.Level.INFO, "changing the membership: {0}", change);
+    } catch (MembershipRefusedException e) {
+      LOG.log(System.Logger.Level.DEBUG, "membership change must wait: {0}", e.getMessage());
+    }
+  }
+
   private static boolean isBefore(VmId a, VmId b) {
     return a.value().compareTo(b.value()) < 0;
   }
@@ -349,6 +397,14 @@
     if (!node.membership().equals(knownMembership)) {
       knownMembership = node.membership();
       connections.update(knownMembership);
+      if (automaticMembership) {
+        connections.announce(
+            new PeerMessage.Members(
+                knownMembership.members().stream()
+                    .map(m -> new PeerMessage.Members.Address(m.vmId(), m.peerAddress()))
+                    .toList()));
+      }
+      membershipListener.accept(knownMembership);
       LOG.log(System.Logger.Level.INFO, "members: {0}", knownMembership.members());
     }
     if (!leader().equals(knownLeader)) {
@@ -427,6 +483,11 @@
       }
     }
 
+    @Override
+    public void onMembers(PeerMessage.Members members) {
+      members.addresses().forEach(a -> connections.addPeer(a.vmId(), a.endpoint()));
+    }
+
     @Override
     public void onDown(VmId lost) {
       pending.onDown(lost);
@@ -510,6 +571,9 @@
     private DiskOpener diskOpener = FileDisk::new;
     private ConsensusSettings settings = ConsensusSettings.DEFAULT;
     private MetricRegistry metricRegistry = new MetricRegistry();
+    private boolean mayFormGroup = true;
+    private boolean automaticMembership;
+    private Consumer<Membership> membershipListener = membership -> {};
 
     private Builder(NioReactor reactor) {
       this.reactor = reactor;
@@ -528,6 +592,24 @@
       return this;
     }
 
+    /** Sets whether an empty VM may form a group with the other VMs of the settings. */
+    public Builder withFormation(boolean allowed) {
+      this.mayFormGroup = allowed;
+      return this;
+    }
+
+    /** Lets the leader take in VMs that connect and remove those that they replace. */
+    public Builder withAutomaticMembership(boolean automatic) {
+      this.automaticMembership = automatic;
+      return this;
+    }
+
+    /** Sets what is told each membership, on the control thread. */
+    public Builder withMembershipListener(Consumer<Membership> listener) {
+      this.membershipListener = listener;
+      return this;
+    }
+
     /** Sets the folder that holds log, vote, identity and snapshots. */
     public Builder withDataFolder(Path folder) {
       this.dataFolder = folder;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.consensus;
 
+import java.util.List;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -28,6 +29,9 @@
   interface Listener {
     void onMessage(VmId from, PeerMessage message);
 
+    /** A VM has told which VMs are members. */
+    default void onMembers(PeerMessage.Members members) {}
+
     /** The connection to a VM was lost; frames handed to it may not have arrived. */
     void onDown(VmId vmId);
   }
@@ -43,7 +47,9 @@
   private final Map<VmId, PeerLink> links = new HashMap<>();
   private final Map<VmId, PeerMessage.Hello> hellos = new HashMap<>();
   private final Map<MemberIdentity, VmId> vmIds = new HashMap<>();
+  private final Map<VmId, Long> heardMillis = new HashMap<>();
   private final Set<FrameConnection> accepted = new HashSet<>();
+  private byte[] members = new byte[0];
 
   PeerConnections(
       NioReactor reactor,
@@ -92,6 +98,27 @@
     }
   }
 
+  /** Adds a link to a VM that may be a member, unless there is one. */
+  void addPeer(VmId vmId, Endpoint address) {
+    if (!vmId.equals(self)) {
+      addLink(vmId, address);
+    }
+  }
+
+  /** Tells the connected VMs, now and those that connect later, which VMs are members. */
+  void announce(PeerMessage.Members newMembers) {
+    members = PeerMessageCodec.encode(newMembers);
+    accepted.forEach(connection -> connection.send(members));
+  }
+
+  /** Returns the hellos of the connected VMs that were heard within the time. */
+  List<PeerMessage.Hello> heardWithin(long millis) {
+    long timeMillis = nowMillis();
+    return hellos.values().stream()
+        .filter(h -> timeMillis - heardMillis.getOrDefault(h.vmId(), 0L) <= millis)
+        .toList();
+  }
+
   /** Returns the hello of a VM that is connected to this one. */
   Optional<PeerMessage.Hello> hello(VmId vmId) {
     return Optional.ofNullable(hellos.get(vmId));
@@ -119,7 +146,13 @@
         vmId,
         id ->
             new PeerLink(
-                reactor, id, address, hello, listener::onDown, PeerConnections::nowMillis));
+                reactor,
+                id,
+                address,
+                hello,
+                listener::onDown,
+                PeerConnections::nowMillis,
+                listener::onMembers));
   }
 
   private static long nowMillis() {
@@ -147,6 +180,9 @@
       } catch (MalformedFrameException e) {
         throw new IllegalArgumentException(e);
       }
+      if (peer != null) {
+        heardMillis.put(peer.vmId(), nowMillis());
+      }
       if (peer != null && message instanceof PeerMessage.Ping) {
         connection.send(PONG);
       } else if (peer != null) {
@@ -155,6 +191,10 @@
         peer = first;
         hellos.put(first.vmId(), first);
         vmIds.put(first.identity(), first.vmId());
+        heardMillis.put(first.vmId(), nowMillis());
+        if (members.length > 0) {
+          connection.send(members);
+        }
       } else {
         throw new IllegalArgumentException("first frame must be a hello");
       }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerLink.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerLink.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.consensus;
 
+import org.cornelspoke.protocol.consensus.MalformedFrameException;
 import io.activej.reactor.nio.NioReactor;
 import java.time.Duration;
 import java.util.function.Consumer;
@@ -35,6 +36,7 @@
   private final Supplier<PeerMessage.Hello> hello;
   private final Consumer<VmId> onDown;
   private final LongSupplier nowMillis;
+  private final Consumer<PeerMessage.Members> onMembers;
   private FrameConnection connection;
   private long answeredMillis;
   private boolean connecting;
@@ -46,13 +48,15 @@
       Endpoint address,
       Supplier<PeerMessage.Hello> hello,
       Consumer<VmId> onDown,
-      LongSupplier nowMillis) {
+      LongSupplier nowMillis,
+      Consumer<PeerMessage.Members> onMembers) {
     this.reactor = reactor;
     this.vmId = vmId;
     this.address = address;
     this.hello = hello;
     this.onDown = onDown;
     this.nowMillis = nowMillis;
+    this.onMembers = onMembers;
   }
 
   /** Starts to connect if the link is down; otherwise checks that the peer still answers. */
@@ -95,6 +99,16 @@
     }
   }
 
+  private void receive(byte[] frame) {
+    try {
+      if (PeerMessageCodec.decode(frame) instanceof PeerMessage.Members members) {
+        onMembers.accept(members);
+      }
+    } catch (MalformedFrameException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
   private void onConnected(FrameConnection opened) {
     if (stopped) {
       opened.close();
@@ -108,6 +122,7 @@
           @Override
           public void onFrame(byte[] frame) {
             answeredMillis = nowMillis.getAsLong();
+            receive(frame);
           }
 
           @Override
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.controlclient;
 
+import java.util.ArrayList;
 import io.activej.reactor.Reactor;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
@@ -52,6 +53,9 @@
   /** Several queries fit into the bound, so that a slow answer does not end freshness. */
   private static final int QUERIES_PER_BOUND = 6;
 
+  /** Bounds the addresses that are remembered while control VMs come and go. */
+  private static final int MAX_RELAYS = 256;
+
   /** A relay closes the connection of a daemon that is silent for 3 s. */
   private static final long MAX_QUERY_MILLIS = 500;
 
@@ -82,7 +86,7 @@
 
   private ControlClient(Builder builder) {
     this.reactor = Assert.notNull(builder.reactor, "reactor");
-    this.relays = List.copyOf(builder.relays);
+    this.relays = new ArrayList<>(builder.relays);
     this.freshnessBoundNanos = builder.freshnessBoundMillis * NANOS_PER_MILLI;
     this.queryNanos =
         Math.min(freshnessBoundNanos / QUERIES_PER_BOUND, MAX_QUERY_MILLIS * NANOS_PER_MILLI);
@@ -112,6 +116,14 @@
     tick();
   }
 
+  /** Adds a relay behind the known ones, unless it is known; on the control thread. */
+  public void addRelay(InetSocketAddress relay) {
+    if (!relays.contains(relay) && relays.size() < MAX_RELAYS) {
+      relays.add(relay);
+      tracker.setRelays(relays.size());
+    }
+  }
+
   /** Closes the connection. The last view stays readable and ages. */
   public void stop() {
     running = false;
@@ -263,6 +275,8 @@
       claims.onReply(reply);
     } else if (message instanceof ControlMessage.ClaimEndReply reply) {
       claims.onEndReply(reply);
+    } else if (message instanceof ControlMessage.Relays known) {
+      known.endpoints().forEach(endpoint -> addRelay(endpoint.toSocketAddress()));
     } else if (message instanceof ControlMessage.ShareEnvelope share) {
       shareListener.ifPresent(listener -> listener.onMessage(share.content()));
     } else {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/PeerLinks.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/PeerLinks.java
@@ -28,7 +28,7 @@
 
   private final NioReactor reactor;
   private final VmId self;
-  private final Map<VmId, InetSocketAddress> addresses;
+  private Map<VmId, InetSocketAddress> addresses;
   private final BiConsumer<VmId, ControlMessage> receiver;
   private final Consumer<VmId> lossListener;
   private final Map<VmId, Link> links = new HashMap<>();
@@ -47,6 +47,11 @@
     this.lossListener = lossListener;
   }
 
+  /** Replaces the peers; links to former ones end when they are lost. */
+  void setAddresses(Map<VmId, InetSocketAddress> newAddresses) {
+    addresses = Map.copyOf(newAddresses);
+  }
+
   Set<VmId> peers() {
     return addresses.keySet();
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.relay;
 
+import org.cornelspoke.model.Endpoint;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
@@ -70,6 +71,7 @@
   private final Set<FrameConnection> peerConnections = new HashSet<>();
   private final Map<VmId, FrameConnection> relayConnections = new HashMap<>();
   private final Map<Long, StatusCollector> statusCollectors = new HashMap<>();
+  private Optional<ControlMessage.Relays> relays = Optional.empty();
   private long statusCorrelation;
   private ScheduledRunnable nextTick;
   private boolean running;
@@ -146,6 +148,20 @@
     List.copyOf(peerConnections).forEach(FrameConnection::close);
   }
 
+  /**
+   * Follows a change of the control group.
+   *
+   * @param newPeers relay addresses of the other members
+   * @param own address at which daemons reach this relay
+   */
+  public void setPeers(Map<VmId, InetSocketAddress> newPeers, Endpoint own) {
+    peers.setAddresses(newPeers);
+    List<Endpoint> endpoints = new ArrayList<>(List.of(own));
+    newPeers.values().forEach(a -> endpoints.add(new Endpoint(a.getHostString(), a.getPort())));
+    relays = Optional.of(new ControlMessage.Relays(endpoints));
+    connections.values().forEach(connection -> send(connection, relays.get()));
+  }
+
   /** Returns the address in use, with the port that the system chose if port 0 was given. */
   public InetSocketAddress boundAddress() {
     return server.boundAddress();
@@ -218,6 +234,7 @@
     sessions.session(hello.daemon()).ifPresent(former -> connections.get(former).close());
     RelaySession session = sessions.attach(hello, nanoClock.getAsLong());
     connections.put(session, connection);
+    relays.ifPresent(known -> send(connection, known));
     shareEndpoint.ifPresent(endpoint -> endpoint.onAttached(hello.daemon()));
     return session;
   }
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlProfile.java
@@ -0,0 +1,44 @@
+package org.cornelspoke.daemon.runtime;
+
+import java.util.Optional;
+import java.util.function.Function;
+import org.cornelspoke.coordination.quota.ShareTimes;
+import org.cornelspoke.daemon.consensus.ConsensusSettings;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.transport.http.HttpHandler;
+import org.cornelspoke.util.Assert;
+
+/**
+ * How a control daemon differs from the product's defaults. Not safe for use by several threads.
+ */
+public final class ControlProfile {
+
+  Optional<Endpoint> operatorAddress = Optional.empty();
+  Function<RoutingAdministration, HttpHandler> operatorApi;
+  ShareTimes shareTimes = ShareTimes.DEFAULT;
+  ConsensusSettings consensus = ConsensusSettings.DEFAULT;
+
+  /**
+   * Adds an address at which operators replace the routing.
+   *
+   * @param api creates its handler
+   */
+  public ControlProfile withOperatorApi(
+      Endpoint address, Function<RoutingAdministration, HttpHandler> api) {
+    this.operatorAddress = Optional.of(address);
+    this.operatorApi = Assert.notNull(api, "api");
+    return this;
+  }
+
+  /** Replaces the intervals of the rate shares; they must be those of the traffic daemons. */
+  public ControlProfile withShareTimes(ShareTimes times) {
+    this.shareTimes = Assert.notNull(times, "times");
+    return this;
+  }
+
+  /** Replaces the settings of the control group. */
+  public ControlProfile withConsensus(ConsensusSettings settings) {
+    this.consensus = Assert.notNull(settings, "settings");
+    return this;
+  }
+}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -1,5 +1,15 @@
 package org.cornelspoke.daemon.runtime;
 
+import org.cornelspoke.transport.http.HttpServer;
+import org.cornelspoke.state.config.RoutingDocument;
+import org.cornelspoke.state.config.ChangeResult;
+import org.cornelspoke.state.config.ChangeRequest;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.daemon.settings.GroupFormation;
+import org.cornelspoke.coordination.consensus.Membership;
+import org.cornelspoke.coordination.consensus.Member;
+import java.util.Optional;
+import io.activej.promise.Promise;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -28,6 +38,9 @@
   /** A relay that has not proved to be current for this long reports itself as unhealthy. */
   private static final long HEALTHY_AGE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  private static final int OPERATOR_MAX_BODY_BYTES = 4 << 20;
+  private static final long OPERATOR_SWEEP_MILLIS = 1_000;
+
   private final ControlSettings settings;
   private final ControlStateMachine machine = new ControlStateMachine();
   private final ConsensusService consensus;
@@ -35,9 +48,10 @@
   private final RelayShares shares;
   private final ControlBackend backend;
   private final AdminServer admin;
+  private final Optional<HttpServer> operators;
   private boolean stopping;
 
-  ControlRuntime(ControlSettings settings) {
+  ControlRuntime(ControlSettings settings, ControlProfile profile) {
     super(settings.vmId().value());
     this.settings = settings;
     ConsensusService.Builder builder =
@@ -45,6 +59,10 @@
             .withVm(settings.vmId(), settings.peerAddress())
             .withDataFolder(settings.dataFolder())
             .withStateMachine(machine)
+            .withSettings(profile.consensus)
+            .withFormation(settings.formation() != GroupFormation.JOINING)
+            .withAutomaticMembership(settings.formation() != GroupFormation.OPERATED)
+            .withMembershipListener(this::onMembership)
             .withMetrics(metrics());
     Map<VmId, InetSocketAddress> relays = new HashMap<>();
     for (PeerSettings peer : settings.peers()) {
@@ -52,7 +70,8 @@
       relays.put(peer.vmId(), peer.relayAddress().toSocketAddress());
     }
     this.consensus = builder.build();
-    this.shares = new RelayShares(control(), settings.vmId(), consensus, machine.config());
+    this.shares = new RelayShares(
+            control(), settings.vmId(), consensus, machine.config(), profile.shareTimes);
     this.relay =
         RelayServer.builder()
             .withReactor(control())
@@ -70,6 +89,16 @@
             .withHealth(this::health)
             .withBackend(new GroupAdminBackend(settings, consensus, machine, backend))
             .build();
+    this.operators =
+        profile.operatorAddress.map(
+            address ->
+                new HttpServer(
+                    control(),
+                    address.toSocketAddress(),
+                    OPERATOR_MAX_BODY_BYTES,
+                    profile.operatorApi.apply(new Administration()),
+                    metrics(),
+                    "operators"));
   }
 
   @Override
@@ -78,6 +107,10 @@
     relay.start();
     shares.start(relay);
     admin.start();
+    if (operators.isPresent()) {
+      operators.get().start();
+      sweepOperators();
+    }
     settings.bootstrapOperator().ifPresent(this::bootstrap);
     LOGGER.log(
         Level.INFO, "control daemon {0} serves on {1}", settings.vmId(), settings.adminAddress());
@@ -87,6 +120,7 @@
   void stopOnControlThread() {
     stopping = true;
     admin.stop();
+    operators.ifPresent(HttpServer::closeAll);
     shares.stop();
     relay.stop();
     consensus.stop();
@@ -108,8 +142,49 @@
             e -> control().delayBackground(BOOTSTRAP_RETRY_MILLIS, () -> bootstrap(first)));
   }
 
+  private void sweepOperators() {
+    operators.orElseThrow().sweep(System.nanoTime());
+    control().delayBackground(OPERATOR_SWEEP_MILLIS, this::sweepOperators);
+  }
+
+  /** All VMs of a group that keeps its own membership use the same ports. */
+  private void onMembership(Membership membership) {
+    if (settings.formation() == GroupFormation.OPERATED) {
+      return;
+    }
+    Map<VmId, InetSocketAddress> relays = new HashMap<>();
+    for (Member member : membership.members()) {
+      if (!member.vmId().equals(settings.vmId())) {
+        relays.put(
+            member.vmId(),
+            new Endpoint(member.peerAddress().ip(), settings.relayAddress().port())
+                .toSocketAddress());
+      }
+    }
+    relay.setPeers(relays, settings.relayAddress());
+  }
+
   private Health health() {
     boolean current = relay.ageNanos().filter(age -> age <= HEALTHY_AGE_NANOS).isPresent();
     return current ? Health.OK : new Health(false, "not proved current by a quorum");
   }
+
+  private final class Administration implements RoutingAdministration {
+
+    @Override
+    public Promise<ChangeResult> submit(ChangeRequest request, long timeoutMillis) {
+      return backend.submit(request, deadlineNanos(timeoutMillis));
+    }
+
+    @Override
+    public Promise<Optional<RoutingDocument>> read(long timeoutMillis) {
+      return backend
+          .readConfig(deadlineNanos(timeoutMillis))
+          .map(reading -> machine.config().routingDocument());
+    }
+
+    private static long deadlineNanos(long timeoutMillis) {
+      return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+    }
+  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
@@ -25,10 +25,10 @@
   private ControlClient client;
   private long lastSession;
 
-  HolderChannel(Eventloop traffic, Eventloop control) {
+  HolderChannel(Eventloop traffic, Eventloop control, ShareTimes times) {
     this.traffic = traffic;
     this.control = control;
-    this.holder = new ShareHolder(ShareTimes.DEFAULT, this::send);
+    this.holder = new ShareHolder(times, this::send);
   }
 
   ShareHolder holder() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -38,6 +38,7 @@
   private final VmId self;
   private final ReplicatedLog log;
   private final ConfigState config;
+  private final ShareTimes times;
   private final ShareRelay middle;
   private RelayServer server;
   private Optional<ShareOwner> owner = Optional.empty();
@@ -48,12 +49,14 @@
   private long provedAtNanos;
   private ScheduledRunnable nextTick;
 
-  RelayShares(NioReactor reactor, VmId self, ReplicatedLog log, ConfigState config) {
+  RelayShares(
+      NioReactor reactor, VmId self, ReplicatedLog log, ConfigState config, ShareTimes times) {
+    this.times = times;
     this.reactor = reactor;
     this.self = self;
     this.log = log;
     this.config = config;
-    this.middle = new ShareRelay(ShareTimes.DEFAULT, this::sendToOwner, this::sendToDaemon);
+    this.middle = new ShareRelay(times, this::sendToOwner, this::sendToDaemon);
   }
 
   void start(RelayServer relayServer) {
@@ -116,7 +119,7 @@
       return;
     }
     if (owner.isEmpty() || ownerTerm != log.term()) {
-      owner = Optional.of(new ShareOwner(ShareTimes.DEFAULT, this::sendToRelay, now));
+      owner = Optional.of(new ShareOwner(times, this::sendToRelay, now));
       ownerTerm = log.term();
       ownerRevision = Revision.NONE;
       LOGGER.log(Level.INFO, "owns the rate shares in term {0}", ownerTerm);
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
@@ -0,0 +1,81 @@
+package org.cornelspoke.daemon.runtime;
+
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.cornelspoke.coordination.admission.LimitAlgorithm;
+import org.cornelspoke.coordination.quota.ShareTimes;
+import org.cornelspoke.coordination.retry.DefaultRetryThrottle;
+import org.cornelspoke.coordination.retry.RetryThrottles;
+import org.cornelspoke.daemon.traffic.DefaultDialect;
+import org.cornelspoke.daemon.traffic.HttpDialect;
+import org.cornelspoke.daemon.traffic.LocalApiFactory;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.transport.http.HttpHandler;
+import org.cornelspoke.util.Assert;
+
+/**
+ * How a traffic daemon differs from the product's own interface and defaults. Not safe for use by
+ * several threads.
+ */
+public final class TrafficProfile {
+
+  private static final double INITIAL_RETRY_RATIO = 0.1;
+  private static final long DRAIN_MILLIS = 2_000;
+  private static final long STOP_TIMEOUT_MILLIS = 60_000;
+
+  HttpDialect dialect = new DefaultDialect();
+  Optional<LocalApiFactory> localApi = Optional.empty();
+  Optional<Endpoint> readinessAddress = Optional.empty();
+  Function<BooleanSupplier, HttpHandler> readinessApi;
+  RetryThrottles throttles =
+      RetryThrottles.shared(new DefaultRetryThrottle(INITIAL_RETRY_RATIO));
+  LimitAlgorithm limitAlgorithm = LimitAlgorithm.DEFAULT;
+  ShareTimes shareTimes = ShareTimes.DEFAULT;
+  long drainMillis = DRAIN_MILLIS;
+  long stopTimeoutMillis = STOP_TIMEOUT_MILLIS;
+
+  /** Replaces the interface of callers and upstreams. */
+  public TrafficProfile withDialect(HttpDialect newDialect, LocalApiFactory newLocalApi) {
+    this.dialect = Assert.notNull(newDialect, "newDialect");
+    this.localApi = Optional.of(newLocalApi);
+    return this;
+  }
+
+  /**
+   * Adds an address that tells whether the daemon takes requests.
+   *
+   * @param api creates its handler from the daemon's readiness
+   */
+  public TrafficProfile withReadiness(
+      Endpoint address, Function<BooleanSupplier, HttpHandler> api) {
+    this.readinessAddress = Optional.of(address);
+    this.readinessApi = Assert.notNull(api, "api");
+    return this;
+  }
+
+  /** Replaces the ratio budgets of repeated attempts. */
+  public TrafficProfile withRetryThrottles(RetryThrottles newThrottles) {
+    this.throttles = Assert.notNull(newThrottles, "newThrottles");
+    return this;
+  }
+
+  /** Replaces the algorithm of the concurrency limit. */
+  public TrafficProfile withLimitAlgorithm(LimitAlgorithm algorithm) {
+    this.limitAlgorithm = Assert.notNull(algorithm, "algorithm");
+    return this;
+  }
+
+  /** Replaces the intervals of the rate shares; they must be those of the control daemons. */
+  public TrafficProfile withShareTimes(ShareTimes times) {
+    this.shareTimes = Assert.notNull(times, "times");
+    return this;
+  }
+
+  /** Replaces the times of a graceful stop. */
+  public TrafficProfile withStopTimes(long newDrainMillis, long newStopTimeoutMillis) {
+    this.drainMillis = newDrainMillis;
+    this.stopTimeoutMillis = newStopTimeoutMillis;
+    return this;
+  }
+}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -1,5 +1,7 @@
 package org.cornelspoke.daemon.runtime;
 
+import org.cornelspoke.transport.http.HttpServer;
+import java.util.Optional;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
@@ -7,10 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.math3.random.Well19937c;
 import org.cornelspoke.coordination.admission.DefaultUpstreamGate;
-import org.cornelspoke.coordination.admission.LimitAlgorithm;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.retry.DefaultRetryLedger;
-import org.cornelspoke.coordination.retry.DefaultRetryThrottle;
 import org.cornelspoke.coordination.routing.DefaultTargetSelector;
 import org.cornelspoke.daemon.admin.AdminServer;
 import org.cornelspoke.daemon.admin.Health;
@@ -26,20 +26,25 @@
 final class TrafficRuntime extends AbstractRuntime {
 
   private static final System.Logger LOGGER = System.getLogger(TrafficRuntime.class.getName());
-  private static final double INITIAL_RETRY_RATIO = 0.1;
+
+  private static final int READINESS_MAX_BODY_BYTES = 1 << 10;
+  private static final long READINESS_SWEEP_MILLIS = 1_000;
 
   private final TrafficSettings settings;
+  private final TrafficProfile profile;
   private final Eventloop traffic;
   private final HolderChannel shares;
   private final ControlClient client;
   private final TrafficDaemon daemon;
   private final AdminServer admin;
+  private final Optional<HttpServer> readiness;
 
-  TrafficRuntime(TrafficSettings settings) {
+  TrafficRuntime(TrafficSettings settings, TrafficProfile profile) {
     super(settings.daemonId().value());
     this.settings = settings;
+    this.profile = profile;
     this.traffic = EventLoops.create("traffic", metrics());
-    this.shares = new HolderChannel(traffic, control());
+    this.shares = new HolderChannel(traffic, control(), profile.shareTimes);
     this.client =
         ControlClient.builder()
             .withReactor(control())
@@ -50,8 +55,8 @@
             .withFreshnessBoundMillis(settings.freshnessBoundMillis())
             .withShareListener(shares)
             .build();
-    this.daemon =
-        TrafficDaemon.builder(trafficSettings(settings), traffic)
+    TrafficDaemon.Builder builder =
+        TrafficDaemon.builder(trafficSettings(settings, profile), traffic)
             .withFleet(client, client)
             .withAdmission(shares.holder(), client, (service, slots, now) -> gate(slots))
             .withSelector(
@@ -60,9 +65,20 @@
                     settings.dataCentre(),
                     DefaultTargetSelector.DEFAULT_SUBSET_SIZE,
                     new Well19937c()))
-            .withRetries(new DefaultRetryLedger(), new DefaultRetryThrottle(INITIAL_RETRY_RATIO))
-            .withMetrics(metrics())
-            .build();
+            .withRetries(new DefaultRetryLedger(), profile.throttles)
+            .withMetrics(metrics());
+    profile.localApi.ifPresent(api -> builder.withDialect(profile.dialect, api));
+    this.daemon = builder.build();
+    this.readiness =
+        profile.readinessAddress.map(
+            address ->
+                new HttpServer(
+                    control(),
+                    address.toSocketAddress(),
+                    READINESS_MAX_BODY_BYTES,
+                    profile.readinessApi.apply(daemon::isReady),
+                    metrics(),
+                    "readiness"));
     this.admin =
         AdminServer.builder(control(), settings.adminAddress())
             .withMetrics(metrics())
@@ -74,6 +90,10 @@
   void startOnControlThread() throws IOException {
     admin.start();
     client.start();
+    if (readiness.isPresent()) {
+      readiness.get().start();
+      sweepReadiness();
+    }
   }
 
   @Override
@@ -96,11 +116,17 @@
   void stopOnControlThread() {
     client.stop();
     admin.stop();
+    readiness.ifPresent(HttpServer::closeAll);
+  }
+
+  private void sweepReadiness() {
+    readiness.orElseThrow().sweep(System.nanoTime());
+    control().delayBackground(READINESS_SWEEP_MILLIS, this::sweepReadiness);
   }
 
   private UpstreamGate gate(int slots) {
     Preset preset = client.current().activePreset().orElseGet(BuiltInPresets::ordinary);
-    return new DefaultUpstreamGate(preset, LimitAlgorithm.DEFAULT.create(slots));
+    return new DefaultUpstreamGate(preset, profile.limitAlgorithm.create(slots));
   }
 
   private Health health() {
@@ -114,13 +140,14 @@
   }
 
   private static org.cornelspoke.daemon.traffic.TrafficSettings trafficSettings(
-      TrafficSettings settings) {
+      TrafficSettings settings, TrafficProfile profile) {
     return org.cornelspoke.daemon.traffic.TrafficSettings.builder(
             settings.daemonId(), settings.dataCentre())
         .withAddresses(settings.edgeAddress(), settings.linkAddress(), settings.localAddress())
         .withStaleKeys(StaleKeys.valueOf(settings.staleKeys().name()))
         .withShareWaitMillis(settings.shareWaitMillis())
         .withMaxBodyBytes(settings.maxBodyBytes())
+        .withStopTimes(profile.drainMillis, profile.stopTimeoutMillis)
         .build();
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/ControlSettings.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/ControlSettings.java
@@ -15,6 +15,7 @@
  * @param dataFolder holds the durable log and snapshots; a relative path starts at the working
  *     directory of the process
  * @param peers the other control VMs; empty for a group of one
+ * @param formation how this VM gets into its group
  * @param bootstrapOperator the first operator of a new control group; without effect once the group
  *     has a configuration
  */
@@ -26,6 +27,7 @@
     Endpoint adminAddress,
     Path dataFolder,
     List<PeerSettings> peers,
+    GroupFormation formation,
     Optional<BootstrapOperator> bootstrapOperator,
     LogSettings log)
     implements DaemonSettings {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
@@ -145,6 +145,7 @@
             object.endpoint("adminAddress"),
             dataFolder(object),
             peers(object, vmId),
+            GroupFormation.OPERATED,
             bootstrapOperator(object),
             log(object));
     object.refuseSharedAddresses("relayAddress", "peerAddress", "adminAddress");
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CallerHeaders.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CallerHeaders.java
@@ -9,8 +9,10 @@
  * @param idempotencyKey or null
  * @param context signed context, or null
  * @param deadlineMillis time left that the caller states, or -1
+ * @param requestId the caller's name of the request, for logs, or null
  */
-record CallerHeaders(String key, String idempotencyKey, String context, long deadlineMillis) {
+public record CallerHeaders(
+    String key, String idempotencyKey, String context, long deadlineMillis, String requestId) {
 
   private static final String BEARER = "bearer ";
   private static final int MAX_IDEMPOTENCY_KEY_LENGTH = 255;
@@ -35,7 +37,8 @@
         bearer(single(headers, "authorization")),
         idempotencyKey,
         single(headers, "cornelspoke-context"),
-        deadline == null ? -1 : Long.parseLong(deadline));
+        deadline == null ? -1 : Long.parseLong(deadline),
+        null);
   }
 
   private static String bearer(String authorization) {
@@ -47,7 +50,12 @@
     return key.isEmpty() ? null : key;
   }
 
-  private static String single(Headers headers, String lowerName) {
+  /**
+   * Returns the value of a header, or null.
+   *
+   * @throws IllegalArgumentException if it occurs twice
+   */
+  public static String single(Headers headers, String lowerName) {
     int line = headers.find(lowerName);
     if (line < 0) {
       return null;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Collaborators.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Collaborators.java
@@ -6,7 +6,7 @@
 import org.cornelspoke.coordination.dissemination.TargetPublisher;
 import org.cornelspoke.coordination.quota.RateLimiter;
 import org.cornelspoke.coordination.retry.RetryLedger;
-import org.cornelspoke.coordination.retry.RetryThrottle;
+import org.cornelspoke.coordination.retry.RetryThrottles;
 import org.cornelspoke.coordination.routing.TargetSelector;
 
 /** What the traffic path uses; all but the thread-safe ones belong to the reactor thread. */
@@ -19,7 +19,9 @@
     GateFactory gates,
     TargetSelector selector,
     RetryLedger ledger,
-    RetryThrottle throttle,
+    RetryThrottles throttles,
     TargetPublisher publisher,
+    HttpDialect dialect,
+    LocalApiFactory localApi,
     TrafficMetrics metrics,
     Timers timers) {}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CurrentView.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CurrentView.java
@@ -1,7 +1,6 @@
 package org.cornelspoke.daemon.traffic;
 
 import java.util.Optional;
-import org.cornelspoke.coordination.retry.RetryThrottle;
 import org.cornelspoke.coordination.routing.TargetSelector;
 import org.cornelspoke.state.config.ContextSecret;
 import org.cornelspoke.state.view.FleetView;
@@ -40,11 +39,10 @@
     TargetSelector selector = with.selector();
     selector.setTargets(view.targets(), System.nanoTime());
     links.follow(view);
-    RetryThrottle throttle = with.throttle();
     view.activePreset()
         .ifPresent(
             preset -> {
-              throttle.setRatio(preset.retryRatio());
+              with.throttles().setRatio(preset.retryRatio());
               upstreams.applyPreset(preset);
             });
   }
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/DefaultDialect.java
@@ -0,0 +1,48 @@
+package org.cornelspoke.daemon.traffic;
+
+import java.util.Optional;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.protocol.call.Headers;
+import org.cornelspoke.transport.http.AnswerPolicy;
+import org.cornelspoke.transport.http.DefaultAnswerPolicy;
+import org.cornelspoke.transport.http.HttpResponse;
+
+/** The product's own interface for callers and upstreams, as docs/interface.md describes it. */
+public final class DefaultDialect implements HttpDialect {
+
+  private final AnswerPolicy answerPolicy = new DefaultAnswerPolicy();
+
+  @Override
+  public CallerHeaders read(Headers headers) {
+    return CallerHeaders.of(headers);
+  }
+
+  @Override
+  public boolean isReserved(Headers headers, int line) {
+    return false;
+  }
+
+  @Override
+  public void addOrigin(Headers.Builder headers, Optional<AccountId> account) {
+    // The signed call context names the account.
+  }
+
+  @Override
+  public void addAttempt(Headers.Builder headers, long leftMillis, String instance) {
+    headers.add("Cornelspoke-Deadline-Millis", Long.toString(leftMillis));
+  }
+
+  @Override
+  public HttpResponse ownAnswer(OwnAnswer answer) {
+    return HttpResponse.refusal(
+        answer.reason().httpStatus(),
+        answer.reason(),
+        answer.verdict(),
+        answer.retryAfterMillis());
+  }
+
+  @Override
+  public AnswerPolicy answerPolicy() {
+    return answerPolicy;
+  }
+}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
@@ -1,5 +1,8 @@
 package org.cornelspoke.daemon.traffic;
 
+import org.cornelspoke.protocol.call.Headers;
+import org.cornelspoke.coordination.routing.ServiceChooser;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cornelspoke.model.AccountId;
@@ -34,6 +37,7 @@
   private final Collaborators with;
   private final CurrentView currentView;
   private final ContextSigner signer;
+  private final ServiceChooser services = new ServiceChooser();
 
   EdgeHandler(EdgeParts parts, CurrentView currentView, ContextSigner signer) {
     this.parts = parts;
@@ -47,7 +51,8 @@
     EdgeRequest request = new EdgeRequest(parts, exchange);
     CallerHeaders headers;
     try {
-      headers = CallerHeaders.of(exchange.head().headers());
+      headers = with.dialect().read(exchange.head().headers());
+      request.identify(headers.requestId(), headers.deadlineMillis());
     } catch (IllegalArgumentException e) {
       request.refuse(RefusalReason.BAD_REQUEST, -1);
       return;
@@ -59,7 +64,7 @@
     FleetView view = currentView.get();
     RequestHead head = exchange.head();
     long now = System.nanoTime();
-    Optional<Route> matched = view.route(head.method(), head.path());
+    Optional<Route> matched = view.route(host(head), head.method(), head.path());
     if (matched.isEmpty()) {
       // A daemon that has no current view can't know that there is no such route.
       if (with.views().isFresh(now) && !view.revision().equals(Revision.NONE)) {
@@ -100,7 +105,12 @@
       }
       account = view.accountOfKey(parts.digests().of(headers.key()));
       if (account.isEmpty()) {
-        request.refuse(RefusalReason.KEY, -1);
+        // A daemon without a current view may lack a key that was given meanwhile.
+        if (fresh) {
+          request.refuse(RefusalReason.KEY, -1);
+        } else {
+          request.refuse(RefusalReason.STALE, STALE_RETRY_MILLIS);
+        }
         return;
       }
     }
@@ -113,21 +123,23 @@
     // budget of its root request can't be found.
     int budget = headers.context() == null ? preset.map(Preset::retryBudget).orElse(0) : 0;
     long timeoutMillis =
-        headers.deadlineMillis() >= 0 ? headers.deadlineMillis() : route.timeoutMillis();
+        headers.deadlineMillis() >= 0
+            ? Math.min(headers.deadlineMillis(), route.timeoutMillis())
+            : route.timeoutMillis();
     CallHead head =
         callHead(
             exchange,
             route,
-            account.map(Account::id).orElse(OPEN_ACCOUNT),
+            account.map(Account::id),
             account.map(Account::weight).orElse(1),
             route.trafficClass(),
             view.revision(),
-            budget);
+            Math.min(budget, route.maxAttempts() - 1));
     request.start(
         head,
         route.repeatable(),
         System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
-        account.isPresent(),
+        account.filter(Account::isLimited).isPresent(),
         headers.idempotencyKey());
   }
 
@@ -155,7 +167,7 @@
         callHead(
             exchange,
             route,
-            context.account(),
+            Optional.of(context.account()),
             context.weight(),
             context.trafficClass(),
             context.revision(),
@@ -164,25 +176,37 @@
     request.start(head, route.repeatable(), deadline, false, headers.idempotencyKey());
   }
 
-  private static CallHead callHead(
+  private CallHead callHead(
       HttpExchange exchange,
       Route route,
-      AccountId account,
+      Optional<AccountId> account,
       int weight,
       TrafficClass trafficClass,
       Revision revision,
       int budget) {
     RequestHead head = exchange.head();
+    HttpDialect dialect = with.dialect();
+    Headers.Builder headers = ForwardedHeaders.copyRequest(head.headers(), dialect::isReserved);
+    dialect.addOrigin(headers, account);
     return new CallHead(
-        route.service(),
+        services.choose(route),
         head.method(),
         head.target(),
-        account,
+        account.orElse(OPEN_ACCOUNT),
         weight,
         trafficClass,
         revision,
         0,
         budget,
-        ForwardedHeaders.ofRequest(head.headers()));
+        headers.build());
+  }
+
+  private static String host(RequestHead head) {
+    String host = head.headers().get("host");
+    if (host == null) {
+      return Route.ANY_HOST;
+    }
+    int port = host.lastIndexOf(':');
+    return (port < 0 ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -32,6 +32,8 @@
   private final Collaborators with;
   private final HttpExchange exchange;
   private final long startNanos = System.nanoTime();
+  private String requestId;
+  private long callerEndNanos = Long.MAX_VALUE;
   private CallHead head;
   private boolean repeatable;
   private long deadlineNanos;
@@ -48,6 +50,18 @@
     exchange.onAbandoned(this::onAbandoned);
   }
 
+  /**
+   * Notes what the caller says of the request.
+   *
+   * @param newRequestId or null
+   * @param leftMillis time that the caller has left, or -1
+   */
+  void identify(String newRequestId, long leftMillis) {
+    this.requestId = newRequestId;
+    this.callerEndNanos =
+        leftMillis < 0 ? Long.MAX_VALUE : startNanos + TimeUnit.MILLISECONDS.toNanos(leftMillis);
+  }
+
   /** Marks the request as a nested call; must be called before start. */
   void setParent(CallId parentId) {
     this.parent = parentId;
@@ -221,7 +235,13 @@
   private void answer(RefusalReason reason, Verdict verdict, long retryAfterMillis) {
     finish();
     with.metrics().onRefused(reason);
-    respond(HttpResponse.refusal(reason.httpStatus(), reason, verdict, retryAfterMillis));
+    long leftMillis =
+        callerEndNanos == Long.MAX_VALUE
+            ? -1
+            : Math.max(0, TimeUnit.NANOSECONDS.toMillis(callerEndNanos - System.nanoTime()));
+    respond(
+        with.dialect()
+            .ownAnswer(new OwnAnswer(reason, verdict, requestId, retryAfterMillis, leftMillis)));
   }
 
   private void respond(HttpResponse response) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -30,6 +30,9 @@
   private static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final int MAX_BACKOFF_DOUBLINGS = 5;
 
+  /** Further targets that are asked after gates have refused; each costs a round trip. */
+  private static final int MAX_REROUTES = 2;
+
   private final ForwardingParts parts;
   private final Collaborators with;
   private final CallHead head;
@@ -45,6 +48,7 @@
   private CallResult lastResult = new CallResult.Refused(RefusalReason.NO_TARGET, 0);
   private long attemptNanos;
   private int attempt;
+  private int reroutes;
   private int kept;
   private int lent;
   private int remaining;
@@ -71,7 +75,7 @@
   }
 
   void start() {
-    with.throttle().onRequest(System.nanoTime());
+    with.throttles().of(head.service()).onRequest(System.nanoTime());
     tryNextTarget();
     if (!ended) {
       deadline = with.timers().schedule(deadlineNanos + DEADLINE_GRACE_NANOS, this::onDeadline);
@@ -181,17 +185,35 @@
     lastCallsBelow = ending.callsBelow();
     callsMade += 1 + lastCallsBelow;
     mayHaveRun |= result instanceof CallResult.Failed;
-    if (isWorthRetry(result) && takeRetry(now)) {
+    if (isReroutable(result, now)) {
+      reroutes++;
+      tryNextTarget();
+    } else if (isWorthRetry(result) && takeRetry(now)) {
       retry(result, now);
     } else {
       end(result);
     }
   }
 
+  /**
+   * A refusal by the gate cost the target nothing, so another target may be asked at once and
+   * without a charge on the retry budgets.
+   */
+  private boolean isReroutable(CallResult result, long now) {
+    if (reroutes >= MAX_REROUTES || now >= deadlineNanos) {
+      return false;
+    }
+    return result instanceof CallResult.Refused refused
+        && switch (refused.reason()) {
+          case OVERLOAD, DRAINING, NO_TARGET -> true;
+          default -> false;
+        };
+  }
+
   private boolean isWorthRetry(CallResult result) {
     if (result instanceof CallResult.Refused refused) {
       return switch (refused.reason()) {
-        case OVERLOAD, DRAINING, NO_TARGET -> true;
+        case OVERLOAD, SHED, DRAINING, NO_TARGET -> true;
         default -> false;
       };
     }
@@ -210,7 +232,7 @@
     if (remaining < cost || now >= deadlineNanos) {
       return false;
     }
-    if (!with.throttle().tryRetry(now)) {
+    if (!with.throttles().of(head.service()).tryRetry(now)) {
       with.metrics().retriesThrottled.inc();
       return false;
     }
@@ -222,7 +244,8 @@
   private void retry(CallResult result, long now) {
     boolean loaded =
         !(result instanceof CallResult.Refused refused)
-            || refused.reason() == RefusalReason.OVERLOAD;
+            || refused.reason() == RefusalReason.OVERLOAD
+            || refused.reason() == RefusalReason.SHED;
     if (!loaded) {
       tryNextTarget();
       return;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalApi.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalApi.java
@@ -27,13 +27,13 @@
       Set.of("service", "address", "slots", "leaseMillis");
   private static final Set<String> SERVICE_FIELDS = Set.of("service");
 
-  private final LocalUpstreams upstreams;
+  private final UpstreamRegistration upstreams;
   private final ObjectMapper mapper =
       new ObjectMapper()
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY);
 
-  LocalApi(LocalUpstreams upstreams) {
+  LocalApi(UpstreamRegistration upstreams) {
     this.upstreams = upstreams;
   }
 
@@ -72,7 +72,8 @@
     long slots = number(body, "slots", -1, 1, MAX_SLOTS);
     long leaseMillis =
         number(body, "leaseMillis", DEFAULT_LEASE_MILLIS, MIN_LEASE_MILLIS, MAX_LEASE_MILLIS);
-    if (!upstreams.announce(service, endpoint, (int) slots, leaseMillis)) {
+    if (!upstreams.announce(
+        new Announcement(service, endpoint, (int) slots, leaseMillis, null))) {
       return HttpResponse.ofText(503, "the daemon is stopping\n");
     }
     return HttpResponse.ofStatus(204);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -135,7 +135,8 @@
     callId = calls.parents().newId();
     calls.parents().put(callId, new ParentCalls.Parent(deadlineNanos));
     with.ledger().open(callId, head.extraAttempts());
-    Headers extra = calls.upstreamHeaders(head, callId, TimeUnit.NANOSECONDS.toMillis(leftNanos));
+    Headers extra = calls.upstreamHeaders(
+            head, callId, TimeUnit.NANOSECONDS.toMillis(leftNanos), upstream.instance);
     UpstreamRequest request =
         new UpstreamRequest(head.method(), head.requestTarget(), head.headers(), extra, body);
     exchange = upstream.pool.send(request, this::onUpstreamEnded);
@@ -196,7 +197,7 @@
       return answer.status() < 500 ? Completion.SUCCESS : Completion.FAILURE;
     }
     boolean shed =
-        result instanceof CallResult.Refused refused && refused.reason() == RefusalReason.OVERLOAD;
+        result instanceof CallResult.Refused refused && refused.reason() == RefusalReason.SHED;
     return shed ? Completion.SHED : Completion.FAILURE;
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
@@ -76,9 +76,9 @@
     return parents;
   }
 
-  Headers upstreamHeaders(CallHead head, CallId callId, long leftMillis) {
-    Headers.Builder extra =
-        new Headers.Builder().add("Cornelspoke-Deadline-Millis", Long.toString(leftMillis));
+  Headers upstreamHeaders(CallHead head, CallId callId, long leftMillis, String instance) {
+    Headers.Builder extra = new Headers.Builder();
+    with.dialect().addAttempt(extra, leftMillis, instance);
     Optional<ContextSecret> secret = view.signingSecret();
     if (secret.isPresent()) {
       CallContext context =
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -11,6 +11,10 @@
 
   final ServiceName service;
   final Endpoint address;
+
+  /** Name of the upstream process, or null. */
+  final String instance;
+
   final UpstreamGate gate;
   final UpstreamPool pool;
   int slots;
@@ -18,7 +22,13 @@
   int inFlight;
   ScheduledRunnable lease;
 
-  LocalUpstream(ServiceName service, Endpoint address, UpstreamGate gate, UpstreamPool pool) {
+  LocalUpstream(
+      ServiceName service,
+      Endpoint address,
+      String instance,
+      UpstreamGate gate,
+      UpstreamPool pool) {
+    this.instance = instance;
     this.service = service;
     this.address = address;
     this.gate = gate;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.traffic;
 
+import java.util.Objects;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -16,7 +17,7 @@
 import org.cornelspoke.transport.http.UpstreamPool;
 
 /** The upstreams beside this daemon, their leases and their registration. */
-final class LocalUpstreams {
+final class LocalUpstreams implements UpstreamRegistration {
 
   private final Collaborators with;
   private final Map<ServiceName, LocalUpstream> upstreams = new HashMap<>();
@@ -45,41 +46,37 @@
     return target.daemon().equals(with.settings().daemonId());
   }
 
-  /**
-   * Registers an upstream or renews its lease.
-   *
-   * @return false if the daemon is stopping
-   */
-  boolean announce(ServiceName service, Endpoint address, int slots, long leaseMillis) {
+  @Override
+  public boolean announce(Announcement said) {
     if (stopping) {
       return false;
     }
+    ServiceName service = said.service();
     LocalUpstream upstream = upstreams.get(service);
-    if (upstream != null && !upstream.address.equals(address)) {
+    boolean sameProcess =
+        upstream != null
+            && upstream.address.equals(said.address())
+            && Objects.equals(upstream.instance, said.instance());
+    if (upstream != null && !sameProcess) {
       withdraw(service);
       upstream = null;
     }
     if (upstream == null) {
-      upstream = create(service, address, slots);
+      upstream = create(said);
       upstreams.put(service, upstream);
       publish(upstream);
-    } else if (upstream.slots != slots) {
-      upstream.slots = slots;
-      upstream.gate.setAnnouncedSlots(slots);
-      upstream.pool.setMaxConnections(slots);
+    } else if (upstream.slots != said.slots()) {
+      upstream.slots = said.slots();
+      upstream.gate.setAnnouncedSlots(said.slots());
+      upstream.pool.setMaxConnections(said.slots());
       publish(upstream);
     }
-    renewLease(upstream, leaseMillis);
+    renewLease(upstream, said.leaseMillis());
     return true;
   }
 
-  /**
-   * Stops new work at once; what runs goes on. A later announcement renews the lease but does not
-   * end the drain, so that a periodic renewal can't bring a leaving upstream back.
-   *
-   * @return false if the service was not announced
-   */
-  boolean drain(ServiceName service) {
+  @Override
+  public boolean drain(ServiceName service) {
     LocalUpstream upstream = upstreams.get(service);
     if (upstream == null) {
       return false;
@@ -92,12 +89,8 @@
     return true;
   }
 
-  /**
-   * Removes an upstream. What runs goes on.
-   *
-   * @return false if the service was not announced
-   */
-  boolean withdraw(ServiceName service) {
+  @Override
+  public boolean withdraw(ServiceName service) {
     LocalUpstream upstream = upstreams.remove(service);
     if (upstream == null) {
       return false;
@@ -166,19 +159,21 @@
     return sum;
   }
 
-  private LocalUpstream create(ServiceName service, Endpoint address, int slots) {
-    UpstreamGate gate = with.gates().create(service, slots, System.nanoTime());
+  private LocalUpstream create(Announcement said) {
+    UpstreamGate gate = with.gates().create(said.service(), said.slots(), System.nanoTime());
     preset.ifPresent(gate::applyPreset);
     UpstreamPool pool =
         new UpstreamPool(
             with.reactor(),
-            address,
+            said.address(),
             with.settings().maxBodyBytes(),
-            slots,
+            said.slots(),
+            with.dialect().answerPolicy(),
             with.metrics().registry());
     pool.warmUp();
-    LocalUpstream upstream = new LocalUpstream(service, address, gate, pool);
-    upstream.slots = slots;
+    LocalUpstream upstream =
+        new LocalUpstream(said.service(), said.address(), said.instance(), gate, pool);
+    upstream.slots = said.slots();
     return upstream;
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.traffic;
 
+import org.cornelspoke.model.Revision;
 import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
@@ -13,7 +14,7 @@
 import org.cornelspoke.coordination.dissemination.TargetPublisher;
 import org.cornelspoke.coordination.quota.RateLimiter;
 import org.cornelspoke.coordination.retry.RetryLedger;
-import org.cornelspoke.coordination.retry.RetryThrottle;
+import org.cornelspoke.coordination.retry.RetryThrottles;
 import org.cornelspoke.coordination.routing.TargetSelector;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.protocol.call.CallCodec;
@@ -51,7 +52,7 @@
   private final Thread thread;
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private long lastSweepNanos = System.nanoTime();
-  private boolean stopping;
+  private volatile boolean stopping;
   private long drainEndNanos;
   private long stopEndNanos;
 
@@ -84,7 +85,7 @@
             reactor,
             settings.localAddress().toSocketAddress(),
             LocalApi.MAX_BODY_BYTES,
-            new LocalApi(upstreams),
+            with.localApi().create(upstreams),
             registry,
             "local");
     this.linkServer =
@@ -139,6 +140,11 @@
     return stopped.copy();
   }
 
+  /** Returns true if the daemon has a configuration and is not stopping. Safe for any thread. */
+  public boolean isReady() {
+    return !stopping && !with.views().current().revision().equals(Revision.NONE);
+  }
+
   /** Returns the address of the edge, with the port that the system chose if port 0 was given. */
   public InetSocketAddress edgeAddress() {
     return edge.boundAddress();
@@ -257,7 +263,9 @@
     private GateFactory gates;
     private TargetSelector selector;
     private RetryLedger ledger;
-    private RetryThrottle throttle;
+    private RetryThrottles throttles;
+    private HttpDialect dialect = new DefaultDialect();
+    private LocalApiFactory localApi = LocalApi::new;
     private TargetPublisher publisher;
     private MetricRegistry metrics;
 
@@ -289,9 +297,16 @@
     }
 
     /** Sets the bounds on repeated attempts. */
-    public Builder withRetries(RetryLedger newLedger, RetryThrottle newThrottle) {
+    public Builder withRetries(RetryLedger newLedger, RetryThrottles newThrottles) {
       this.ledger = newLedger;
-      this.throttle = newThrottle;
+      this.throttles = newThrottles;
+      return this;
+    }
+
+    /** Replaces the product's own interface for callers and upstreams. */
+    public Builder withDialect(HttpDialect newDialect, LocalApiFactory newLocalApi) {
+      this.dialect = newDialect;
+      this.localApi = newLocalApi;
       return this;
     }
 
@@ -317,8 +332,10 @@
               Assert.notNull(gates, "gates"),
               Assert.notNull(selector, "selector"),
               Assert.notNull(ledger, "ledger"),
-              Assert.notNull(throttle, "throttle"),
+              Assert.notNull(throttles, "throttles"),
               Assert.notNull(publisher, "publisher"),
+              Assert.notNull(dialect, "dialect"),
+              Assert.notNull(localApi, "localApi"),
               new TrafficMetrics(Assert.notNull(metrics, "metrics")),
               new Timers(reactor)));
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficSettings.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficSettings.java
@@ -36,9 +36,6 @@
     Assert.notNull(edgeAddress, "edgeAddress");
     Assert.notNull(linkAddress, "linkAddress");
     Assert.notNull(localAddress, "localAddress");
-    Assert.isTrue(
-        localAddress.toSocketAddress().getAddress().isLoopbackAddress(),
-        "localAddress must be a loopback address");
     Assert.notNull(staleKeys, "staleKeys");
     Assert.isTrue(shareWaitMillis >= 0, "shareWaitMillis must be 0 or more");
     Assert.isTrue(
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.traffic;
 
+import org.cornelspoke.coordination.retry.RetryThrottles;
 import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
@@ -99,7 +100,7 @@
         .withFleet(this, this)
         .withAdmission(limiter, claims, (service, slots, now) -> new Fakes.SlotGate(slots))
         .withSelector(selector)
-        .withRetries(new Fakes.HalfLedger(), new Fakes.OpenThrottle())
+        .withRetries(new Fakes.HalfLedger(), RetryThrottles.shared(new Fakes.OpenThrottle()))
         .withMetrics(registry)
         .build();
   }
