--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -105,6 +105,9 @@
 
   @Override
   public void onTick(long nowNanos) {
+    if (draining) {
+      refuseWaiting();
+    }
     List<GateEntry> expired = new ArrayList<>();
     for (ClassQueue queue : queues.values()) {
       if (queue.waiting() > 0) {
@@ -142,6 +145,17 @@
     return new GateLoad(inFlight, waiting(), limit.limit());
   }
 
+  /** Other targets can take what waits here; this upstream gets no more work. */
+  private void refuseWaiting() {
+    for (ClassQueue queue : queues.values()) {
+      GateEntry entry = queue.pollNext(false);
+      while (entry != null) {
+        refuse(entry, RefusalReason.DRAINING, DRAINING_RETRY_AFTER_MILLIS);
+        entry = queue.pollNext(false);
+      }
+    }
+  }
+
   private void admitNew(ClassQueue queue, GateEntry entry, long nowNanos) {
     // A gate without work admits any request, so that an outdated service time is measured anew.
     if (inFlight > 0 && entry.remainingNanos(nowNanos) < neededServiceNanos(queue)) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/UpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/UpstreamGate.java
@@ -43,7 +43,10 @@
   /** Sets the number of slots that the upstream announces, an upper bound of the limit. */
   void setAnnouncedSlots(int slots);
 
-  /** Stops or resumes admission of new requests; admitted and waiting ones go on. */
+  /**
+   * Stops or resumes admission. Admitted requests go on; those that wait are refused at the next
+   * tick.
+   */
   void setDraining(boolean draining);
 
   /** Returns the load at this moment. */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/MembershipKeeper.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/MembershipKeeper.java
@@ -11,8 +11,8 @@
 import org.cornelspoke.state.log.MemberIdentity;
 
 /**
- * Decides which membership change a leader makes without an operator: takes in VMs that ask to join,
- * gives them a vote once they have caught up, and removes what they replace.
+ * Decides which membership change a leader makes without an operator: takes in VMs that ask to
+ * join, gives them a vote once they have caught up, and removes what they replace.
  *
  * <p>A wiped VM comes back under its name with another identity; its former identity is removed
  * before the new one gets a vote. An absent voter is removed only while the number of voters is
@@ -24,8 +24,8 @@
 public final class MembershipKeeper {
 
   /**
-   * Silence after which a voter counts as absent. Replacements must be complete within the time that
-   * a new VM has to catch up, and a VM that restarts is back sooner.
+   * Silence after which a voter counts as absent. Replacements must be complete within the time
+   * that a new VM has to catch up, and a VM that restarts is back sooner.
    */
   private static final long ABSENT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -100,7 +100,9 @@
     for (Member member : members) {
       long silentNanos = nowNanos - heardNanos.get(member.identity());
       boolean remove =
-          member.voter() ? surplus && silentNanos > ABSENT_NANOS : silentNanos > LEARNER_ABSENT_NANOS;
+          member.voter()
+              ? surplus && silentNanos > ABSENT_NANOS
+              : silentNanos > LEARNER_ABSENT_NANOS;
       if (remove) {
         return Optional.of(new MembershipChange.Remove(member.identity()));
       }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
@@ -26,6 +26,9 @@
   /** Rate given above the demand, so that tokens saved by a holder recover after a short peak. */
   private static final double RATE_HEADROOM = 1.05;
 
+  /** The same while the rate is not scarce: demand may grow before a message is needed. */
+  private static final double AMPLE_RATE_HEADROOM = 1.5;
+
   /** Part of the burst that holders may keep; the rest serves peaks of any holder. */
   private static final double HELD_BURST_PART = 0.6;
 
@@ -343,8 +346,9 @@
     double part = burst / (burst + 1);
     double total = rate();
     double demand = demandPerSecond();
-    return demand * RATE_HEADROOM <= total
-        ? part * child.demandPerSecond() * RATE_HEADROOM
+    double headroom = Math.min(AMPLE_RATE_HEADROOM, demand > 0 ? total / demand : 1);
+    return headroom >= RATE_HEADROOM
+        ? part * child.demandPerSecond() * headroom
         : part * total * child.demandPerSecond() / demand;
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessageCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/consensus/PeerMessageCodec.java
@@ -120,8 +120,7 @@
     List<PeerMessage.Members.Address> addresses = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       addresses.add(
-          new PeerMessage.Members.Address(
-              new VmId(in.readText()), Endpoint.parse(in.readText())));
+          new PeerMessage.Members.Address(new VmId(in.readText()), Endpoint.parse(in.readText())));
     }
     return new PeerMessage.Members(addresses);
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/RoutingDocument.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/RoutingDocument.java
@@ -3,8 +3,8 @@
 import org.cornelspoke.util.Assert;
 
 /**
- * The text from which operators replaced all routes, accounts and keys together, kept so that it can
- * be read back unchanged. Only control VMs need it.
+ * The text from which operators replaced all routes, accounts and keys together, kept so that it
+ * can be read back unchanged. Only control VMs need it.
  *
  * @param version number that the operators gave to the text; it increases
  * @param text the document as it was sent
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
@@ -1,12 +1,12 @@
 package org.cornelspoke.transport.http;
 
-import java.util.regex.Pattern;
-import java.util.regex.Matcher;
-import java.util.concurrent.TimeUnit;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.tcp.TcpSocket;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.protocol.call.CallResult;
 import org.cornelspoke.protocol.call.Headers;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/PeerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/PeerLink.java
@@ -40,10 +40,15 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final long MIN_BACKOFF_MILLIS = 50;
   private static final long MAX_BACKOFF_MILLIS = 2_000;
-  private static final long PING_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** Silence after which the peer counts as unreachable; a silent partition drops packets. */
-  private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(3);
+  /** Silence after which a peer that owes an answer is asked whether it lives. */
+  private static final long BUSY_PING_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  /** Silence after which an unused link is tested; in a large fleet most links are unused. */
+  private static final long IDLE_PING_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  /** Time for the answer to a ping, after which the peer counts as unreachable. */
+  private static final long PONG_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private final NioReactor reactor;
   private final Endpoint peer;
@@ -139,14 +144,17 @@
     return call;
   }
 
-  /** Sends a ping or closes a silent connection. Called about once per second. */
+  /** Sends a ping or closes a silent connection. Called several times per second. */
   public void onTick(long nowNanos) {
     if (connection == null) {
       return;
     }
-    if (nowNanos - lastReceivedNanos > SILENCE_NANOS) {
+    boolean pinged = lastPingNanos - lastReceivedNanos > 0;
+    long pingNanos = calls.isEmpty() ? IDLE_PING_NANOS : BUSY_PING_NANOS;
+    boolean greetingMissing = !ready && nowNanos - lastReceivedNanos > PONG_NANOS;
+    if (greetingMissing || (pinged && nowNanos - lastPingNanos > PONG_NANOS)) {
       connection.close();
-    } else if (ready && nowNanos - lastPingNanos >= PING_NANOS) {
+    } else if (ready && !pinged && nowNanos - lastReceivedNanos >= pingNanos) {
       lastPingNanos = nowNanos;
       connection.send(codec.encode(new Ping(nowNanos)));
     }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamPoolTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamPoolTest.java
@@ -248,7 +248,8 @@
 
   private UpstreamPool newPool(int port) {
     // No spare connections, so that the order of accepted sockets is known.
-    return new UpstreamPool(reactor, new Endpoint("127.0.0.1", port), 1 << 20, 0, new DefaultAnswerPolicy(), metrics);
+    return new UpstreamPool(
+        reactor, new Endpoint("127.0.0.1", port), 1 << 20, 0, new DefaultAnswerPolicy(), metrics);
   }
 
   private CompletableFuture<CallResult> send(String method) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -1,7 +1,5 @@
 package org.cornelspoke.daemon.consensus;
 
-import org.cornelspoke.coordination.consensus.MembershipKeeper;
-import java.util.function.Consumer;
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
@@ -15,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.apache.commons.math3.random.Well19937c;
 import org.cornelspoke.coordination.consensus.Member;
 import org.cornelspoke.coordination.consensus.Membership;
@@ -52,11 +51,11 @@
 public final class ConsensusService implements ReplicatedLog {
 
   private static final System.Logger LOG = System.getLogger(ConsensusService.class.getName());
-  private static final long TICK_MILLIS = 10;
-  private static final long MAINTENANCE_TICKS = 10;
 
-  /** Peers send a ping every 100 ms. */
-  private static final long HEARD_MILLIS = 500;
+  /** A tenth of the least election timeout; each tick costs a wake-up of the control thread. */
+  private static final long TICK_MILLIS = 50;
+
+  private static final long MAINTENANCE_TICKS = 2;
 
   private final NioReactor reactor;
   private final VmId vmId;
@@ -74,11 +73,11 @@
   private final boolean mayFormGroup;
   private final boolean automaticMembership;
   private final Consumer<Membership> membershipListener;
-  private final MembershipKeeper keeper = new MembershipKeeper();
   private ConsensusMetrics metrics;
   private DiskWriter writer;
   private PeerConnections connections;
   private RaftNode node;
+  private GroupUpkeep upkeep;
   private long appliedIndex;
   private long snapshotIndex;
   private long nextCallId;
@@ -132,6 +131,7 @@
               System.nanoTime());
       connections =
           new PeerConnections(reactor, vmId, peerAddress, peers, this::hello, new PeerEvents());
+      upkeep = new GroupUpkeep(node, connections, this::hello, mayFormGroup, automaticMembership);
       connections.start();
       started = true;
     } finally {
@@ -169,6 +169,13 @@
     writer.awaitStopped();
   }
 
+  /** Connects to another VM that may belong to the group. */
+  public void addPeer(VmId peer, Endpoint address) {
+    if (running) {
+      connections.addPeer(peer, address);
+    }
+  }
+
   /** Returns the address in use. */
   public InetSocketAddress boundAddress() {
     return connections.boundAddress();
@@ -302,70 +309,13 @@
     if (ticks++ % MAINTENANCE_TICKS == 0) {
       pending.expire(nowMillis());
       connections.maintain();
-      bootstrapIfFirst();
-      keepMembership();
+      upkeep.tick(System.nanoTime());
       metrics.publish(node.term(), node.commitIndex(), appliedIndex, node.electionCount());
     }
     drive();
     reactor.delayBackground(TICK_MILLIS, this::tick);
   }
 
-  /** The condition that all VMs are empty keeps a wiped VM from forming a second group. */
-  private void bootstrapIfFirst() {
-    if (!mayFormGroup
-        || !node.isBlank()
-        || peers.keySet().stream().anyMatch(p -> isBefore(p, vmId))) {
-      return;
-    }
-    List<Member> members = new ArrayList<>();
-    members.add(new Member(vmId, node.identity(), ownAddress(), true));
-    for (VmId peer : peers.keySet()) {
-      Optional<PeerMessage.Hello> hello = connections.hello(peer);
-      if (hello.isEmpty() || !hello.get().blank()) {
-        return;
-      }
-      members.add(new Member(peer, hello.get().identity(), hello.get().peerAddress(), true));
-    }
-    LOG.log(System.Logger.Level.INFO, "forming the control group: {0}", members);
-    node.bootstrap(new Membership(members));
-  }
-
-  private void keepMembership() {
-    if (!automaticMembership) {
-      return;
-    }
-    if (!isLeader()) {
-      keeper.reset();
-      return;
-    }
-    List<Member> heard =
-        connections.heardWithin(HEARD_MILLIS).stream()
-            .map(h -> new Member(h.vmId(), h.identity(), h.peerAddress(), false))
-            .toList();
-    keeper
-        .next(
-            node.membership(),
-            node.identity(),
-            heard,
-            node::matchIndex,
-            node.commitIndex(),
-            System.nanoTime())
-        .ifPresent(this::changeMembership);
-  }
-
-  private void changeMembership(MembershipChange change) {
-    try {
-      node.changeMembership(change);
-      LOG.log(System.Logger.Level.INFO, "changing the membership: {0}", change);
-    } catch (MembershipRefusedException e) {
-      LOG.log(System.Logger.Level.DEBUG, "membership change must wait: {0}", e.getMessage());
-    }
-  }
-
-  private static boolean isBefore(VmId a, VmId b) {
-    return a.value().compareTo(b.value()) < 0;
-  }
-
   private PeerMessage.Hello hello() {
     return new PeerMessage.Hello(vmId, node.identity(), ownAddress(), node.isBlank());
   }
@@ -397,13 +347,7 @@
     if (!node.membership().equals(knownMembership)) {
       knownMembership = node.membership();
       connections.update(knownMembership);
-      if (automaticMembership) {
-        connections.announce(
-            new PeerMessage.Members(
-                knownMembership.members().stream()
-                    .map(m -> new PeerMessage.Members.Address(m.vmId(), m.peerAddress()))
-                    .toList()));
-      }
+      upkeep.announce(knownMembership);
       membershipListener.accept(knownMembership);
       LOG.log(System.Logger.Level.INFO, "members: {0}", knownMembership.members());
     }
--- /dev/null
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/GroupUpkeep.java
@@ -0,0 +1,118 @@
+package org.cornelspoke.daemon.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.cornelspoke.coordination.consensus.Member;
+import org.cornelspoke.coordination.consensus.Membership;
+import org.cornelspoke.coordination.consensus.MembershipChange;
+import org.cornelspoke.coordination.consensus.MembershipKeeper;
+import org.cornelspoke.coordination.consensus.MembershipRefusedException;
+import org.cornelspoke.coordination.consensus.RaftNode;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.protocol.consensus.PeerMessage;
+
+/** Forms the control group at the first start and keeps its membership. */
+final class GroupUpkeep {
+
+  private static final System.Logger LOG = System.getLogger(GroupUpkeep.class.getName());
+
+  /** Several pings of a peer. */
+  private static final long HEARD_MILLIS = 1_200;
+
+  private final RaftNode node;
+  private final PeerConnections connections;
+  private final Supplier<PeerMessage.Hello> hello;
+  private final boolean mayFormGroup;
+  private final boolean automaticMembership;
+  private final MembershipKeeper keeper = new MembershipKeeper();
+
+  GroupUpkeep(
+      RaftNode node,
+      PeerConnections connections,
+      Supplier<PeerMessage.Hello> hello,
+      boolean mayFormGroup,
+      boolean automaticMembership) {
+    this.node = node;
+    this.connections = connections;
+    this.hello = hello;
+    this.mayFormGroup = mayFormGroup;
+    this.automaticMembership = automaticMembership;
+  }
+
+  void tick(long nowNanos) {
+    formGroupIfFirst();
+    if (!automaticMembership) {
+      return;
+    }
+    if (node.role() == RaftNode.Role.LEADER) {
+      keepMembership(nowNanos);
+    } else {
+      keeper.reset();
+    }
+  }
+
+  /** Tells the connected VMs who belongs to the group, so that they can reach its leader. */
+  void announce(Membership membership) {
+    if (automaticMembership) {
+      connections.announce(
+          new PeerMessage.Members(
+              membership.members().stream()
+                  .map(m -> new PeerMessage.Members.Address(m.vmId(), m.peerAddress()))
+                  .toList()));
+    }
+  }
+
+  /** The condition that all VMs are empty keeps a wiped VM from forming a second group. */
+  private void formGroupIfFirst() {
+    VmId self = hello.get().vmId();
+    Set<VmId> peers = connections.staticPeers();
+    if (!mayFormGroup || !node.isBlank() || peers.stream().anyMatch(p -> isBefore(p, self))) {
+      return;
+    }
+    List<Member> members = new ArrayList<>();
+    members.add(member(hello.get(), true));
+    for (VmId peer : peers) {
+      Optional<PeerMessage.Hello> known = connections.hello(peer);
+      if (known.isEmpty() || !known.get().blank()) {
+        return;
+      }
+      members.add(member(known.get(), true));
+    }
+    LOG.log(System.Logger.Level.INFO, "forming the control group: {0}", members);
+    node.bootstrap(new Membership(members));
+  }
+
+  private void keepMembership(long nowNanos) {
+    List<Member> heard =
+        connections.heardWithin(HEARD_MILLIS).stream().map(h -> member(h, false)).toList();
+    keeper
+        .next(
+            node.membership(),
+            node.identity(),
+            heard,
+            node::matchIndex,
+            node.commitIndex(),
+            nowNanos)
+        .ifPresent(this::change);
+  }
+
+  private void change(MembershipChange change) {
+    try {
+      node.changeMembership(change);
+      LOG.log(System.Logger.Level.INFO, "changing the membership: {0}", change);
+    } catch (MembershipRefusedException e) {
+      LOG.log(System.Logger.Level.DEBUG, "membership change must wait: {0}", e.getMessage());
+    }
+  }
+
+  private static Member member(PeerMessage.Hello hello, boolean voter) {
+    return new Member(hello.vmId(), hello.identity(), hello.peerAddress(), voter);
+  }
+
+  private static boolean isBefore(VmId a, VmId b) {
+    return a.value().compareTo(b.value()) < 0;
+  }
+}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
@@ -1,11 +1,11 @@
 package org.cornelspoke.daemon.consensus;
 
-import java.util.List;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerLink.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerLink.java
@@ -1,6 +1,5 @@
 package org.cornelspoke.daemon.consensus;
 
-import org.cornelspoke.protocol.consensus.MalformedFrameException;
 import io.activej.reactor.nio.NioReactor;
 import java.time.Duration;
 import java.util.function.Consumer;
@@ -8,6 +7,7 @@
 import java.util.function.Supplier;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
+import org.cornelspoke.protocol.consensus.MalformedFrameException;
 import org.cornelspoke.protocol.consensus.PeerMessage;
 import org.cornelspoke.protocol.consensus.PeerMessageCodec;
 import org.cornelspoke.transport.link.FrameConnection;
@@ -30,6 +30,9 @@
    */
   private static final long ANSWER_TIMEOUT_MILLIS = 2_000;
 
+  /** Several pings fit into the time without an answer. */
+  private static final long PING_MILLIS = 500;
+
   private final NioReactor reactor;
   private final VmId vmId;
   private final Endpoint address;
@@ -39,6 +42,7 @@
   private final Consumer<PeerMessage.Members> onMembers;
   private FrameConnection connection;
   private long answeredMillis;
+  private long pingedMillis;
   private boolean connecting;
   private boolean stopped;
 
@@ -67,7 +71,8 @@
     if (connection != null) {
       if (timeMillis - answeredMillis > ANSWER_TIMEOUT_MILLIS) {
         connection.close();
-      } else {
+      } else if (timeMillis - pingedMillis >= PING_MILLIS) {
+        pingedMillis = timeMillis;
         connection.send(PING);
       }
       return;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -1,12 +1,12 @@
 package org.cornelspoke.daemon.controlclient;
 
-import java.util.ArrayList;
 import io.activej.reactor.Reactor;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,17 +47,17 @@
 
   private static final System.Logger LOGGER = System.getLogger(ControlClient.class.getName());
   private static final long NANOS_PER_MILLI = 1_000_000;
-  private static final long TICK_MILLIS = 100;
+  private static final long TICK_MILLIS = 150;
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
   /** Several queries fit into the bound, so that a slow answer does not end freshness. */
-  private static final int QUERIES_PER_BOUND = 6;
+  private static final int QUERIES_PER_BOUND = 4;
 
   /** Bounds the addresses that are remembered while control VMs come and go. */
   private static final int MAX_RELAYS = 256;
 
   /** A relay closes the connection of a daemon that is silent for 3 s. */
-  private static final long MAX_QUERY_MILLIS = 500;
+  private static final long MAX_QUERY_MILLIS = 750;
 
   private final NioReactor reactor;
   private final List<InetSocketAddress> relays;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -1,6 +1,5 @@
 package org.cornelspoke.daemon.relay;
 
-import org.cornelspoke.model.Endpoint;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
@@ -24,6 +23,7 @@
 import org.cornelspoke.coordination.dissemination.RelaySession;
 import org.cornelspoke.coordination.dissemination.RelaySessions;
 import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.protocol.control.ControlCodec;
 import org.cornelspoke.state.machine.ControlStateMachine;
@@ -41,10 +41,10 @@
 
   private static final System.Logger LOGGER = System.getLogger(RelayServer.class.getName());
   private static final long NANOS_PER_MILLI = 1_000_000;
-  private static final long TICK_MILLIS = 50;
+  private static final long TICK_MILLIS = 100;
 
-  /** A fifteenth of the usual freshness bound; adds at most this much to every daemon's age. */
-  private static final long READ_INDEX_MILLIS = 200;
+  /** A seventh of the usual freshness bound; adds at most this much to every daemon's age. */
+  private static final long READ_INDEX_MILLIS = 400;
 
   /** A read index without an answer for this long is asked again. */
   private static final long READ_INDEX_TIMEOUT_MILLIS = 1_000;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlProfile.java
@@ -1,9 +1,12 @@
 package org.cornelspoke.daemon.runtime;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.cornelspoke.coordination.quota.ShareTimes;
 import org.cornelspoke.daemon.consensus.ConsensusSettings;
+import org.cornelspoke.daemon.settings.PeerSettings;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.transport.http.HttpHandler;
 import org.cornelspoke.util.Assert;
@@ -15,6 +18,7 @@
 
   Optional<Endpoint> operatorAddress = Optional.empty();
   Function<RoutingAdministration, HttpHandler> operatorApi;
+  Supplier<List<PeerSettings>> peerSource = List::of;
   ShareTimes shareTimes = ShareTimes.DEFAULT;
   ConsensusSettings consensus = ConsensusSettings.DEFAULT;
 
@@ -30,6 +34,12 @@
     return this;
   }
 
+  /** Sets where the peers that the settings name at this moment come from. */
+  public ControlProfile withPeerSource(Supplier<List<PeerSettings>> source) {
+    this.peerSource = Assert.notNull(source, "source");
+    return this;
+  }
+
   /** Replaces the intervals of the rate shares; they must be those of the traffic daemons. */
   public ControlProfile withShareTimes(ShareTimes times) {
     this.shareTimes = Assert.notNull(times, "times");
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -1,21 +1,15 @@
 package org.cornelspoke.daemon.runtime;
 
-import org.cornelspoke.transport.http.HttpServer;
-import org.cornelspoke.state.config.RoutingDocument;
-import org.cornelspoke.state.config.ChangeResult;
-import org.cornelspoke.state.config.ChangeRequest;
-import org.cornelspoke.model.Endpoint;
-import org.cornelspoke.daemon.settings.GroupFormation;
-import org.cornelspoke.coordination.consensus.Membership;
-import org.cornelspoke.coordination.consensus.Member;
-import java.util.Optional;
 import io.activej.promise.Promise;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.consensus.Member;
+import org.cornelspoke.coordination.consensus.Membership;
 import org.cornelspoke.daemon.admin.AdminServer;
 import org.cornelspoke.daemon.admin.Health;
 import org.cornelspoke.daemon.consensus.ConsensusService;
@@ -23,10 +17,16 @@
 import org.cornelspoke.daemon.relay.RelayServer;
 import org.cornelspoke.daemon.settings.BootstrapOperator;
 import org.cornelspoke.daemon.settings.ControlSettings;
+import org.cornelspoke.daemon.settings.GroupFormation;
 import org.cornelspoke.daemon.settings.PeerSettings;
+import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
+import org.cornelspoke.state.config.ChangeRequest;
+import org.cornelspoke.state.config.ChangeResult;
 import org.cornelspoke.state.config.Operator;
+import org.cornelspoke.state.config.RoutingDocument;
 import org.cornelspoke.state.machine.ControlStateMachine;
+import org.cornelspoke.transport.http.HttpServer;
 
 /** The services of a control daemon: consensus, relay, rate shares and administration. */
 final class ControlRuntime extends AbstractRuntime {
@@ -41,7 +41,10 @@
   private static final int OPERATOR_MAX_BODY_BYTES = 4 << 20;
   private static final long OPERATOR_SWEEP_MILLIS = 1_000;
 
+  private static final long PEER_SOURCE_MILLIS = 1_000;
+
   private final ControlSettings settings;
+  private final ControlProfile profile;
   private final ControlStateMachine machine = new ControlStateMachine();
   private final ConsensusService consensus;
   private final RelayServer relay;
@@ -54,6 +57,7 @@
   ControlRuntime(ControlSettings settings, ControlProfile profile) {
     super(settings.vmId().value());
     this.settings = settings;
+    this.profile = profile;
     ConsensusService.Builder builder =
         ConsensusService.builder(control())
             .withVm(settings.vmId(), settings.peerAddress())
@@ -70,7 +74,8 @@
       relays.put(peer.vmId(), peer.relayAddress().toSocketAddress());
     }
     this.consensus = builder.build();
-    this.shares = new RelayShares(
+    this.shares =
+        new RelayShares(
             control(), settings.vmId(), consensus, machine.config(), profile.shareTimes);
     this.relay =
         RelayServer.builder()
@@ -111,6 +116,7 @@
       operators.get().start();
       sweepOperators();
     }
+    followPeers();
     settings.bootstrapOperator().ifPresent(this::bootstrap);
     LOGGER.log(
         Level.INFO, "control daemon {0} serves on {1}", settings.vmId(), settings.adminAddress());
@@ -142,6 +148,12 @@
             e -> control().delayBackground(BOOTSTRAP_RETRY_MILLIS, () -> bootstrap(first)));
   }
 
+  /** The settings may name other control VMs while this one waits to be taken in. */
+  private void followPeers() {
+    profile.peerSource.get().forEach(peer -> consensus.addPeer(peer.vmId(), peer.peerAddress()));
+    control().delayBackground(PEER_SOURCE_MILLIS, this::followPeers);
+  }
+
   private void sweepOperators() {
     operators.orElseThrow().sweep(System.nanoTime());
     control().delayBackground(OPERATOR_SWEEP_MILLIS, this::sweepOperators);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/DefaultDaemonFactory.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/DefaultDaemonFactory.java
@@ -1,10 +1,10 @@
 package org.cornelspoke.daemon.runtime;
 
-import org.cornelspoke.util.Assert;
 import java.util.function.Supplier;
 import org.cornelspoke.daemon.settings.ControlSettings;
 import org.cornelspoke.daemon.settings.DaemonSettings;
 import org.cornelspoke.daemon.settings.TrafficSettings;
+import org.cornelspoke.util.Assert;
 
 /** Builds the services that the product ships. */
 public final class DefaultDaemonFactory implements DaemonFactory {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
@@ -16,8 +16,8 @@
  */
 final class HolderChannel implements ShareListener {
 
-  /** Waiting requests are a few round trips old when they are asked for or refused. */
-  private static final long TICK_MILLIS = 5;
+  /** A fraction of the wait for a token; each tick costs a wake-up of the traffic thread. */
+  private static final long TICK_MILLIS = 50;
 
   private final Eventloop traffic;
   private final Eventloop control;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -29,10 +29,12 @@
 final class RelayShares implements ShareEndpoint {
 
   private static final System.Logger LOGGER = System.getLogger(RelayShares.class.getName());
-  private static final long TICK_MILLIS = 5;
 
-  /** A quarter of the age at which a proof of leadership ends. */
-  private static final long PROOF_MILLIS = 250;
+  /** Messages are served as they arrive; ticks only end leases and prove leadership. */
+  private static final long TICK_MILLIS = 50;
+
+  /** Less than half of the age at which a proof of leadership ends. */
+  private static final long PROOF_MILLIS = 400;
 
   private final NioReactor reactor;
   private final VmId self;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
@@ -1,8 +1,10 @@
 package org.cornelspoke.daemon.runtime;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.cornelspoke.coordination.admission.LimitAlgorithm;
 import org.cornelspoke.coordination.quota.ShareTimes;
 import org.cornelspoke.coordination.retry.DefaultRetryThrottle;
@@ -28,8 +30,8 @@
   Optional<LocalApiFactory> localApi = Optional.empty();
   Optional<Endpoint> readinessAddress = Optional.empty();
   Function<BooleanSupplier, HttpHandler> readinessApi;
-  RetryThrottles throttles =
-      RetryThrottles.shared(new DefaultRetryThrottle(INITIAL_RETRY_RATIO));
+  RetryThrottles throttles = RetryThrottles.shared(new DefaultRetryThrottle(INITIAL_RETRY_RATIO));
+  Supplier<List<Endpoint>> relaySource = List::of;
   LimitAlgorithm limitAlgorithm = LimitAlgorithm.DEFAULT;
   ShareTimes shareTimes = ShareTimes.DEFAULT;
   long drainMillis = DRAIN_MILLIS;
@@ -54,6 +56,12 @@
     return this;
   }
 
+  /** Sets where the relay addresses that the settings name at this moment come from. */
+  public TrafficProfile withRelaySource(Supplier<List<Endpoint>> source) {
+    this.relaySource = Assert.notNull(source, "source");
+    return this;
+  }
+
   /** Replaces the ratio budgets of repeated attempts. */
   public TrafficProfile withRetryThrottles(RetryThrottles newThrottles) {
     this.throttles = Assert.notNull(newThrottles, "newThrottles");
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -1,10 +1,9 @@
 package org.cornelspoke.daemon.runtime;
 
-import org.cornelspoke.transport.http.HttpServer;
-import java.util.Optional;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.math3.random.Well19937c;
@@ -21,6 +20,7 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.state.config.BuiltInPresets;
 import org.cornelspoke.state.config.Preset;
+import org.cornelspoke.transport.http.HttpServer;
 
 /** The services of a traffic daemon: control client, rate shares, traffic path and metrics. */
 final class TrafficRuntime extends AbstractRuntime {
@@ -29,6 +29,7 @@
 
   private static final int READINESS_MAX_BODY_BYTES = 1 << 10;
   private static final long READINESS_SWEEP_MILLIS = 1_000;
+  private static final long RELAY_SOURCE_MILLIS = 1_000;
 
   private final TrafficSettings settings;
   private final TrafficProfile profile;
@@ -90,6 +91,7 @@
   void startOnControlThread() throws IOException {
     admin.start();
     client.start();
+    followRelays();
     if (readiness.isPresent()) {
       readiness.get().start();
       sweepReadiness();
@@ -119,6 +121,12 @@
     readiness.ifPresent(HttpServer::closeAll);
   }
 
+  /** The settings may name other control VMs while the daemon runs. */
+  private void followRelays() {
+    profile.relaySource.get().forEach(relay -> client.addRelay(relay.toSocketAddress()));
+    control().delayBackground(RELAY_SOURCE_MILLIS, this::followRelays);
+  }
+
   private void sweepReadiness() {
     readiness.orElseThrow().sweep(System.nanoTime());
     control().delayBackground(READINESS_SWEEP_MILLIS, this::sweepReadiness);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/DefaultDialect.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/DefaultDialect.java
@@ -35,10 +35,7 @@
   @Override
   public HttpResponse ownAnswer(OwnAnswer answer) {
     return HttpResponse.refusal(
-        answer.reason().httpStatus(),
-        answer.reason(),
-        answer.verdict(),
-        answer.retryAfterMillis());
+        answer.reason().httpStatus(), answer.reason(), answer.verdict(), answer.retryAfterMillis());
   }
 
   @Override
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
@@ -1,16 +1,16 @@
 package org.cornelspoke.daemon.traffic;
 
-import org.cornelspoke.protocol.call.Headers;
-import org.cornelspoke.coordination.routing.ServiceChooser;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.routing.ServiceChooser;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.protocol.call.CallHead;
+import org.cornelspoke.protocol.call.Headers;
 import org.cornelspoke.protocol.context.CallContext;
 import org.cornelspoke.protocol.context.ContextSigner;
 import org.cornelspoke.state.config.Account;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -235,6 +235,13 @@
   private void answer(RefusalReason reason, Verdict verdict, long retryAfterMillis) {
     finish();
     with.metrics().onRefused(reason);
+    long now = System.nanoTime();
+    parts
+        .decisions()
+        .write(
+            head != null && !repeatable,
+            now,
+            () -> describe(reason, verdict, retryAfterMillis, now));
     long leftMillis =
         callerEndNanos == Long.MAX_VALUE
             ? -1
@@ -244,6 +251,29 @@
             .ownAnswer(new OwnAnswer(reason, verdict, requestId, retryAfterMillis, leftMillis)));
   }
 
+  private String describe(
+      RefusalReason reason, Verdict verdict, long retryAfterMillis, long nowNanos) {
+    StringBuilder line = new StringBuilder(256);
+    line.append("event=answered-by-daemon request=").append(requestId);
+    line.append(" reason=").append(reason.code()).append(" verdict=").append(verdict.headerValue());
+    line.append(" ageMillis=").append(TimeUnit.NANOSECONDS.toMillis(nowNanos - startNanos));
+    line.append(" retryAfterMillis=").append(retryAfterMillis);
+    line.append(" path=").append(exchange.head().path());
+    line.append(" revision=").append(with.views().current().revision().number());
+    line.append(" viewFresh=").append(with.views().isFresh(nowNanos));
+    if (head != null) {
+      line.append(" service=").append(head.service().value());
+      line.append(" class=").append(head.trafficClass());
+      line.append(" account=").append(head.account().value());
+      line.append(" repeatable=").append(repeatable);
+      line.append(" leftMillis=").append(TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos));
+    }
+    if (forwarding != null) {
+      forwarding.describe(line);
+    }
+    return line.toString();
+  }
+
   private void respond(HttpResponse response) {
     with.metrics().requestTime.update(System.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
     exchange.respond(response);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.routing.TargetSelector.AttemptResult;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.TargetId;
@@ -49,6 +50,8 @@
   private long attemptNanos;
   private int attempt;
   private int reroutes;
+  private TargetId lastTarget;
+  private GateLoad lastLoad;
   private int kept;
   private int lent;
   private int remaining;
@@ -95,6 +98,17 @@
     return remaining;
   }
 
+  /** Adds to a log line which targets were tried and what the last one reported. */
+  void describe(StringBuilder line) {
+    line.append(" targets=").append(tried.size()).append(" sent=").append(attempt);
+    line.append(" reroutes=").append(reroutes).append(" lastTarget=").append(lastTarget);
+    if (lastLoad != null) {
+      line.append(" gateInFlight=").append(lastLoad.inFlight());
+      line.append(" gateQueued=").append(lastLoad.queued());
+      line.append(" gateLimit=").append(lastLoad.limit());
+    }
+  }
+
   /** Returns the calls that this request has caused; valid once the request has ended. */
   int callsMade() {
     return callsMade;
@@ -178,6 +192,8 @@
     TargetId id = target.id();
     target = null;
     with.selector().onResult(id, attemptResultOf(result), now - attemptNanos, now);
+    lastTarget = id;
+    lastLoad = ending.load();
     if (ending.load() != null) {
       with.selector().onLoad(id, ending.load(), now);
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalApi.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalApi.java
@@ -72,8 +72,7 @@
     long slots = number(body, "slots", -1, 1, MAX_SLOTS);
     long leaseMillis =
         number(body, "leaseMillis", DEFAULT_LEASE_MILLIS, MIN_LEASE_MILLIS, MAX_LEASE_MILLIS);
-    if (!upstreams.announce(
-        new Announcement(service, endpoint, (int) slots, leaseMillis, null))) {
+    if (!upstreams.announce(new Announcement(service, endpoint, (int) slots, leaseMillis, null))) {
       return HttpResponse.ofText(503, "the daemon is stopping\n");
     }
     return HttpResponse.ofStatus(204);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -135,7 +135,8 @@
     callId = calls.parents().newId();
     calls.parents().put(callId, new ParentCalls.Parent(deadlineNanos));
     with.ledger().open(callId, head.extraAttempts());
-    Headers extra = calls.upstreamHeaders(
+    Headers extra =
+        calls.upstreamHeaders(
             head, callId, TimeUnit.NANOSECONDS.toMillis(leftNanos), upstream.instance);
     UpstreamRequest request =
         new UpstreamRequest(head.method(), head.requestTarget(), head.headers(), extra, body);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -1,10 +1,10 @@
 package org.cornelspoke.daemon.traffic;
 
-import java.util.Objects;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.cornelspoke.coordination.admission.UpstreamGate;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Timers.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Timers.java
@@ -7,7 +7,7 @@
 /** Drives a timer wheel from the event loop, only while a timer waits. */
 final class Timers {
 
-  private static final int TICK_MILLIS = 5;
+  private static final int TICK_MILLIS = 20;
   private static final int BUCKETS = 512;
 
   private final Eventloop reactor;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -1,6 +1,5 @@
 package org.cornelspoke.daemon.traffic;
 
-import org.cornelspoke.model.Revision;
 import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
@@ -17,6 +16,7 @@
 import org.cornelspoke.coordination.retry.RetryThrottles;
 import org.cornelspoke.coordination.routing.TargetSelector;
 import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.Revision;
 import org.cornelspoke.protocol.call.CallCodec;
 import org.cornelspoke.protocol.context.ContextSigner;
 import org.cornelspoke.transport.http.HttpServer;
@@ -29,7 +29,7 @@
  */
 public final class TrafficDaemon {
 
-  private static final long HOUSEKEEPING_MILLIS = 100;
+  private static final long HOUSEKEEPING_MILLIS = 150;
   private static final long STOP_POLL_MILLIS = 20;
   private static final long SWEEP_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -71,7 +71,10 @@
     ForwardingParts forwarding =
         new ForwardingParts(with, upstreams, localCalls, links, new SplittableRandom());
     EdgeHandler edgeHandler =
-        new EdgeHandler(new EdgeParts(with, forwarding, parents, new Digests()), view, signer);
+        new EdgeHandler(
+            new EdgeParts(with, forwarding, parents, new Digests(), new DecisionLog(registry)),
+            view,
+            signer);
     this.edge =
         new HttpServer(
             reactor,
@@ -178,9 +181,9 @@
       lastSweepNanos = now;
       edge.sweep(now);
       local.sweep(now);
-      links.onTick(now);
       linkServer.sweep(now);
     }
+    links.onTick(now);
     with.reactor().delayBackground(HOUSEKEEPING_MILLIS, this::housekeeping);
   }
 
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/PeerLinkTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/PeerLinkTest.java
@@ -64,7 +64,13 @@
     Endpoint address = new Endpoint("127.0.0.1", listening.boundAddress().getPort());
     PeerLink tested =
         new PeerLink(
-            reactor, PEER, address, () -> HELLO, id -> events.add("down"), () -> nowMillis, members -> {});
+            reactor,
+            PEER,
+            address,
+            () -> HELLO,
+            id -> events.add("down"),
+            () -> nowMillis,
+            members -> {});
     link = Optional.of(tested);
     reactor.post(() -> step(answers ? () -> {} : onStep));
     reactor.run();
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -1,6 +1,5 @@
 package org.cornelspoke.daemon.traffic;
 
-import org.cornelspoke.coordination.retry.RetryThrottles;
 import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
@@ -19,6 +18,7 @@
 import org.cornelspoke.coordination.dissemination.FleetViewSource;
 import org.cornelspoke.coordination.dissemination.TargetPublisher;
 import org.cornelspoke.coordination.quota.RateLimiter;
+import org.cornelspoke.coordination.retry.RetryThrottles;
 import org.cornelspoke.coordination.routing.TargetSelector;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.DaemonId;
