Keep serving accounts while the control group has no leader or starts anew

While the leader was frozen (2.5 to 9 s) and after the power loss (32 to 40 s) no daemon held a share: leases of 5 s had ended, and a new leader issues nothing for a lease.

Calls on open routes are admitted before fresh requests.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/AttachmentTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/AttachmentTracker.java
@@ -27,6 +27,7 @@
   private long term = -1;
   private long ledSinceNanos;
   private long seenVersion = UNSEEN;
+  private long allSinceNanos = UNSEEN;
 
   /** Creates a tracker that does not lead. */
   public AttachmentTracker(long leaseNanos) {
@@ -40,6 +41,7 @@
       term = currentTerm;
       ledSinceNanos = nowNanos;
       seenAtNanos.clear();
+      allSinceNanos = UNSEEN;
       seenVersion = UNSEEN;
     }
   }
@@ -54,6 +56,27 @@
     daemons.forEach(daemon -> seenAtNanos.put(daemon, nowNanos));
   }
 
+  /**
+   * Returns true if every daemon with a registered target has been attached in this term, and the
+   * last of them for some time.
+   *
+   * @param settledNanos the time for which all of them must have been attached
+   */
+  public boolean allAttached(Registry registry, long settledNanos, long nowNanos) {
+    boolean all = term >= 0;
+    for (RegistryImage.Entry entry : registry.targets()) {
+      all &= seenAtNanos.containsKey(entry.target().orElseThrow().daemon());
+    }
+    if (!all) {
+      allSinceNanos = UNSEEN;
+      return false;
+    }
+    if (allSinceNanos == UNSEEN) {
+      allSinceNanos = nowNanos;
+    }
+    return nowNanos - allSinceNanos >= settledNanos;
+  }
+
   /** Returns the removals that are due; empty while this member does not lead. */
   public List<RegistryChange> expired(Registry registry, long nowNanos) {
     List<RegistryChange> due = new ArrayList<>();
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
@@ -27,7 +27,7 @@
 
   private final ShareTimes times;
   private final BiConsumer<String, ShareMessage> out;
-  private final long quietUntilNanos;
+  private long quietUntilNanos;
   private final Map<AccountId, OwnedAccount> accounts = new HashMap<>();
   private long provedAsOfNanos;
 
@@ -57,6 +57,16 @@
     }
   }
 
+  /**
+   * Ends the quiet time early. The caller knows that every daemon which may hold a share has told
+   * what it holds, so no share of an earlier leader is unknown.
+   */
+  public void endQuiet(long nowNanos) {
+    if (isQuiet(nowNanos)) {
+      quietUntilNanos = nowNanos;
+    }
+  }
+
   /** Sets the configured accounts. A lower rate or burst takes effect by recall. */
   public void setAccounts(Collection<Account> configured, long nowNanos) {
     Set<AccountId> present = new HashSet<>();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Logging.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Logging.java
@@ -3,11 +3,12 @@
 import org.cornelspoke.daemon.settings.LogSettings;
 
 /** Chooses form and level of the log lines. Must run before the first logger is created. */
-final class Logging {
+public final class Logging {
 
   private Logging() {}
 
-  static void configure(LogSettings settings) {
+  /** Sets form and level. */
+  public static void configure(LogSettings settings) {
     System.setProperty(
         "logback.configurationFile",
         switch (settings.format()) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -200,6 +200,15 @@
     return sessions.ageNanos(nanoClock.getAsLong());
   }
 
+  /**
+   * Returns true if this member leads and every daemon with a target has been attached to some
+   * relay for the time.
+   */
+  public boolean allDaemonsAttached(long settledNanos) {
+    return log.isLeader()
+        && attachments.allAttached(machine.registry(), settledNanos, nanoClock.getAsLong());
+  }
+
   /** Returns the bytes of all frames sent to daemons, without the length prefixes. */
   public long sentBytes() {
     return sentBytes;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlProfile.java
@@ -20,6 +20,7 @@
   Function<RoutingAdministration, HttpHandler> operatorApi;
   Supplier<List<PeerSettings>> peerSource = List::of;
   ShareTimes shareTimes = ShareTimes.DEFAULT;
+  double sharedBurstPart = 1;
   ConsensusSettings consensus = ConsensusSettings.DEFAULT;
 
   /**
@@ -46,6 +47,12 @@
     return this;
   }
 
+  /** Sets the part of an account's burst that shares may use; the rest is left to rate floors. */
+  public ControlProfile withSharedBurstPart(double part) {
+    this.sharedBurstPart = part;
+    return this;
+  }
+
   /** Replaces the settings of the control group. */
   public ControlProfile withConsensus(ConsensusSettings settings) {
     this.consensus = Assert.notNull(settings, "settings");
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -74,9 +74,7 @@
       relays.put(peer.vmId(), peer.relayAddress().toSocketAddress());
     }
     this.consensus = builder.build();
-    this.shares =
-        new RelayShares(
-            control(), settings.vmId(), consensus, machine.config(), profile.shareTimes);
+    this.shares = new RelayShares(control(), settings.vmId(), consensus, machine.config(), profile);
     this.relay =
         RelayServer.builder()
             .withReactor(control())
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -36,11 +36,15 @@
   /** Less than half of the age at which a proof of leadership ends. */
   private static final long PROOF_MILLIS = 400;
 
+  /** Several reports of a daemon to its relay, and of the relay to the owner. */
+  private static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+
   private final NioReactor reactor;
   private final VmId self;
   private final ReplicatedLog log;
   private final ConfigState config;
   private final ShareTimes times;
+  private final double sharedBurstPart;
   private final ShareRelay middle;
   private RelayServer server;
   private Optional<ShareOwner> owner = Optional.empty();
@@ -52,8 +56,13 @@
   private ScheduledRunnable nextTick;
 
   RelayShares(
-      NioReactor reactor, VmId self, ReplicatedLog log, ConfigState config, ShareTimes times) {
-    this.times = times;
+      NioReactor reactor,
+      VmId self,
+      ReplicatedLog log,
+      ConfigState config,
+      ControlProfile profile) {
+    this.times = profile.shareTimes;
+    this.sharedBurstPart = profile.sharedBurstPart;
     this.reactor = reactor;
     this.self = self;
     this.log = log;
@@ -127,12 +136,17 @@
       LOGGER.log(Level.INFO, "owns the rate shares in term {0}", ownerTerm);
     }
     ShareOwner current = owner.get();
+    if (server.allDaemonsAttached(SETTLED_NANOS)) {
+      current.endQuiet(now);
+    }
     if (!config.revision().equals(ownerRevision)) {
       ownerRevision = config.revision();
       current.setAccounts(
           config.entities().stream()
               .filter(Account.class::isInstance)
               .map(Account.class::cast)
+              .filter(Account::isLimited)
+              .map(this::withSharedBurst)
               .toList(),
           now);
     }
@@ -142,6 +156,11 @@
     }
   }
 
+  private Account withSharedBurst(Account account) {
+    double burst = Math.max(1, account.burstTokens() * sharedBurstPart);
+    return new Account(account.id(), account.rateTokensPerSecond(), burst, account.weight());
+  }
+
   /** The read index is a heartbeat round to a majority that begins after this call. */
   private void prove(ShareOwner current, long askedAtNanos) {
     log.readIndex(
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
@@ -34,6 +34,7 @@
   Supplier<List<Endpoint>> relaySource = List::of;
   LimitAlgorithm limitAlgorithm = LimitAlgorithm.DEFAULT;
   ShareTimes shareTimes = ShareTimes.DEFAULT;
+  double rateFloorPart;
   long drainMillis = DRAIN_MILLIS;
   long stopTimeoutMillis = STOP_TIMEOUT_MILLIS;
 
@@ -80,6 +81,16 @@
     return this;
   }
 
+  /**
+   * Lets each daemon serve a part of every account's rate without a share.
+   *
+   * @param part part of the rate that all daemons together serve in excess
+   */
+  public TrafficProfile withRateFloor(double part) {
+    this.rateFloorPart = part;
+    return this;
+  }
+
   /** Replaces the times of a graceful stop. */
   public TrafficProfile withStopTimes(long newDrainMillis, long newStopTimeoutMillis) {
     this.drainMillis = newDrainMillis;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -9,6 +9,8 @@
 import org.apache.commons.math3.random.Well19937c;
 import org.cornelspoke.coordination.admission.DefaultUpstreamGate;
 import org.cornelspoke.coordination.admission.UpstreamGate;
+import org.cornelspoke.coordination.quota.FloorRateLimiter;
+import org.cornelspoke.coordination.quota.RateLimiter;
 import org.cornelspoke.coordination.retry.DefaultRetryLedger;
 import org.cornelspoke.coordination.routing.DefaultTargetSelector;
 import org.cornelspoke.daemon.admin.AdminServer;
@@ -56,10 +58,14 @@
             .withFreshnessBoundMillis(settings.freshnessBoundMillis())
             .withShareListener(shares)
             .build();
+    RateLimiter limiter =
+        profile.rateFloorPart > 0
+            ? new FloorRateLimiter(shares.holder(), client::current, profile.rateFloorPart)
+            : shares.holder();
     TrafficDaemon.Builder builder =
         TrafficDaemon.builder(trafficSettings(settings, profile), traffic)
             .withFleet(client, client)
-            .withAdmission(shares.holder(), client, (service, slots, now) -> gate(slots))
+            .withAdmission(limiter, client, (service, slots, now) -> gate(slots))
             .withSelector(
                 new DefaultTargetSelector(
                     settings.daemonId(),
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
@@ -132,7 +132,7 @@
             route,
             account.map(Account::id),
             account.map(Account::weight).orElse(1),
-            route.trafficClass(),
+            route.open() ? TrafficClass.CRITICAL : route.trafficClass(),
             view.revision(),
             Math.min(budget, route.maxAttempts() - 1));
     request.start(
