--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -10,8 +10,8 @@
 import org.cornelspoke.util.Assert;
 
 /**
- * Gate with strict class priority, fair queueing over accounts inside a class and an adaptive
- * concurrency limit.
+ * Gate with class priority, fair queueing over accounts inside a class and an adaptive concurrency
+ * limit.
  *
  * <p>A class may be admitted only while it and the classes below it hold less than its slot share
  * of the limit, which keeps slots free for the classes above. The queue of a class may use the room
@@ -34,6 +34,7 @@
    */
   private static final double NEEDED_SERVICE_PART = 0.6;
 
+  private final double interactivePart;
   private final ConcurrencyLimit limit;
   private final Map<TrafficClass, ClassQueue> queues = new EnumMap<>(TrafficClass.class);
   private long newestFirstAfterNanos;
@@ -47,7 +48,20 @@
    * @param limit the concurrency limit, created with the announced slots
    */
   public DefaultUpstreamGate(Preset preset, ConcurrencyLimit limit) {
+    this(preset, limit, 0);
+  }
+
+  /**
+   * Creates a gate that keeps a part of the slots for requests that a person waits for, so that
+   * more urgent work can't starve them.
+   *
+   * @param interactivePart part of the limit up to which waiting requests of the class {@link
+   *     TrafficClass#INTERACTIVE} go first; 0 for none
+   */
+  public DefaultUpstreamGate(Preset preset, ConcurrencyLimit limit, double interactivePart) {
     Assert.notNull(preset, "preset");
+    Assert.isTrue(interactivePart >= 0 && interactivePart < 1, "interactivePart must be below 1");
+    this.interactivePart = interactivePart;
     this.limit = Assert.notNull(limit, "limit");
     for (TrafficClass trafficClass : CLASSES) {
       queues.put(trafficClass, new ClassQueue(preset.policyOf(trafficClass)));
@@ -227,23 +241,33 @@
   }
 
   private void dispatch(long nowNanos) {
+    ClassQueue interactive = queues.get(TrafficClass.INTERACTIVE);
+    while (interactive.waiting() > 0
+        && inFlight < limit.limit()
+        && interactive.inFlight() < interactivePart * limit.limit()) {
+      admitNext(interactive, nowNanos);
+    }
     for (TrafficClass trafficClass : CLASSES) {
       ClassQueue queue = queues.get(trafficClass);
       while (queue.waiting() > 0 && hasFreeSlot(trafficClass)) {
-        GateEntry entry = queue.pollNext(queue.newestFirst(newestFirstAfterNanos, nowNanos));
-        boolean tooLate =
-            entry.remainingNanos(nowNanos) <= 0
-                || (inFlight > 0 && entry.remainingNanos(nowNanos) < neededServiceNanos(queue));
-        if (tooLate) {
-          queue.onDeadlineRefusal();
-          refuse(entry, RefusalReason.DEADLINE, retryAfterMillis());
-        } else {
-          admit(queue, entry, nowNanos);
-        }
+        admitNext(queue, nowNanos);
       }
     }
   }
 
+  private void admitNext(ClassQueue queue, long nowNanos) {
+    GateEntry entry = queue.pollNext(queue.newestFirst(newestFirstAfterNanos, nowNanos));
+    boolean tooLate =
+        entry.remainingNanos(nowNanos) <= 0
+            || (inFlight > 0 && entry.remainingNanos(nowNanos) < neededServiceNanos(queue));
+    if (tooLate) {
+      queue.onDeadlineRefusal();
+      refuse(entry, RefusalReason.DEADLINE, retryAfterMillis());
+    } else {
+      admit(queue, entry, nowNanos);
+    }
+  }
+
   private void admit(ClassQueue queue, GateEntry entry, long nowNanos) {
     double expectedNanos = queue.serviceNanos();
     entry.admit(expectedNanos, nowNanos);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/model/RefusalReason.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/model/RefusalReason.java
@@ -20,6 +20,8 @@
   OVERLOAD("overload", 503),
   /** The upstream declared that it is full and did not run the request. */
   SHED("shed", 503),
+  /** Too many calls below requests of this class fail at present. */
+  DOWNSTREAM("downstream", 503),
   /** The preset in force refuses this class. */
   PRESET("preset", 503),
   /** The remaining time is shorter than the expected wait and service time. */
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/DefaultUpstreamGateTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/DefaultUpstreamGateTest.java
@@ -146,6 +146,37 @@
     assertThat(waiting.admitted).isEqualTo(1);
   }
 
+  /** Guards against waiting requests that reach an upstream long after it began to leave. */
+  @Test
+  void drainingGateRefusesWhatWaitsAtTheNextTick() {
+    UpstreamGate gate = gate(1, 50);
+    submit(gate, A, TrafficClass.CRITICAL);
+    Decision waiting = submit(gate, A, TrafficClass.CRITICAL);
+    gate.setDraining(true);
+    gate.onTick(1);
+    assertThat(waiting.reason).isEqualTo(RefusalReason.DRAINING);
+  }
+
+  /** Guards against people who are starved by calls of other services. */
+  @Test
+  void waitingPeopleKeepTheirPartOfTheSlots() {
+    UpstreamGate gate =
+        new DefaultUpstreamGate(preset(50, Long.MAX_VALUE / MILLI), new FixedLimit(10), 0.2);
+    List<Decision> calls = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      calls.add(submit(gate, A, TrafficClass.CRITICAL));
+    }
+    List<Decision> people = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      people.add(submit(gate, B, TrafficClass.INTERACTIVE));
+    }
+    for (int i = 0; i < 4; i++) {
+      gate.complete(calls.get(i).ticket, Completion.SUCCESS, 1);
+    }
+    assertThat(people.stream().mapToInt(d -> d.admitted).sum()).isEqualTo(2);
+    assertThat(calls.stream().mapToInt(d -> d.admitted).sum()).isEqualTo(12);
+  }
+
   @Test
   void completingTwiceIsRefused() {
     UpstreamGate gate = gate(1, 50);
--- /dev/null
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/FloorRateLimiterTest.java
@@ -0,0 +1,103 @@
+package org.cornelspoke.coordination.quota;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.TargetId;
+import org.cornelspoke.state.config.Account;
+import org.cornelspoke.state.registry.Target;
+import org.cornelspoke.state.registry.TargetState;
+import org.cornelspoke.state.view.FleetView;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against accounts that get nothing while no shares are issued, and against floors that add
+ * up to more than the part that is set for them.
+ */
+final class FloorRateLimiterTest {
+
+  private static final AccountId ACCOUNT = new AccountId("a");
+  private static final double PART = 0.15;
+
+  @Test
+  void floorsOfAllDaemonsAddUpToTheirPart() {
+    int admitted = 0;
+    for (int daemon = 0; daemon < 10; daemon++) {
+      admitted += admitted(new FloorRateLimiter(new NoShares(), () -> view(10, 100), PART));
+    }
+
+    int seconds = 20;
+    assertThat(admitted).isAtMost((int) (seconds * 100 * PART) + 10);
+    assertThat(admitted).isAtLeast((int) (seconds * 100 * PART * 0.9));
+  }
+
+  @Test
+  void largeFleetHasNoFloor() {
+    assertThat(admitted(new FloorRateLimiter(new NoShares(), () -> view(21, 100), PART)))
+        .isEqualTo(0);
+  }
+
+  @Test
+  void unknownAccountHasNoFloor() {
+    assertThat(admitted(new FloorRateLimiter(new NoShares(), () -> FleetView.EMPTY, PART)))
+        .isEqualTo(0);
+  }
+
+  /** Returns what one daemon admits in 20 s of steady pressure. */
+  private static int admitted(RateLimiter limiter) {
+    int[] admitted = new int[1];
+    for (int millis = 0; millis < 20_000; millis += 5) {
+      limiter.acquire(
+          ACCOUNT,
+          0,
+          new RateLimiter.Listener() {
+            @Override
+            public void onGranted() {
+              admitted[0]++;
+            }
+
+            @Override
+            public void onRefused(long retryAfterMillis) {
+              // Counted by the caller as not admitted.
+            }
+          },
+          TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+    return admitted[0];
+  }
+
+  private static FleetView view(int daemons, double rate) {
+    ServiceName service = new ServiceName("s");
+    List<Target> targets = new ArrayList<>();
+    for (int i = 1; i <= daemons; i++) {
+      targets.add(
+          new Target(
+              new TargetId("t" + i),
+              service,
+              new DaemonId("d" + i),
+              new DataCentreId("z"),
+              new Endpoint("10.0.0." + i, 1),
+              1,
+              TargetState.UP));
+    }
+    return new FleetView(
+        new Revision(2), List.of(new Account(ACCOUNT, rate, rate, 1)), Map.of(service, targets));
+  }
+
+  /** A limiter without any share. */
+  private static final class NoShares implements RateLimiter {
+    @Override
+    public void acquire(AccountId account, long deadline, Listener listener, long now) {
+      listener.onRefused(1);
+    }
+  }
+}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.cornelspoke.coordination.admission.LimitAlgorithm;
+import org.cornelspoke.coordination.admission.RootThrottle;
 import org.cornelspoke.coordination.quota.ShareTimes;
 import org.cornelspoke.coordination.retry.DefaultRetryThrottle;
 import org.cornelspoke.coordination.retry.RetryThrottles;
@@ -34,6 +35,8 @@
   Supplier<List<Endpoint>> relaySource = List::of;
   LimitAlgorithm limitAlgorithm = LimitAlgorithm.DEFAULT;
   ShareTimes shareTimes = ShareTimes.DEFAULT;
+  Supplier<RootThrottle> rootThrottles = RootThrottle::none;
+  double interactivePart;
   double rateFloorPart;
   long drainMillis = DRAIN_MILLIS;
   long stopTimeoutMillis = STOP_TIMEOUT_MILLIS;
@@ -91,6 +94,20 @@
     return this;
   }
 
+  /**
+   * Sets the part of an upstream's slots that requests for which a person waits get in any case.
+   */
+  public TrafficProfile withInteractivePart(double part) {
+    this.interactivePart = part;
+    return this;
+  }
+
+  /** Sets what bounds root requests whose calls fail; one for each upstream. */
+  public TrafficProfile withRootThrottles(Supplier<RootThrottle> throttles) {
+    this.rootThrottles = Assert.notNull(throttles, "throttles");
+    return this;
+  }
+
   /** Replaces the times of a graceful stop. */
   public TrafficProfile withStopTimes(long newDrainMillis, long newStopTimeoutMillis) {
     this.drainMillis = newDrainMillis;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -73,6 +73,7 @@
                     DefaultTargetSelector.DEFAULT_SUBSET_SIZE,
                     new Well19937c()))
             .withRetries(new DefaultRetryLedger(), profile.throttles)
+            .withRootThrottles(profile.rootThrottles)
             .withMetrics(metrics());
     profile.localApi.ifPresent(api -> builder.withDialect(profile.dialect, api));
     this.daemon = builder.build();
@@ -140,7 +141,8 @@
 
   private UpstreamGate gate(int slots) {
     Preset preset = client.current().activePreset().orElseGet(BuiltInPresets::ordinary);
-    return new DefaultUpstreamGate(preset, profile.limitAlgorithm.create(slots));
+    return new DefaultUpstreamGate(
+        preset, profile.limitAlgorithm.create(slots), profile.interactivePart);
   }
 
   private Health health() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Collaborators.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Collaborators.java
@@ -1,6 +1,8 @@
 package org.cornelspoke.daemon.traffic;
 
 import io.activej.eventloop.Eventloop;
+import java.util.function.Supplier;
+import org.cornelspoke.coordination.admission.RootThrottle;
 import org.cornelspoke.coordination.dedup.ClaimClient;
 import org.cornelspoke.coordination.dissemination.FleetViewSource;
 import org.cornelspoke.coordination.dissemination.TargetPublisher;
@@ -22,6 +24,7 @@
     RetryThrottles throttles,
     TargetPublisher publisher,
     HttpDialect dialect,
+    Supplier<RootThrottle> rootThrottles,
     LocalApiFactory localApi,
     TrafficMetrics metrics,
     Timers timers) {}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -29,6 +29,11 @@
   /** Keeps a deadline from overflowing the clock, whatever a peer sends. */
   private static final long MAX_REMAINING_MILLIS = TimeUnit.DAYS.toMillis(30);
 
+  private static final int SERVER_ERROR = 500;
+
+  /** Steps in which a throttle admits more follow in a quarter of this time. */
+  private static final long DOWNSTREAM_RETRY_MILLIS = 1_000;
+
   private final LocalCalls calls;
   private final Collaborators with;
   private final LocalUpstream upstream;
@@ -66,6 +71,12 @@
 
   void start() {
     calls.upstreams().onCallStarted(upstream);
+    if (isRoot() && !upstream.throttle.admits(head.trafficClass(), startNanos)) {
+      end(
+          new CallResult.Refused(RefusalReason.DOWNSTREAM, DOWNSTREAM_RETRY_MILLIS),
+          head.extraAttempts());
+      return;
+    }
     GateRequest request =
         new GateRequest(head.account(), head.weight(), head.trafficClass(), deadlineNanos);
     ticket = upstream.gate.submit(request, this, startNanos);
@@ -147,9 +158,22 @@
     long now = System.nanoTime();
     with.metrics().upstreamTime.update(now - sentNanos, TimeUnit.NANOSECONDS);
     upstream.gate.complete(ticket, completionOf(result), now);
+    countRoot(result, now);
     end(result, closeLedger());
   }
 
+  /** Requests without an account of their own are calls of other upstreams. */
+  private boolean isRoot() {
+    return !head.account().equals(EdgeHandler.OPEN_ACCOUNT);
+  }
+
+  private void countRoot(CallResult result, long nowNanos) {
+    if (isRoot() && result instanceof CallResult.Answered answer) {
+      boolean failed = answer.status() >= SERVER_ERROR;
+      upstream.throttle.onCompleted(head.trafficClass(), failed, nowNanos);
+    }
+  }
+
   private void onDeadline() {
     long now = System.nanoTime();
     if (state == State.WAITING) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.daemon.traffic;
 
 import io.activej.reactor.schedule.ScheduledRunnable;
+import org.cornelspoke.coordination.admission.RootThrottle;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
@@ -17,6 +18,7 @@
 
   final UpstreamGate gate;
   final UpstreamPool pool;
+  final RootThrottle throttle;
   int slots;
   boolean draining;
   int inFlight;
@@ -27,7 +29,9 @@
       Endpoint address,
       String instance,
       UpstreamGate gate,
+      RootThrottle throttle,
       UpstreamPool pool) {
+    this.throttle = throttle;
     this.instance = instance;
     this.service = service;
     this.address = address;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -172,7 +172,13 @@
             with.metrics().registry());
     pool.warmUp();
     LocalUpstream upstream =
-        new LocalUpstream(said.service(), said.address(), said.instance(), gate, pool);
+        new LocalUpstream(
+            said.service(),
+            said.address(),
+            said.instance(),
+            gate,
+            with.rootThrottles().get(),
+            pool);
     upstream.slots = said.slots();
     return upstream;
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.cornelspoke.coordination.admission.RootThrottle;
 import org.cornelspoke.coordination.dedup.ClaimClient;
 import org.cornelspoke.coordination.dissemination.FleetViewSource;
 import org.cornelspoke.coordination.dissemination.TargetPublisher;
@@ -268,6 +270,7 @@
     private RetryLedger ledger;
     private RetryThrottles throttles;
     private HttpDialect dialect = new DefaultDialect();
+    private Supplier<RootThrottle> rootThrottles = RootThrottle::none;
     private LocalApiFactory localApi = LocalApi::new;
     private TargetPublisher publisher;
     private MetricRegistry metrics;
@@ -306,6 +309,12 @@
       return this;
     }
 
+    /** Sets what bounds root requests whose calls fail; one for each upstream. */
+    public Builder withRootThrottles(Supplier<RootThrottle> newRootThrottles) {
+      this.rootThrottles = newRootThrottles;
+      return this;
+    }
+
     /** Replaces the product's own interface for callers and upstreams. */
     public Builder withDialect(HttpDialect newDialect, LocalApiFactory newLocalApi) {
       this.dialect = newDialect;
@@ -338,6 +347,7 @@
               Assert.notNull(throttles, "throttles"),
               Assert.notNull(publisher, "publisher"),
               Assert.notNull(dialect, "dialect"),
+              Assert.notNull(rootThrottles, "rootThrottles"),
               Assert.notNull(localApi, "localApi"),
               new TrafficMetrics(Assert.notNull(metrics, "metrics")),
               new Timers(reactor)));
