--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
@@ -129,6 +129,11 @@
     return targets;
   }
 
+  /** Returns true if there is a route at all; before that no request can be served or refused. */
+  public boolean hasRoutes() {
+    return !routes.isEmpty();
+  }
+
   /** Returns the services that the routes name. */
   public List<ServiceName> routedServices() {
     return routes.stream()
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
@@ -7,7 +7,6 @@
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.RefusalReason;
-import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.protocol.call.CallHead;
 import org.cornelspoke.protocol.call.Headers;
@@ -67,7 +66,7 @@
     Optional<Route> matched = view.route(host(head), head.method(), head.path());
     if (matched.isEmpty()) {
       // A daemon that has no current view can't know that there is no such route.
-      if (with.views().isFresh(now) && !view.revision().equals(Revision.NONE)) {
+      if (with.views().isFresh(now) && view.hasRoutes()) {
         request.refuse(RefusalReason.NO_ROUTE, -1);
       } else {
         request.refuse(RefusalReason.STALE, STALE_RETRY_MILLIS);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -18,7 +18,6 @@
 import org.cornelspoke.coordination.retry.RetryThrottles;
 import org.cornelspoke.coordination.routing.TargetSelector;
 import org.cornelspoke.model.Endpoint;
-import org.cornelspoke.model.Revision;
 import org.cornelspoke.protocol.call.CallCodec;
 import org.cornelspoke.protocol.context.ContextSigner;
 import org.cornelspoke.transport.http.HttpServer;
@@ -145,9 +144,9 @@
     return stopped.copy();
   }
 
-  /** Returns true if the daemon has a configuration and is not stopping. Safe for any thread. */
+  /** Returns true if the daemon has routes and is not stopping. Safe for any thread. */
   public boolean isReady() {
-    return !stopping && !with.views().current().revision().equals(Revision.NONE);
+    return !stopping && with.views().current().hasRoutes();
   }
 
   /** Returns the address of the edge, with the port that the system chose if port 0 was given. */
