--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
@@ -7,6 +7,7 @@
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.protocol.call.CallHead;
 import org.cornelspoke.protocol.call.Headers;
