--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/routing/ServiceChooserTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/routing/ServiceChooserTest.java
@@ -27,6 +27,15 @@
     }
   }
 
+  @Test
+  void keepsUnevenWeightsOfSeveralParts() {
+    Multiset<ServiceName> chosen = choose(route(60, 30, 10), 100);
+
+    assertThat(chosen.count(new ServiceName("s0"))).isEqualTo(60);
+    assertThat(chosen.count(new ServiceName("s1"))).isEqualTo(30);
+    assertThat(chosen.count(new ServiceName("s2"))).isEqualTo(10);
+  }
+
   @Test
   void givesNothingToPartWithoutWeight() {
     assertThat(choose(route(0, 5), 100).count(new ServiceName("s0"))).isEqualTo(0);
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LocalApiTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LocalApiTest.java
@@ -6,6 +6,7 @@
 
 import java.util.concurrent.CountDownLatch;
 import org.cornelspoke.daemon.traffic.RawClient.Answer;
+import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.registry.TargetState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -73,6 +74,32 @@
     }
   }
 
+  /**
+   * Guards against new work for a draining upstream from daemons that have not heard of the drain,
+   * because they or this one are cut off from the control group.
+   */
+  @Test
+  void drainRefusesCallsOfDaemonsThatHaveNotHeardOfIt() throws Exception {
+    try (StandInUpstream upstream =
+        new StandInUpstream((head, body, socket) -> StandInUpstream.answer(socket, 200, "done"))) {
+      TrafficDaemon daemon = fleet.startWith("a", "svc", upstream);
+      TrafficDaemon edge = fleet.start("edge");
+      fleet.awaitRoute(edge, "/open");
+      Target before = fleet.target("a:svc");
+      assertThat(TestFleet.local(daemon, "/v1/drain", "{\"service\":\"svc\"}").status())
+          .isEqualTo(204);
+      fleet.publish(before);
+      assertThat(fleet.target("a:svc").state()).isEqualTo(TargetState.UP);
+      int served = upstream.heads.size();
+
+      Answer refused = RawClient.once(edge.edgeAddress(), request("GET", "/open", ""));
+
+      assertThat(refused.status()).isEqualTo(503);
+      assertThat(refused.verdict()).isEqualTo("not-run");
+      assertThat(upstream.heads).hasSize(served);
+    }
+  }
+
   /** Guards against announcements that are accepted although they break a rule. */
   @Test
   void brokenRulesAreNamed() throws Exception {
