Serve small accounts in whole tokens and return spent burst at once

Owners gave parts of a token, which admit nothing, and a holder kept the burst of a token that it had used until its next report, up to 1.5 s later; in that time the owner's bucket could not refill by as much.

Change: a holder that would keep less than two tokens keeps none and is served token by token; daemons and relays return spent burst at once. A refusal for the rate logs the account's rate and what the daemon holds of it.

Ruled out: messages between daemons and the leader are not late (links take 1.4 ms).

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/FloorRateLimiter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/FloorRateLimiter.java
@@ -68,6 +68,13 @@
     }
   }
 
+  @Override
+  public TokenShare held(AccountId account, long nowNanos) {
+    TokenShare share = shares.held(account, nowNanos);
+    TokenBucket floor = floors.get(account);
+    return floor == null ? share : share.merge(floor.share(nowNanos));
+  }
+
   /** Floors only shrink with the number of daemons: one that is gone for a moment keeps its own. */
   private void follow(FleetView view, long nowNanos) {
     if (view == applied) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -174,6 +174,7 @@
     while (!waiters.isEmpty() && tryTake(nowNanos)) {
       waiters.poll().onGranted();
     }
+    link.giveUpSpent(TokenShare.EMPTY, nowNanos);
   }
 
   private boolean tryTake(long nowNanos) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RateLimiter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RateLimiter.java
@@ -31,6 +31,13 @@
     acquire(account, deadlineNanos, listener, nowNanos);
   }
 
+  /**
+   * Returns what this daemon holds of the account's rate; nothing if the limiter keeps no share.
+   */
+  default TokenShare held(AccountId account, long nowNanos) {
+    return TokenShare.EMPTY;
+  }
+
   /** Receives the answer. */
   interface Listener {
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
@@ -103,6 +103,7 @@
     if (wantedByOwner) {
       returnUnneeded(nowNanos);
     }
+    link.giveUpSpent(book.passedOn(), nowNanos);
   }
 
   void onTick(long nowNanos) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
@@ -32,6 +32,12 @@
   /** Part of the burst that holders may keep; the rest serves peaks of any holder. */
   private static final double HELD_BURST_PART = 0.6;
 
+  /**
+   * Smallest burst that a holder keeps; below it, it is served token by token. A part of a token
+   * admits nothing, and a bucket of hardly more than one token is mostly full and loses its refill.
+   */
+  private static final double MIN_HELD_BURST_TOKENS = 2;
+
   /** Time of demand that a holder's burst covers in addition to random variation. */
   private static final double BURST_SECONDS = 0.12;
 
@@ -359,7 +365,8 @@
     }
     double needed =
         demand * BURST_SECONDS + BURST_DEVIATIONS * Math.sqrt(demand * BURST_SECONDS) + 1;
-    return Math.min(needed, HELD_BURST_PART * burst() * demand / demandPerSecond());
+    double wanted = Math.min(needed, HELD_BURST_PART * burst() * demand / demandPerSecond());
+    return wanted < MIN_HELD_BURST_TOKENS ? 0 : wanted;
   }
 
   private static double part(double kept, double all) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
@@ -104,7 +104,7 @@
         .acquire(trafficClass, deadlineNanos, listener, nowNanos);
   }
 
-  /** Returns what is held of the account, for metrics and tests. */
+  @Override
   public TokenShare held(AccountId account, long nowNanos) {
     HeldAccount held = accounts.get(account);
     return held == null ? TokenShare.EMPTY : held.held(nowNanos);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
@@ -21,6 +21,7 @@
   private static final long MAX_ASK_NANOS = 80_000_000L;
 
   private static final double MIN_RETURNED_BURST = 0.5;
+  private static final double ROUNDING = 1e-7;
 
   private record SentReport(long sequence, long sentNanos) {}
 
@@ -154,6 +155,19 @@
     giveUp(held.rateTokensPerSecond() - keep.rateTokensPerSecond(), burst, level, nowNanos);
   }
 
+  /**
+   * Returns whole tokens of burst that the owner's last grant does not want here and that hold no
+   * tokens any more. Until then the owner's bucket could not refill by as much.
+   */
+  void giveUpSpent(TokenShare passedOn, long nowNanos) {
+    TokenShare own = bucket.share(nowNanos);
+    double excess = own.burstTokens() + passedOn.burstTokens() - targetBurst;
+    double spent = Math.min(excess, own.burstTokens() - own.levelTokens());
+    if (spent >= 1 - ROUNDING) {
+      giveUp(0, spent, 0, nowNanos);
+    }
+  }
+
   /** Takes a part out of the bucket and returns it to the owner. */
   void giveUp(double rate, double burst, double level, long nowNanos) {
     if (connected && sequence > 0) {
--- /dev/null
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/SmallAccountSharesTest.java
@@ -0,0 +1,159 @@
+package org.cornelspoke.coordination.quota;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.math3.random.RandomGenerator;
+import org.apache.commons.math3.random.Well19937c;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.state.config.Account;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against rate that is lost in small parts: an account whose rate is about one token per
+ * second and daemon got half of its rate while all daemons refused its requests.
+ */
+final class SmallAccountSharesTest {
+
+  private static final AccountId ACCOUNT = new AccountId("small");
+  private static final int DAEMONS = 13;
+  private static final int RELAYS = 5;
+  private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final long TICK_NANOS = 50 * MILLI;
+  private static final long LINK_NANOS = MILLI;
+  private static final long WAIT_NANOS = 200 * MILLI;
+  private static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(3);
+  private static final long MEASURED_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+  /** Part of its rate that an account above its rate must get. */
+  private static final double SERVED_PART = 0.95;
+
+  private static final ShareTimes TIMES =
+      new ShareTimes(
+          TimeUnit.SECONDS.toNanos(10), 300 * MILLI, 1_500 * MILLI, TimeUnit.SECONDS.toNanos(4));
+
+  private final RandomGenerator random = new Well19937c(7);
+  private final SimulatedNetwork network = new SimulatedNetwork(random);
+  private final List<ShareRelay> relays = new ArrayList<>();
+  private final List<ShareHolder> holders = new ArrayList<>();
+  private ShareOwner owner;
+  private int granted;
+  private int refused;
+
+  @ParameterizedTest
+  @ValueSource(ints = {8, 13, 20, 30, 72, 300})
+  void accountAboveItsRateGetsItsRate(int rate) {
+    start(rate, rate * 0.6);
+
+    load(1.5 * rate, DAEMONS);
+
+    assertThat(granted / seconds()).isAtLeast(SERVED_PART * rate);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {8, 13, 20, 30, 72, 300})
+  void accountBelowItsRateIsNotRefused(int rate) {
+    start(rate, rate * 0.6);
+
+    load(0.6 * rate, DAEMONS);
+
+    assertThat(refused).isAtMost((int) (0.01 * granted));
+  }
+
+  @Test
+  void accountThatUsesOneDaemonGetsItsRate() {
+    start(20, 12);
+
+    load(30, 1);
+
+    assertThat(granted / seconds()).isAtLeast(SERVED_PART * 20);
+  }
+
+  private static double seconds() {
+    return MEASURED_NANOS / 1e9;
+  }
+
+  private void start(double rate, double burst) {
+    owner = new ShareOwner(TIMES, this::toRelay, -TimeUnit.MINUTES.toNanos(1));
+    owner.confirmLeadership(0);
+    owner.setAccounts(List.of(new Account(ACCOUNT, rate, burst, 1)), 0);
+    for (int i = 0; i < RELAYS; i++) {
+      String id = String.valueOf(i);
+      relays.add(
+          new ShareRelay(
+              TIMES,
+              message ->
+                  network.after(LINK_NANOS, () -> owner.onMessage(id, message, network.nowNanos())),
+              this::toHolder));
+      relays.get(i).onConnected(1, 0);
+    }
+    for (int i = 0; i < DAEMONS; i++) {
+      String id = String.valueOf(i);
+      ShareRelay relay = relays.get(i % RELAYS);
+      holders.add(
+          new ShareHolder(
+              TIMES,
+              message ->
+                  network.after(
+                      LINK_NANOS, () -> relay.onHolderMessage(id, message, network.nowNanos()))));
+      holders.get(i).onConnected(1, 0);
+    }
+    tick();
+  }
+
+  private void tick() {
+    long now = network.nowNanos();
+    owner.confirmLeadership(now);
+    owner.onTick(now);
+    relays.forEach(relay -> relay.onTick(now));
+    holders.forEach(holder -> holder.onTick(now));
+    network.after(TICK_NANOS, this::tick);
+  }
+
+  private void toRelay(String id, ShareMessage message) {
+    ShareRelay relay = relays.get(Integer.parseInt(id));
+    network.after(LINK_NANOS, () -> relay.onOwnerMessage(message, network.nowNanos()));
+  }
+
+  private void toHolder(String id, ShareMessage message) {
+    ShareHolder holder = holders.get(Integer.parseInt(id));
+    network.after(LINK_NANOS, () -> holder.onMessage(message, network.nowNanos()));
+  }
+
+  /** Sends requests at random times to random daemons and counts what they get. */
+  private void load(double perSecond, int usedDaemons) {
+    arrive(perSecond, usedDaemons);
+    network.runUntil(WARM_UP_NANOS);
+    granted = 0;
+    refused = 0;
+    network.runUntil(WARM_UP_NANOS + MEASURED_NANOS);
+  }
+
+  private void arrive(double perSecond, int usedDaemons) {
+    long now = network.nowNanos();
+    holders
+        .get(random.nextInt(usedDaemons))
+        .acquire(
+            ACCOUNT,
+            now + WAIT_NANOS,
+            new RateLimiter.Listener() {
+              @Override
+              public void onGranted() {
+                granted++;
+              }
+
+              @Override
+              public void onRefused(long retryAfterMillis) {
+                refused++;
+              }
+            },
+            now);
+    network.after(
+        (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1e9),
+        () -> arrive(perSecond, usedDaemons));
+  }
+}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cornelspoke.coordination.quota.RateLimiter;
+import org.cornelspoke.coordination.quota.TokenShare;
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.Verdict;
@@ -268,12 +269,31 @@
       line.append(" repeatable=").append(repeatable);
       line.append(" leftMillis=").append(TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos));
     }
+    if (reason == RefusalReason.RATE) {
+      describeRate(line, nowNanos);
+    }
     if (forwarding != null) {
       forwarding.describe(line);
     }
     return line.toString();
   }
 
+  /** Adds the account's configured rate, and what this daemon holds of it. */
+  private void describeRate(StringBuilder line, long nowNanos) {
+    with.views()
+        .current()
+        .account(head.account())
+        .ifPresent(
+            account ->
+                line.append(" rate=")
+                    .append(account.rateTokensPerSecond())
+                    .append(" burst=")
+                    .append(account.burstTokens()));
+    TokenShare held = with.rateLimiter().held(head.account(), nowNanos);
+    line.append(" heldRate=").append(Math.round(held.rateTokensPerSecond()));
+    line.append(" heldTokens=").append(Math.round(held.levelTokens()));
+  }
+
   private void respond(HttpResponse response) {
     with.metrics().requestTime.update(System.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
     exchange.respond(response);
