Steer root requests by the queues of the services below

The throttle heeded errors, which come too late, and refused the same part of all roots.

Change: a gate reports the urgent calls that wait as a percentage of its limit; each daemon passes on the higher of its own and what its upstream's calls reported. Classes whose requests make no calls are told apart by the ids of the calls and are never refused.

Ruled out: a throttle by errors that rises faster (trial, worse).

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -24,6 +24,7 @@
 
   private static final TrafficClass[] CLASSES = TrafficClass.values();
   private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final int PERCENT = 100;
   private static final long MIN_RETRY_AFTER_MILLIS = 50;
   private static final long MAX_RETRY_AFTER_MILLIS = 30_000;
   private static final long DRAINING_RETRY_AFTER_MILLIS = 1_000;
@@ -156,7 +157,9 @@
 
   @Override
   public GateLoad load() {
-    return new GateLoad(inFlight, waiting(), limit.limit());
+    int urgent = queues.get(TrafficClass.CRITICAL).waiting();
+    int slots = Math.max(1, limit.limit());
+    return new GateLoad(inFlight, waiting(), limit.limit(), PERCENT * urgent / slots);
   }
 
   /** Other targets can take what waits here; this upstream gets no more work. */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/RootThrottle.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/RootThrottle.java
@@ -3,33 +3,20 @@
 import org.cornelspoke.model.TrafficClass;
 
 /**
- * Decides which root requests an upstream starts while the calls below them fail. Not safe for use
+ * Decides which root requests an upstream starts while the calls below them queue. Not safe for use
  * by several threads.
  */
 public interface RootThrottle {
 
-  /** Returns true if a root request of the class may be offered to the gate. */
-  boolean admits(TrafficClass trafficClass, long nowNanos);
-
   /**
-   * Counts the end of a root request.
+   * Returns true if a root request of the class may be offered to the gate.
    *
-   * @param failed true if the upstream answered with a server error
+   * @param pressurePercent pressure of the gates below, as in {@link GateLoad}
    */
-  void onCompleted(TrafficClass trafficClass, boolean failed, long nowNanos);
+  boolean admits(TrafficClass trafficClass, int pressurePercent, long nowNanos);
 
   /** Returns a throttle that admits everything. */
   static RootThrottle none() {
-    return new RootThrottle() {
-      @Override
-      public boolean admits(TrafficClass trafficClass, long nowNanos) {
-        return true;
-      }
-
-      @Override
-      public void onCompleted(TrafficClass trafficClass, boolean failed, long nowNanos) {
-        // Nothing is learned.
-      }
-    };
+    return (trafficClass, pressurePercent, nowNanos) -> true;
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
@@ -172,6 +172,7 @@
     packer.packInt(load.inFlight());
     packer.packInt(load.queued());
     packer.packInt(load.limit());
+    packer.packInt(load.pressurePercent());
   }
 
   private void binary(byte[] bytes) throws IOException {
@@ -261,7 +262,7 @@
   }
 
   private static GateLoad readLoad(MessageUnpacker in) throws IOException {
-    return new GateLoad(in.unpackInt(), in.unpackInt(), in.unpackInt());
+    return new GateLoad(in.unpackInt(), in.unpackInt(), in.unpackInt(), in.unpackInt());
   }
 
   private static RefusalReason readReason(MessageUnpacker in) throws IOException {
@@ -288,8 +289,8 @@
   private static int fieldCount(int type) {
     return switch (type) {
       case CALL -> 14;
-      case REPLY -> 11;
-      case REFUSAL -> 10;
+      case REPLY -> 12;
+      case REFUSAL -> 11;
       case HELLO -> 5;
       case CALL_CHUNK, REPLY_CHUNK -> 3;
       default -> 2;
--- a/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
@@ -71,7 +71,7 @@
             1_234,
             2,
             headers);
-    GateLoad load = new GateLoad(1, 2, 3);
+    GateLoad load = new GateLoad(1, 2, 3, 400);
     return List.of(
         CallMessage.Hello.of("me"),
         new CallMessage.Call(1, head, 5, new byte[] {1, 2, 3}),
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -186,9 +186,21 @@
   }
 
   private void forward() {
+    boolean nested = parent != null || head.account().equals(EdgeHandler.OPEN_ACCOUNT);
+    if (nested && requestId != null) {
+      with.dialect()
+          .parentRequestId(requestId)
+          .ifPresent(id -> parts.forwarding().upstreams().onNestedCall(id));
+    }
     forwarding =
         new Forwarding(
-            parts.forwarding(), head, exchange.body(), repeatable, deadlineNanos, this::onResult);
+            parts.forwarding(),
+            head,
+            exchange.body(),
+            repeatable,
+            nested,
+            deadlineNanos,
+            this::onResult);
     forwarding.start();
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -39,6 +39,7 @@
   private final CallHead head;
   private final byte[] body;
   private final boolean repeatable;
+  private final boolean nested;
   private final long deadlineNanos;
   private final Consumer<CallResult> listener;
   private final Set<TargetId> tried = new HashSet<>();
@@ -65,8 +66,10 @@
       CallHead head,
       byte[] body,
       boolean repeatable,
+      boolean nested,
       long deadlineNanos,
       Consumer<CallResult> listener) {
+    this.nested = nested;
     this.parts = parts;
     this.with = parts.with();
     this.head = head;
@@ -196,6 +199,9 @@
     lastLoad = ending.load();
     if (ending.load() != null) {
       with.selector().onLoad(id, ending.load(), now);
+      if (nested) {
+        parts.upstreams().onNestedCallEnded(ending.load(), now);
+      }
     }
     lastResult = result;
     lastCallsBelow = ending.callsBelow();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/HttpDialect.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/HttpDialect.java
@@ -35,6 +35,16 @@
    */
   void addAttempt(Headers.Builder headers, long leftMillis, String instance);
 
+  /** Returns the id that a request bears, empty if it has none. */
+  default Optional<String> requestId(Headers headers) {
+    return Optional.empty();
+  }
+
+  /** Returns the id of the request that makes a call, empty if the call's id does not tell it. */
+  default Optional<String> parentRequestId(String requestId) {
+    return Optional.empty();
+  }
+
   /** Returns the answer that the daemon itself gives. */
   HttpResponse ownAnswer(OwnAnswer answer);
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -29,9 +29,7 @@
   /** Keeps a deadline from overflowing the clock, whatever a peer sends. */
   private static final long MAX_REMAINING_MILLIS = TimeUnit.DAYS.toMillis(30);
 
-  private static final int SERVER_ERROR = 500;
-
-  /** Steps in which a throttle admits more follow in a quarter of this time. */
+  /** The queues below shrink within this time once fewer root requests are started. */
   private static final long DOWNSTREAM_RETRY_MILLIS = 1_000;
 
   private final LocalCalls calls;
@@ -51,6 +49,7 @@
   private UpstreamExchange exchange;
   private long sentNanos;
   private int callsBelow;
+  private String requestId;
 
   LocalCall(
       LocalCalls calls,
@@ -71,7 +70,7 @@
 
   void start() {
     calls.upstreams().onCallStarted(upstream);
-    if (isRoot() && !upstream.throttle.admits(head.trafficClass(), startNanos)) {
+    if (isRoot() && !upstream.admitsRoot(head.trafficClass(), startNanos)) {
       end(
           new CallResult.Refused(RefusalReason.DOWNSTREAM, DOWNSTREAM_RETRY_MILLIS),
           head.extraAttempts());
@@ -135,6 +134,10 @@
 
   private void run() {
     state = State.RUNNING;
+    requestId = with.dialect().requestId(head.headers()).orElse(null);
+    if (requestId != null) {
+      upstream.callers.onStarted(requestId, isRoot() ? head.trafficClass() : null);
+    }
     sentNanos = System.nanoTime();
     with.metrics().gateWaitTime.update(sentNanos - startNanos, TimeUnit.NANOSECONDS);
     long leftNanos = deadlineNanos - sentNanos;
@@ -158,7 +161,6 @@
     long now = System.nanoTime();
     with.metrics().upstreamTime.update(now - sentNanos, TimeUnit.NANOSECONDS);
     upstream.gate.complete(ticket, completionOf(result), now);
-    countRoot(result, now);
     end(result, closeLedger());
   }
 
@@ -167,13 +169,6 @@
     return !head.account().equals(EdgeHandler.OPEN_ACCOUNT);
   }
 
-  private void countRoot(CallResult result, long nowNanos) {
-    if (isRoot() && result instanceof CallResult.Answered answer) {
-      boolean failed = answer.status() >= SERVER_ERROR;
-      upstream.throttle.onCompleted(head.trafficClass(), failed, nowNanos);
-    }
-  }
-
   private void onDeadline() {
     long now = System.nanoTime();
     if (state == State.WAITING) {
@@ -196,7 +191,8 @@
 
   private void end(CallResult result, int unusedAttempts) {
     finish();
-    listener.onEnded(new CallEnding(result, unusedAttempts, callsBelow, upstream.gate.load()));
+    listener.onEnded(
+        new CallEnding(result, unusedAttempts, callsBelow, upstream.load(System.nanoTime())));
   }
 
   private int closeLedger() {
@@ -214,6 +210,9 @@
     if (callId != null) {
       closeLedger();
     }
+    if (requestId != null) {
+      upstream.callers.onEnded(requestId);
+    }
     calls.upstreams().onCallEnded(upstream);
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
@@ -55,7 +55,7 @@
       refusal = new CallResult.Refused(RefusalReason.DEADLINE, 0);
     }
     if (refusal != null) {
-      GateLoad load = upstream == null ? GateLoad.IDLE : upstream.gate.load();
+      GateLoad load = upstream == null ? GateLoad.IDLE : upstream.load(System.nanoTime());
       listener.onEnded(new CallEnding(refusal, head.extraAttempts(), 0, load));
       return null;
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -1,10 +1,13 @@
 package org.cornelspoke.daemon.traffic;
 
 import io.activej.reactor.schedule.ScheduledRunnable;
+import org.cornelspoke.coordination.admission.GateLoad;
+import org.cornelspoke.coordination.admission.PressureMeter;
 import org.cornelspoke.coordination.admission.RootThrottle;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
+import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.transport.http.UpstreamPool;
 
 /** An upstream that has announced itself to this daemon. */
@@ -18,7 +21,9 @@
 
   final UpstreamGate gate;
   final UpstreamPool pool;
-  final RootThrottle throttle;
+  private final RootThrottle throttle;
+  private final PressureMeter pressureBelow = new PressureMeter();
+  final CallerClasses callers = new CallerClasses();
   int slots;
   boolean draining;
   int inFlight;
@@ -38,4 +43,20 @@
     this.gate = gate;
     this.pool = pool;
   }
+
+  /** Returns true if a root request of the class may be offered to the gate. */
+  boolean admitsRoot(TrafficClass trafficClass, long nowNanos) {
+    return !callers.makesCalls(trafficClass)
+        || throttle.admits(trafficClass, pressureBelow.percent(nowNanos), nowNanos);
+  }
+
+  /** Takes the load that a call of this upstream reported at its end. */
+  void onCallEnded(GateLoad load, long nowNanos) {
+    pressureBelow.onCallEnded(load.pressurePercent(), nowNanos);
+  }
+
+  /** Returns the load of the gate, with the pressure of the gates below. */
+  GateLoad load(long nowNanos) {
+    return gate.load().withPressureBelow(pressureBelow.percent(nowNanos));
+  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
@@ -147,6 +148,19 @@
     }
   }
 
+  /** Notes a call that names the request on whose behalf it is made. */
+  void onNestedCall(String parentRequestId) {
+    upstreams.values().forEach(upstream -> upstream.callers.onCall(parentRequestId));
+  }
+
+  /**
+   * Takes the load that a call of a local upstream met. With several upstreams beside one daemon it
+   * is not known which of them made the call, so all of them heed it.
+   */
+  void onNestedCallEnded(GateLoad load, long nowNanos) {
+    upstreams.values().forEach(upstream -> upstream.onCallEnded(load, nowNanos));
+  }
+
   /** Returns the calls that wait at or run on an upstream. */
   int inFlight() {
     int sum = 0;
