--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
@@ -39,6 +39,12 @@
    */
   private static final long MIN_STAY_NANOS = 60_000_000_000L;
 
+  /** A relay on a frozen VM accepts connections and answers nothing. */
+  private static final long FIRST_ANSWER_NANOS = 600_000_000L;
+
+  /** After a restart of the whole group, no relay has proof for about this time. */
+  private static final long UNPROVED_PATIENCE_NANOS = 1_000_000_000L;
+
   private final DaemonId daemon;
   private final DataCentreId dataCentre;
   private final long moveAfterNanos;
@@ -61,6 +67,8 @@
   private Optional<Long> firstConnectedNanos = Optional.empty();
   private int relay = -1;
   private boolean connected;
+  private boolean answered;
+  private boolean unproved;
   private long connectedAtNanos;
   private long stayNanos;
 
@@ -105,6 +113,8 @@
   /** Returns the first messages for a relay that has just been reached. */
   public List<ControlMessage> connected(long nowNanos) {
     connected = true;
+    answered = false;
+    unproved = false;
     connectedAtNanos = nowNanos;
     firstConnectedNanos = firstConnectedNanos.or(() -> Optional.of(nowNanos));
     stayNanos = MIN_STAY_NANOS + random.nextLong(MIN_STAY_NANOS);
@@ -151,6 +161,9 @@
     if (!connected) {
       return false;
     }
+    if (!answered && nowNanos - connectedAtNanos > FIRST_ANSWER_NANOS) {
+      return true;
+    }
     long since =
         freshAsOfNanos.isPresent() && freshAsOfNanos.get() - connectedAtNanos > 0
             ? freshAsOfNanos.get()
@@ -158,6 +171,11 @@
     return nowNanos - since > moveAfterNanos;
   }
 
+  /** Returns true if the relay has answered that it has no proof of its own yet. */
+  public boolean relayIsUnproved() {
+    return connected && unproved;
+  }
+
   /** Returns the next freshness query. */
   public ControlMessage.FreshnessQuery query(long nowNanos) {
     queries.put(++sequence, nowNanos);
@@ -171,6 +189,7 @@
    * @return false if the relay is unusable and must be left
    */
   public boolean receive(ControlMessage message, long nowNanos) {
+    answered = true;
     if (message instanceof ControlMessage.ConfigSnapshot snapshot) {
       return applySnapshot(snapshot);
     }
@@ -181,7 +200,7 @@
       return applyTargets(delta);
     }
     if (message instanceof ControlMessage.FreshnessReply reply) {
-      return applyFreshness(reply);
+      return applyFreshness(reply, nowNanos);
     }
     return true;
   }
@@ -303,13 +322,17 @@
     return true;
   }
 
-  private boolean applyFreshness(ControlMessage.FreshnessReply reply) {
+  private boolean applyFreshness(ControlMessage.FreshnessReply reply, long nowNanos) {
     Long askedAt = queries.remove(reply.sequence());
     if (askedAt == null) {
       return true;
     }
     queries.keySet().removeIf(older -> older < reply.sequence());
-    if (reply.ageNanos().isEmpty() || reply.ageNanos().get() > moveAfterNanos) {
+    unproved = reply.ageNanos().isEmpty();
+    if (unproved) {
+      return nowNanos - connectedAtNanos <= UNPROVED_PATIENCE_NANOS;
+    }
+    if (reply.ageNanos().get() > moveAfterNanos) {
       return false;
     }
     if (reply.revision().isAfter(applied)) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -51,6 +51,10 @@
   void onConnected(long session, long nowNanos) {
     dropEndedLeases(nowNanos);
     sessionUsed = link.open(session);
+    if (link.hasLease(nowNanos)) {
+      // A new leader issues nothing before it knows what is held.
+      report(nowNanos);
+    }
   }
 
   void onDisconnected() {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
@@ -45,6 +45,9 @@
     dropEndedLease(nowNanos);
     forcedKeep = null;
     sessionUsed = link.open(session);
+    if (link.hasLease(nowNanos)) {
+      report(nowNanos);
+    }
   }
 
   void onDisconnected() {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/dissemination/DisseminationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/dissemination/DisseminationTest.java
@@ -139,6 +139,43 @@
     assertThat(now - lastFresh).isLessThan(BOUND);
   }
 
+  /**
+   * Guards against a daemon that moves to a relay on a frozen VM, which accepts the connection, and
+   * waits there for most of the bound.
+   */
+  @Test
+  void relayThatNeverAnswersIsLeftSoon() {
+    attach(first);
+    leaveFor(second);
+    long attachedAt = now;
+    while (!daemon.mustMove(now)) {
+      now += 50 * MILLI;
+      daemon.query(now);
+    }
+    assertThat(now - attachedAt).isAtMost(BOUND / 4);
+  }
+
+  /**
+   * Guards against daemons that change relays again and again while a restarted group has no proof
+   * yet.
+   */
+  @Test
+  void relayThatHasNoProofYetIsGivenTime() {
+    attachWithoutExchange(first);
+    now += 100 * MILLI;
+    assertThat(exchange(daemon.query(now))).isTrue();
+    assertThat(daemon.relayIsUnproved()).isTrue();
+    now += 100 * MILLI;
+    first.sessions.confirmed(now);
+    assertThat(exchange(daemon.query(now))).isTrue();
+    assertThat(daemon.relayIsUnproved()).isFalse();
+    assertThat(daemon.freshAsOfNanos()).isEqualTo(Optional.of(now));
+
+    leaveFor(second);
+    now += 1_200 * MILLI;
+    assertThat(exchange(daemon.query(now))).isFalse();
+  }
+
   /** Guards against an age that does not count the time of the daemon's own query. */
   @Test
   void freshnessCountsFromTheQueryAndTheRelaysAge() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -253,7 +253,8 @@
         link = new RelayLink(relays.get(relay.getAsInt()));
         link.connect();
       }
-    } else if (link.connection != null && now - queriedAtNanos >= queryNanos) {
+    } else if (link.connection != null
+        && (tracker.relayIsUnproved() || now - queriedAtNanos >= queryNanos)) {
       queriedAtNanos = now;
       send(tracker.query(now));
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -37,7 +37,7 @@
   private static final long PROOF_MILLIS = 400;
 
   /** Several reports of a daemon to its relay, and of the relay to the owner. */
-  private static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+  private static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
   private final NioReactor reactor;
   private final VmId self;
