--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
@@ -4,7 +4,9 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.IntFunction;
 import java.util.function.Supplier;
+import org.cornelspoke.coordination.admission.ConcurrencyLimit;
 import org.cornelspoke.coordination.admission.LimitAlgorithm;
 import org.cornelspoke.coordination.admission.RootThrottle;
 import org.cornelspoke.coordination.quota.ShareTimes;
@@ -33,7 +35,7 @@
   Function<BooleanSupplier, HttpHandler> readinessApi;
   RetryThrottles throttles = RetryThrottles.shared(new DefaultRetryThrottle(INITIAL_RETRY_RATIO));
   Supplier<List<Endpoint>> relaySource = List::of;
-  LimitAlgorithm limitAlgorithm = LimitAlgorithm.DEFAULT;
+  IntFunction<ConcurrencyLimit> limits = LimitAlgorithm.DEFAULT::create;
   ShareTimes shareTimes = ShareTimes.DEFAULT;
   Supplier<RootThrottle> rootThrottles = RootThrottle::none;
   double interactivePart;
@@ -72,9 +74,9 @@
     return this;
   }
 
-  /** Replaces the algorithm of the concurrency limit. */
-  public TrafficProfile withLimitAlgorithm(LimitAlgorithm algorithm) {
-    this.limitAlgorithm = Assert.notNull(algorithm, "algorithm");
+  /** Sets what creates the concurrency limit of an upstream from its announced slots. */
+  public TrafficProfile withLimits(IntFunction<ConcurrencyLimit> newLimits) {
+    this.limits = Assert.notNull(newLimits, "newLimits");
     return this;
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -141,8 +141,7 @@
 
   private UpstreamGate gate(int slots) {
     Preset preset = client.current().activePreset().orElseGet(BuiltInPresets::ordinary);
-    return new DefaultUpstreamGate(
-        preset, profile.limitAlgorithm.create(slots), profile.interactivePart);
+    return new DefaultUpstreamGate(preset, profile.limits.apply(slots), profile.interactivePart);
   }
 
   private Health health() {
