Avoid targets that fail part of their requests

Change: a target that fails clearly more often than the best one with free slots is left out; it is half forgiven after 1.5 s without attempts. What fails everywhere is not held against anyone. Classes of root requests are told apart after a dozen ends.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/DefaultTargetSelector.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/DefaultTargetSelector.java
@@ -29,6 +29,9 @@
   /** Targets of a service that one daemon uses, which bounds its links. */
   public static final int DEFAULT_SUBSET_SIZE = 20;
 
+  /** Difference of failure rates that is no chance, given that some ten attempts count. */
+  private static final double FAILURE_MARGIN = 0.15;
+
   private final DaemonId self;
   private final DataCentreId dataCentre;
   private final int subsetSize;
@@ -93,6 +96,7 @@
     }
     List<TargetStats> healthy = new ArrayList<>(usable);
     healthy.removeIf(candidate -> candidate.isEjected(nowNanos));
+    avoidFailing(healthy, nowNanos);
     List<TargetStats> candidates = healthy.isEmpty() ? usable : preferLocal(healthy, nowNanos);
     TargetStats chosen = betterOfTwo(candidates, nowNanos);
     chosen.onStart();
@@ -160,6 +164,21 @@
         .asLong();
   }
 
+  /**
+   * Removes the candidates that fail clearly more often than the best one with free slots. Answers
+   * targets that fail part of their requests; what fails everywhere is not the targets' fault.
+   */
+  private static void avoidFailing(List<TargetStats> candidates, long nowNanos) {
+    double least = 1;
+    for (TargetStats candidate : candidates) {
+      if (!candidate.isSaturated(nowNanos)) {
+        least = Math.min(least, candidate.recentFailures(nowNanos));
+      }
+    }
+    double most = least + FAILURE_MARGIN;
+    candidates.removeIf(candidate -> candidate.recentFailures(nowNanos) > most);
+  }
+
   /** Returns the local candidates unless all of them are saturated. */
   private List<TargetStats> preferLocal(List<TargetStats> healthy, long nowNanos) {
     List<TargetStats> local = new ArrayList<>(healthy.size());
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetStats.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetStats.java
@@ -18,6 +18,13 @@
   private static final double FAILURE_RATE_TO_EJECT = 0.6;
 
   private static final double FAILURE_WEIGHT = 0.05;
+
+  /** Weight of a result in the recent failures; about the last ten attempts count. */
+  private static final double RECENT_WEIGHT = 0.1;
+
+  /** Time after which a target that is no longer chosen is half forgiven. */
+  private static final double RECENT_HALF_LIFE_NANOS = 1_500_000_000L;
+
   private static final long BASE_EJECTION_NANOS = 1_000_000_000L;
   private static final int MAX_EJECTION_DOUBLINGS = 5;
 
@@ -42,6 +49,8 @@
   private int inFlight;
   private double latencyNanos;
   private double failureRate;
+  private double recentFailures;
+  private long recentAsOfNanos;
   private int consecutiveFailures;
   private int ejections;
   private long ejectedUntilNanos = NEVER;
@@ -100,6 +109,16 @@
     return latencyNanos;
   }
 
+  /** Returns the part of the last attempts that failed; it fades while nothing is tried. */
+  double recentFailures(long nowNanos) {
+    long elapsedNanos = nowNanos - recentAsOfNanos;
+    if (elapsedNanos > 0) {
+      recentFailures *= Math.pow(0.5, elapsedNanos / RECENT_HALF_LIFE_NANOS);
+      recentAsOfNanos = nowNanos;
+    }
+    return recentFailures;
+  }
+
   void onStart() {
     inFlight++;
   }
@@ -107,6 +126,10 @@
   /** Counts the end of an attempt and returns true if the target should be ejected. */
   boolean onEnd(AttemptResult result, long attemptNanos, long nowNanos) {
     inFlight = Math.max(0, inFlight - 1);
+    if (result == AttemptResult.SUCCESS || result == AttemptResult.FAILURE) {
+      double failed = result == AttemptResult.FAILURE ? 1 : 0;
+      recentFailures = recentFailures(nowNanos) + RECENT_WEIGHT * (failed - recentFailures);
+    }
     switch (result) {
       case SUCCESS -> {
         consecutiveFailures = 0;
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/routing/DefaultTargetSelectorTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/routing/DefaultTargetSelectorTest.java
@@ -52,6 +52,33 @@
         new DaemonId(self), new DataCentreId("a"), 20, new Well19937c(9));
   }
 
+  /**
+   * Guards against targets that fail part of their requests, too few to be ejected, and keep their
+   * share; one of them is in the daemon's own data centre.
+   */
+  @Test
+  void targetsThatFailPartOfTheirRequestsLoseTheirShareAndGetItBack() {
+    DefaultTargetSelector selector = selector(targets(3));
+    Well19937c random = new Well19937c(5);
+    int[] chosen = new int[3];
+    long now = SECOND;
+    for (int i = 0; i < 400; i++) {
+      now += SECOND / 50;
+      Target target = selector.select(SERVICE, Set.of(), now).orElseThrow();
+      int index = Integer.parseInt(target.id().value().substring(2));
+      boolean fails = index < 2 && random.nextDouble() < 0.4;
+      selector.onResult(
+          target.id(), fails ? AttemptResult.FAILURE : AttemptResult.SUCCESS, SECOND / 100, now);
+      if (i >= 100) {
+        chosen[index]++;
+      }
+    }
+    assertThat(chosen[2]).isAtLeast(200);
+
+    now += 10 * SECOND;
+    assertThat(selector.select(SERVICE, Set.of(), now).orElseThrow().id().value()).isEqualTo("t-0");
+  }
+
   private static DefaultTargetSelector selector(List<Target> targets) {
     DefaultTargetSelector selector = selector("self");
     selector.setTargets(Map.of(SERVICE, targets), 0);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CallerClasses.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CallerClasses.java
@@ -14,8 +14,8 @@
  */
 final class CallerClasses {
 
-  /** Weight of one ended request. */
-  private static final double WEIGHT = 0.05;
+  /** Weight of one ended request; a dozen tell a class apart after a restart. */
+  private static final double WEIGHT = 0.2;
 
   /** Part of requests with calls from which a class counts as making calls. */
   private static final double LEAST_PART = 0.1;
