--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/AttachmentTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/AttachmentTracker.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.state.registry.Registry;
 import org.cornelspoke.state.registry.RegistryChange;
@@ -63,11 +65,7 @@
    * @param settledNanos the time for which all of them must have been attached
    */
   public boolean allAttached(Registry registry, long settledNanos, long nowNanos) {
-    boolean all = term >= 0;
-    for (RegistryImage.Entry entry : registry.targets()) {
-      all &= seenAtNanos.containsKey(entry.target().orElseThrow().daemon());
-    }
-    if (!all) {
+    if (term < 0 || !missing(registry).isEmpty()) {
       allSinceNanos = UNSEEN;
       return false;
     }
@@ -77,6 +75,18 @@
     return nowNanos - allSinceNanos >= settledNanos;
   }
 
+  /** Returns the daemons with registered targets that no relay has reported in this term. */
+  public Set<DaemonId> missing(Registry registry) {
+    Set<DaemonId> missing = new LinkedHashSet<>();
+    for (RegistryImage.Entry entry : registry.targets()) {
+      DaemonId daemon = entry.target().orElseThrow().daemon();
+      if (!seenAtNanos.containsKey(daemon)) {
+        missing.add(daemon);
+      }
+    }
+    return missing;
+  }
+
   /** Returns the removals that are due; empty while this member does not lead. */
   public List<RegistryChange> expired(Registry registry, long nowNanos) {
     List<RegistryChange> due = new ArrayList<>();
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
@@ -119,7 +119,8 @@
     return nowNanos - provedAsOfNanos < times.proofNanos();
   }
 
-  private boolean isQuiet(long nowNanos) {
+  /** Returns true while nothing is issued because shares of an earlier leader may be unknown. */
+  public boolean isQuiet(long nowNanos) {
     return nowNanos - quietUntilNanos < 0;
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -209,6 +209,11 @@
         && attachments.allAttached(machine.registry(), settledNanos, nanoClock.getAsLong());
   }
 
+  /** Returns the daemons with targets that no relay has reported to this leader. */
+  public Set<DaemonId> missingDaemons() {
+    return attachments.missing(machine.registry());
+  }
+
   /** Returns the bytes of all frames sent to daemons, without the length prefixes. */
   public long sentBytes() {
     return sentBytes;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -36,6 +36,8 @@
   /** Less than half of the age at which a proof of leadership ends. */
   private static final long PROOF_MILLIS = 400;
 
+  private static final long QUIET_LOG_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   /** Several reports of a daemon to its relay, and of the relay to the owner. */
   private static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -48,6 +50,8 @@
   private final ShareRelay middle;
   private RelayServer server;
   private Optional<ShareOwner> owner = Optional.empty();
+  private long quietLoggedNanos;
+  private long loggedTerm = -1;
   private long ownerTerm;
   private Revision ownerRevision = Revision.NONE;
   private Optional<VmId> connectedTo = Optional.empty();
@@ -139,6 +143,7 @@
     if (server.allDaemonsAttached(SETTLED_NANOS)) {
       current.endQuiet(now);
     }
+    logQuiet(current, now);
     if (!config.revision().equals(ownerRevision)) {
       ownerRevision = config.revision();
       current.setAccounts(
@@ -156,6 +161,21 @@
     }
   }
 
+  private void logQuiet(ShareOwner current, long now) {
+    boolean quiet = current.isQuiet(now);
+    if (quiet && now - quietLoggedNanos >= QUIET_LOG_NANOS) {
+      quietLoggedNanos = now;
+      LOGGER.log(
+          Level.INFO,
+          "event=rate-shares-withheld term={0} missingDaemons={1}",
+          ownerTerm,
+          server.missingDaemons());
+    } else if (!quiet && loggedTerm != ownerTerm) {
+      loggedTerm = ownerTerm;
+      LOGGER.log(Level.INFO, "event=rate-shares-issued term={0}", ownerTerm);
+    }
+  }
+
   private Account withSharedBurst(Account account) {
     double burst = Math.max(1, account.burstTokens() * sharedBurstPart);
     return new Account(account.id(), account.rateTokensPerSecond(), burst, account.weight());
