Keep a graceful stop within its bound; log start and end of a stop

The stop waited for them up to its bound and then up to 2 s more for connections to close.

Change: 15% of the bound, 2 s at most, are kept for the last answers.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/AbstractRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/AbstractRuntime.java
@@ -3,12 +3,16 @@
 import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
+import java.lang.System.Logger.Level;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 
 /** Owns the control thread of a process and the order of start and stop. */
 abstract class AbstractRuntime implements DaemonFactory.Daemon {
 
+  private static final System.Logger LOGGER = System.getLogger(AbstractRuntime.class.getName());
+
   private final MetricRegistry metrics = new MetricRegistry();
   private final Eventloop control = EventLoops.create("control", metrics);
   private final Thread controlThread;
@@ -39,17 +43,20 @@
 
   @Override
   public final void stop() {
+    long startNanos = System.nanoTime();
+    LOGGER.log(Level.INFO, "event=stopping");
     try {
       stopTraffic();
       control.submit(this::stopOnControlThread).get();
       control.keepAlive(false);
       control.execute(control::breakEventloop);
       afterStop();
+      long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+      LOGGER.log(Level.INFO, "event=stopped tookMillis={0}", Long.toString(tookMillis));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } catch (ExecutionException e) {
-      System.getLogger(getClass().getName())
-          .log(System.Logger.Level.WARNING, "stop did not finish", e);
+      LOGGER.log(Level.WARNING, "stop did not finish", e);
     } finally {
       stopped.countDown();
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -43,6 +43,9 @@
   /** Time for peers and callers to read the last answers and close; see {@link HttpServer}. */
   private static final long LAST_ANSWERS_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  /** Part of the stop time that is kept for them, so that they don't make the stop longer. */
+  private static final double LAST_ANSWERS_PART = 0.15;
+
   private final Collaborators with;
   private final LocalUpstreams upstreams;
   private final PeerLinks links;
@@ -55,6 +58,7 @@
   private long lastSweepNanos = System.nanoTime();
   private volatile boolean stopping;
   private long drainEndNanos;
+  private long answersEndNanos;
   private long stopEndNanos;
 
   private TrafficDaemon(Collaborators with) {
@@ -196,6 +200,9 @@
     long now = System.nanoTime();
     drainEndNanos = now + TimeUnit.MILLISECONDS.toNanos(with.settings().drainMillis());
     stopEndNanos = now + TimeUnit.MILLISECONDS.toNanos(with.settings().stopTimeoutMillis());
+    long lastNanos =
+        Math.min(LAST_ANSWERS_NANOS, (long) (LAST_ANSWERS_PART * (stopEndNanos - now)));
+    answersEndNanos = stopEndNanos - lastNanos;
     upstreams.startStopping();
     linkServer.goAway();
     edge.startClosing();
@@ -209,7 +216,7 @@
    */
   private void awaitDrained() {
     long now = System.nanoTime();
-    if ((now >= drainEndNanos && upstreams.inFlight() == 0) || now >= stopEndNanos) {
+    if ((now >= drainEndNanos && upstreams.inFlight() == 0) || now >= answersEndNanos) {
       edge.stopListening();
       local.stopListening();
       awaitAnswered();
@@ -227,8 +234,8 @@
             && edge.onlyLingers()
             && upstreams.inFlight() == 0
             && linkServer.isIdle();
-    if (answered || now >= stopEndNanos) {
-      stopEndNanos = now + LAST_ANSWERS_NANOS;
+    if (answered || now >= answersEndNanos) {
+      stopEndNanos = Math.min(stopEndNanos, now + LAST_ANSWERS_NANOS);
       awaitClosed();
     } else {
       with.reactor().delay(STOP_POLL_MILLIS, this::awaitAnswered);
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/GracefulStopTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/GracefulStopTest.java
@@ -93,6 +93,32 @@
     }
   }
 
+  /**
+   * Guards against a stop that takes longer than its bound, after which the daemon would be killed:
+   * the upstream never answers, and the caller never closes its connection.
+   */
+  @Test
+  void stopEndsWithinItsBound() throws Exception {
+    long boundMillis = 3_000;
+    try (StandInUpstream upstream =
+        new StandInUpstream((head, body, socket) -> TestFleet.await(() -> !running.get()))) {
+      TrafficDaemon daemon = fleet.startWithStopTimes("a", 200, boundMillis);
+      TestFleet.announce(daemon, "svc", upstream, 10);
+      try (RawClient caller = new RawClient(daemon.edgeAddress())) {
+        caller.send(request("GET", "/open", ""));
+        TestFleet.await(() -> !upstream.heads.isEmpty());
+
+        long start = System.nanoTime();
+        daemon.stop().get(30, TimeUnit.SECONDS);
+
+        long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+        assertThat(tookMillis).isLessThan(boundMillis + 500);
+      } finally {
+        running.set(false);
+      }
+    }
+  }
+
   /** Guards against a stop that cuts a nested call of a request that it still finishes. */
   @Test
   void stopServesNestedCallsOfRunningRequests() throws Exception {
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -69,11 +69,22 @@
   }
 
   TrafficDaemon start(String name, TargetSelector selector) throws IOException {
+    return start(name, selector, 200, 20_000);
+  }
+
+  TrafficDaemon startWithStopTimes(String name, long drainMillis, long stopTimeoutMillis)
+      throws IOException {
+    return start(name, new Fakes.FirstSelector(), drainMillis, stopTimeoutMillis);
+  }
+
+  private TrafficDaemon start(
+      String name, TargetSelector selector, long drainMillis, long stopTimeoutMillis)
+      throws IOException {
     TrafficSettings settings =
         TrafficSettings.builder(new DaemonId(name), new DataCentreId("here"))
             .withAddresses(ANY_PORT, ANY_PORT, ANY_PORT)
             .withMaxBodyBytes(1 << 20)
-            .withStopTimes(200, 20_000)
+            .withStopTimes(drainMillis, stopTimeoutMillis)
             .build();
     TrafficDaemon daemon = build(settings, selector);
     daemon.start();
