Leave silent relays sooner and report attachments at once

Daemons noticed a silent relay by their own age of proof, up to 2 s late, and relays reported attachments once a second.

Change: a query that a relay leaves unanswered for 0.6 s ends the attachment; queries follow every 0.4 s; attachments are reported at the next tick, and after a change of the leader.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
@@ -39,8 +39,8 @@
    */
   private static final long MIN_STAY_NANOS = 60_000_000_000L;
 
-  /** A relay on a frozen VM accepts connections and answers nothing. */
-  private static final long FIRST_ANSWER_NANOS = 600_000_000L;
+  /** A relay on a frozen VM accepts connections and queries and answers nothing. */
+  private static final long ANSWER_NANOS = 600_000_000L;
 
   /** After a restart of the whole group, no relay has proof for about this time. */
   private static final long UNPROVED_PATIENCE_NANOS = 1_000_000_000L;
@@ -67,7 +67,6 @@
   private Optional<Long> firstConnectedNanos = Optional.empty();
   private int relay = -1;
   private boolean connected;
-  private boolean answered;
   private boolean unproved;
   private long connectedAtNanos;
   private long stayNanos;
@@ -113,7 +112,6 @@
   /** Returns the first messages for a relay that has just been reached. */
   public List<ControlMessage> connected(long nowNanos) {
     connected = true;
-    answered = false;
     unproved = false;
     connectedAtNanos = nowNanos;
     firstConnectedNanos = firstConnectedNanos.or(() -> Optional.of(nowNanos));
@@ -161,7 +159,7 @@
     if (!connected) {
       return false;
     }
-    if (!answered && nowNanos - connectedAtNanos > FIRST_ANSWER_NANOS) {
+    if (!queries.isEmpty() && nowNanos - queries.values().iterator().next() > ANSWER_NANOS) {
       return true;
     }
     long since =
@@ -189,7 +187,6 @@
    * @return false if the relay is unusable and must be left
    */
   public boolean receive(ControlMessage message, long nowNanos) {
-    answered = true;
     if (message instanceof ControlMessage.ConfigSnapshot snapshot) {
       return applySnapshot(snapshot);
     }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/dissemination/DisseminationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/dissemination/DisseminationTest.java
@@ -155,6 +155,18 @@
     assertThat(now - attachedAt).isAtMost(BOUND / 4);
   }
 
+  /** Guards against daemons whose rate shares are missing while they wait for a frozen relay. */
+  @Test
+  void relayThatStopsAnsweringIsLeftSoon() {
+    attach(first);
+    long lastFresh = daemon.freshAsOfNanos().orElseThrow();
+    while (!daemon.mustMove(now)) {
+      now += 400 * MILLI;
+      daemon.query(now);
+    }
+    assertThat(now - lastFresh).isAtMost(BOUND / 2);
+  }
+
   /**
    * Guards against daemons that change relays again and again while a restarted group has no proof
    * yet.
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -57,7 +57,7 @@
   private static final int MAX_RELAYS = 256;
 
   /** A relay closes the connection of a daemon that is silent for 3 s. */
-  private static final long MAX_QUERY_MILLIS = 750;
+  private static final long MAX_QUERY_MILLIS = 400;
 
   private final NioReactor reactor;
   private final List<InetSocketAddress> relays;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -71,6 +71,8 @@
   private final Set<FrameConnection> peerConnections = new HashSet<>();
   private final Map<VmId, FrameConnection> relayConnections = new HashMap<>();
   private final Map<Long, StatusCollector> statusCollectors = new HashMap<>();
+  private Optional<VmId> reportedTo = Optional.empty();
+  private boolean attachedSinceReport;
   private Optional<ControlMessage.Relays> relays = Optional.empty();
   private long statusCorrelation;
   private ScheduledRunnable nextTick;
@@ -247,6 +249,7 @@
   RelaySession attach(ControlMessage.ControlHello hello, FrameConnection connection) {
     sessions.session(hello.daemon()).ifPresent(former -> connections.get(former).close());
     RelaySession session = sessions.attach(hello, nanoClock.getAsLong());
+    attachedSinceReport = true;
     connections.put(session, connection);
     relays.ifPresent(known -> send(connection, known));
     shareEndpoint.ifPresent(endpoint -> endpoint.onAttached(hello.daemon()));
@@ -342,8 +345,13 @@
       LOGGER.log(Level.INFO, "daemon {0} is silent; closing its connection", silent.daemon());
       connections.get(silent).close();
     }
-    if (now - reportedAtNanos >= reportMillis * NANOS_PER_MILLI) {
+    Optional<VmId> leader = log.leader();
+    boolean changed = attachedSinceReport || !leader.equals(reportedTo);
+    if (changed || now - reportedAtNanos >= reportMillis * NANOS_PER_MILLI) {
+      // A new leader issues no rate shares before it knows that all daemons are attached.
       reportedAtNanos = now;
+      reportedTo = leader;
+      attachedSinceReport = false;
       reportAttached();
     }
     nextTick = reactor.delayBackground(TICK_MILLIS, this::tick);
