Serve the upstream beside a stopping daemon for half of the drain

At 17 to 19 s one of three targets of the deep service was left, and roots were refused with 503 for its queue.

Change: for the first half of the drain a stopping daemon admits calls to its upstream as before; then it sends them to other targets and finishes.

Before and after: upstreamIsServedInTheFirstHalfOfTheDrain got 503, now 200.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -43,6 +43,9 @@
   /** Time for peers and callers to read the last answers and close; see {@link HttpServer}. */
   private static final long LAST_ANSWERS_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  /** Part of the drain time in which the upstream beside a stopping daemon takes calls. */
+  private static final double SERVED_PART = 0.5;
+
   /** Part of the stop time that is kept for them, so that they don't make the stop longer. */
   private static final double LAST_ANSWERS_PART = 0.15;
 
@@ -203,13 +206,22 @@
     long lastNanos =
         Math.min(LAST_ANSWERS_NANOS, (long) (LAST_ANSWERS_PART * (stopEndNanos - now)));
     answersEndNanos = stopEndNanos - lastNanos;
-    upstreams.startStopping();
-    linkServer.goAway();
     edge.startClosing();
     local.startClosing();
+    long servedMillis = (long) (SERVED_PART * with.settings().drainMillis());
+    with.reactor().delay(servedMillis, this::leaveFleet);
     awaitDrained();
   }
 
+  /**
+   * Sends the calls of other daemons to other targets. In a rolling restart the upstream beside a
+   * stopping daemon is missing until the next process is known, so it serves as long as it can.
+   */
+  private void leaveFleet() {
+    upstreams.startStopping();
+    linkServer.goAway();
+  }
+
   /**
    * Requests are taken until the upstream has finished, because it may still make nested calls;
    * they go to other targets, and each answer carries {@code Connection: close}.
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/GracefulStopTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/GracefulStopTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -93,6 +94,27 @@
     }
   }
 
+  /**
+   * Guards against rolling restarts that take each upstream away for longer than needed: its daemon
+   * refused all calls from the start of the drain.
+   */
+  @Test
+  void upstreamIsServedInTheFirstHalfOfTheDrain() throws Exception {
+    try (StandInUpstream upstream = new StandInUpstream(SLOW)) {
+      TrafficDaemon leaving = fleet.startWithStopTimes("a", 4_000, 20_000);
+      TestFleet.announce(leaving, "svc", upstream, 10);
+      TrafficDaemon edge = fleet.start("edge");
+      TestFleet.await(() -> linksOf("edge") == 1);
+
+      CompletableFuture<Void> stopped = leaving.stop();
+      TestFleet.await(() -> !leaving.isReady());
+      Answer answer = RawClient.once(edge.edgeAddress(), request("GET", "/open", ""));
+
+      assertThat(answer.status()).isEqualTo(200);
+      assertThat(stopped.isDone()).isFalse();
+    }
+  }
+
   /**
    * Guards against a stop that takes longer than its bound, after which the daemon would be killed:
    * the upstream never answers, and the caller never closes its connection.
