--- a/cornelspoke-core/src/main/java/org/cornelspoke/model/RefusalReason.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/model/RefusalReason.java
@@ -20,7 +20,7 @@
   OVERLOAD("overload", 503),
   /** The upstream declared that it is full and did not run the request. */
   SHED("shed", 503),
-  /** Too many calls below requests of this class fail at present. */
+  /** The calls of such requests queue at a service below at present. */
   DOWNSTREAM("downstream", 503),
   /** The preset in force refuses this class. */
   PRESET("preset", 503),
