Share tokens between daemons by class

Cause: the owner of an account's rate divided it by total demand and served waiting holders in the order of their registration.

Change: reports carry demand and waiting requests by class (ClassAmounts). A scarce rate goes to the demand of the highest class first, with a quarter more for variation, and waiting requests are served class by class over all holders.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/DemandMeter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/DemandMeter.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.coordination.quota;
 
 import java.util.Arrays;
+import org.cornelspoke.model.TrafficClass;
 
 /**
  * Estimates arrivals per second: a smoothed rate, replaced by the rate of the last slots when these
@@ -24,6 +25,7 @@
   private long slotStartNanos;
   private int slotsUsed = 1;
   private double perSecond;
+  private ClassAmounts classWeights = ClassAmounts.NONE;
   private int arrivals;
   private long windowStartNanos;
 
@@ -32,9 +34,10 @@
     slotStartNanos = nowNanos;
   }
 
-  void onArrival(long nowNanos) {
+  void onArrival(TrafficClass trafficClass, long nowNanos) {
     advance(nowNanos);
     arrivals++;
+    classWeights = classWeights.plus(trafficClass, 1);
     slots[0]++;
   }
 
@@ -52,6 +55,7 @@
     boolean jump = isJump(arrivals, expected);
     perSecond += (jump ? 1 : WEIGHT) * (arrivals / seconds - perSecond);
     arrivals = 0;
+    classWeights = classWeights.times(1 - WEIGHT);
     windowStartNanos = nowNanos;
   }
 
@@ -66,6 +70,14 @@
         : perSecond;
   }
 
+  /**
+   * Returns the estimate, divided among the classes as in the arrivals of about the last second.
+   */
+  ClassAmounts perSecondByClass(long nowNanos) {
+    double sum = classWeights.total();
+    return sum <= 0 ? ClassAmounts.NONE : classWeights.times(perSecond(nowNanos) / sum);
+  }
+
   private static boolean isJump(int count, double expected) {
     return Math.abs(count - expected) > JUMP_DEVIATIONS * Math.sqrt(Math.max(1, expected));
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -127,7 +127,7 @@
   void acquire(
       TrafficClass trafficClass, long deadlineNanos, RateLimiter.Listener listener, long nowNanos) {
     dropEndedLeases(nowNanos);
-    demand.onArrival(nowNanos);
+    demand.onArrival(trafficClass, nowNanos);
     lastArrivalNanos = nowNanos;
     if (!waiters.hasBefore(trafficClass) && tryTake(nowNanos)) {
       listener.onGranted();
@@ -200,7 +200,8 @@
 
   private void report(long nowNanos) {
     reportedDemand = demand.perSecond(nowNanos);
-    link.report(TokenShare.EMPTY, reportedDemand, waiters.size(), nowNanos);
+    link.report(
+        TokenShare.EMPTY, demand.perSecondByClass(nowNanos), waiters.sizeByClass(), nowNanos);
   }
 
   private long retryAfterMillis() {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
@@ -149,7 +149,7 @@
 
   private void serve(long nowNanos) {
     book.serveWaiting(nowNanos);
-    if (book.waiting() > 0 && link.mayAsk(nowNanos)) {
+    if (book.waiting().total() > 0 && link.mayAsk(nowNanos)) {
       report(nowNanos);
     }
   }
@@ -176,7 +176,7 @@
   /** Returns the spare capacity to the leader unless a daemon waits for it. */
   private boolean returnUnneeded(long nowNanos) {
     book.serveWaiting(nowNanos);
-    if (book.waiting() > 0 || spare.burst() <= 0) {
+    if (book.waiting().total() > 0 || spare.burst() <= 0) {
       return false;
     }
     link.giveUp(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE, nowNanos);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
@@ -13,6 +13,7 @@
 import org.cornelspoke.coordination.quota.ShareMessage.Reset;
 import org.cornelspoke.coordination.quota.ShareMessage.Return;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.TrafficClass;
 
 /**
  * An owner's side of one account: the spare capacity in its own bucket, what each holder has, and
@@ -29,6 +30,12 @@
   /** The same while the rate is not scarce: demand may grow before a message is needed. */
   private static final double AMPLE_RATE_HEADROOM = 1.5;
 
+  /**
+   * Rate given above the demand of a class before lower ones get any. Arrivals vary, and what a
+   * class leaves serves lower ones at the same holder.
+   */
+  private static final double URGENT_RATE_HEADROOM = 1.25;
+
   /** Part of the burst that holders may keep; the rest serves peaks of any holder. */
   private static final double HELD_BURST_PART = 0.6;
 
@@ -109,7 +116,10 @@
       child.renew(nowNanos + UNANSWERED_NANOS);
       return;
     }
-    grant(child, adopting ? TokenShare.EMPTY : takeFor(child, nowNanos), nowNanos);
+    grant(
+        child,
+        adopting ? TokenShare.EMPTY : takeFor(child, child.waiting().total(), nowNanos),
+        nowNanos);
     if (!adopting) {
       recallExcess(child, nowNanos);
     }
@@ -148,19 +158,19 @@
     if (leaseNanosAt.applyAsLong(nowNanos) <= 0) {
       return;
     }
-    boolean unserved = false;
-    for (ShareChild child : children.values()) {
-      if (child.waiting() > 0) {
-        TokenShare added = takeFor(child, nowNanos);
-        if (added.levelTokens() >= 1 || added.rateTokensPerSecond() > 0) {
-          grant(child, added, nowNanos);
-        } else {
-          spare.add(added, nowNanos);
+    for (TrafficClass trafficClass : TrafficClass.values()) {
+      for (ShareChild child : children.values()) {
+        if (child.waiting().upTo(trafficClass) > 0) {
+          TokenShare added = takeFor(child, child.waiting().upTo(trafficClass), nowNanos);
+          if (added.levelTokens() >= 1 || added.rateTokensPerSecond() > 0) {
+            grant(child, added, nowNanos);
+          } else {
+            spare.add(added, nowNanos);
+          }
         }
       }
-      unserved |= child.waiting() > 0;
     }
-    if (unserved) {
+    if (waiting().total() > 0) {
       recallFromSatisfied(nowNanos);
     }
   }
@@ -168,7 +178,7 @@
   /** Asks holders without waiting requests for the tokens that they do not need now. */
   void recallFromSatisfied(long nowNanos) {
     for (ShareChild child : children.values()) {
-      if (child.waiting() == 0
+      if (child.waiting().total() == 0
           && (child.rate() > 0 || child.highestLevel(nowNanos) >= 1)
           && child.mayRecall(RECALL_NANOS, nowNanos)) {
         recall(child, TokenShare.EMPTY, false, nowNanos);
@@ -242,20 +252,16 @@
     return new TokenShare(rate, burst, level);
   }
 
-  double demandPerSecond() {
-    double sum = 0;
-    for (ShareChild child : children.values()) {
-      sum += child.demandPerSecond();
-    }
-    return sum;
+  ClassAmounts demandPerSecond() {
+    return children.values().stream()
+        .map(ShareChild::demandPerSecond)
+        .reduce(ClassAmounts.NONE, ClassAmounts::plus);
   }
 
-  int waiting() {
-    int sum = 0;
-    for (ShareChild child : children.values()) {
-      sum += child.waiting();
-    }
-    return sum;
+  ClassAmounts waiting() {
+    return children.values().stream()
+        .map(ShareChild::waiting)
+        .reduce(ClassAmounts.NONE, ClassAmounts::plus);
   }
 
   /** Sends a grant, which also renews the lease from the time of the last report. */
@@ -300,8 +306,12 @@
     return child;
   }
 
-  /** Takes out of the spare capacity what brings the holder to its wanted share. */
-  private TokenShare takeFor(ShareChild child, long nowNanos) {
+  /**
+   * Takes out of the spare capacity what brings the holder to its wanted share.
+   *
+   * @param waiting waiting requests of the holder that have their turn
+   */
+  private TokenShare takeFor(ShareChild child, double waiting, long nowNanos) {
     double level = spare.level(nowNanos);
     double wantedRate = wantedRate(child);
     double wantedBurst = wantedBurst(child);
@@ -311,8 +321,8 @@
     }
     double burst = Math.max(0, wantedBurst - child.burst());
     double tokens = spare.burst() > 0 ? burst * Math.min(1, level / spare.burst()) : 0;
-    if (child.waiting() > 0) {
-      tokens = Math.max(tokens, Math.min(child.waiting(), Math.floor(level)));
+    if (waiting > 0) {
+      tokens = Math.max(tokens, Math.min(waiting, Math.floor(level)));
     }
     if (child.reportedLevel() < wantedBurst * LOW_LEVEL_PART) {
       tokens = Math.max(tokens, Math.min(wantedBurst / 2, level / children.size()));
@@ -351,21 +361,39 @@
     // part of the rate stays spare and reaches the holder as tokens when requests wait.
     double part = burst / (burst + 1);
     double total = rate();
-    double demand = demandPerSecond();
-    double headroom = Math.min(AMPLE_RATE_HEADROOM, demand > 0 ? total / demand : 1);
+    ClassAmounts demand = demandPerSecond();
+    double headroom =
+        Math.min(AMPLE_RATE_HEADROOM, demand.total() > 0 ? total / demand.total() : 1);
     return headroom >= RATE_HEADROOM
-        ? part * child.demandPerSecond() * headroom
-        : part * total * child.demandPerSecond() / demand;
+        ? part * child.demandPerSecond().total() * headroom
+        : part * partOfScarceRate(child.demandPerSecond(), demand, total);
+  }
+
+  /** Returns what a holder gets of a rate that serves its classes in their order. */
+  private static double partOfScarceRate(
+      ClassAmounts holderDemand, ClassAmounts demand, double totalRate) {
+    double left = totalRate;
+    double wanted = 0;
+    for (TrafficClass trafficClass : TrafficClass.values()) {
+      double all = demand.of(trafficClass);
+      if (all > 0) {
+        double served = Math.min(left, all * URGENT_RATE_HEADROOM);
+        wanted += served * holderDemand.of(trafficClass) / all;
+        left -= served;
+      }
+    }
+    return wanted;
   }
 
   private double wantedBurst(ShareChild child) {
-    double demand = child.demandPerSecond();
+    double demand = child.demandPerSecond().total();
     if (demand <= 0) {
       return 0;
     }
     double needed =
         demand * BURST_SECONDS + BURST_DEVIATIONS * Math.sqrt(demand * BURST_SECONDS) + 1;
-    double wanted = Math.min(needed, HELD_BURST_PART * burst() * demand / demandPerSecond());
+    double wanted =
+        Math.min(needed, HELD_BURST_PART * burst() * demand / demandPerSecond().total());
     return wanted < MIN_HELD_BURST_TOKENS ? 0 : wanted;
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareChild.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareChild.java
@@ -9,8 +9,8 @@
   private long reportSequence;
   private double rate;
   private double burst;
-  private double demandPerSecond;
-  private int waiting;
+  private ClassAmounts demandPerSecond = ClassAmounts.NONE;
+  private ClassAmounts waiting = ClassAmounts.NONE;
   private double level;
   private long levelAsOfNanos;
   private long expiresNanos;
@@ -62,7 +62,7 @@
     rate += added.rateTokensPerSecond();
     burst += added.burstTokens();
     level += added.levelTokens();
-    waiting = Math.max(0, waiting - (int) added.levelTokens());
+    waiting = waiting.lessFirst(Math.floor(added.levelTokens()));
   }
 
   /** Takes a return into account and returns the part of it that was on record. */
@@ -73,7 +73,10 @@
     level = Math.max(0, level - known.levelTokens());
     if (!recallForced && known.rateTokensPerSecond() > 0) {
       // What the holder kept is the rate that it needs now.
-      demandPerSecond = Math.min(demandPerSecond, rate);
+      double demand = demandPerSecond.total();
+      if (demand > rate) {
+        demandPerSecond = demandPerSecond.times(rate / demand);
+      }
     }
     return known;
   }
@@ -97,11 +100,11 @@
     return burst;
   }
 
-  double demandPerSecond() {
+  ClassAmounts demandPerSecond() {
     return demandPerSecond;
   }
 
-  int waiting() {
+  ClassAmounts waiting() {
     return waiting;
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
@@ -101,7 +101,8 @@
    *
    * @param passedOn what was passed on to others
    */
-  void report(TokenShare passedOn, double demandPerSecond, int waiting, long nowNanos) {
+  void report(
+      TokenShare passedOn, ClassAmounts demandPerSecond, ClassAmounts waiting, long nowNanos) {
     if (!connected) {
       return;
     }
@@ -109,7 +110,7 @@
     sequence++;
     unanswered.add(new SentReport(sequence, nowNanos));
     lastReportNanos = nowNanos;
-    if (waiting > 0) {
+    if (waiting.total() > 0) {
       askNanos = Math.min(MAX_ASK_NANOS, 2 * askNanos);
     }
     TokenShare held = bucket.share(nowNanos).merge(passedOn);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
@@ -25,8 +25,8 @@
    * @param sequence number of the message in the session, from 1
    * @param held rate, burst and level held, with all that was passed on to others
    * @param returned burst without tokens that the holder gives up; nothing in the first report
-   * @param demandPerSecond requests per second that arrive at the holder
-   * @param waiting requests that wait for a token
+   * @param demandPerSecond requests per second that arrive at the holder, by class
+   * @param waiting requests that wait for a token, by class
    */
   record Report(
       AccountId account,
@@ -34,8 +34,8 @@
       long sequence,
       TokenShare held,
       TokenShare returned,
-      double demandPerSecond,
-      int waiting)
+      ClassAmounts demandPerSecond,
+      ClassAmounts waiting)
       implements ShareMessage {
 
     /** Checks the parts. */
@@ -44,10 +44,8 @@
       Assert.notNull(held, "held");
       Assert.notNull(returned, "returned");
       Assert.isTrue(sequence >= 1, "sequence must be 1 or more");
-      Assert.isTrue(
-          demandPerSecond >= 0 && Double.isFinite(demandPerSecond),
-          "demandPerSecond must be 0 or more");
-      Assert.isTrue(waiting >= 0, "waiting must be 0 or more");
+      Assert.notNull(demandPerSecond, "demandPerSecond");
+      Assert.notNull(waiting, "waiting");
     }
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenQueue.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenQueue.java
@@ -27,6 +27,15 @@
     return size;
   }
 
+  /** Returns the number of waiting requests by class. */
+  ClassAmounts sizeByClass() {
+    ClassAmounts sizes = ClassAmounts.NONE;
+    for (Map.Entry<TrafficClass, Deque<Waiter>> entry : waiters.entrySet()) {
+      sizes = sizes.plus(entry.getKey(), entry.getValue().size());
+    }
+    return sizes;
+  }
+
   boolean isEmpty() {
     return size == 0;
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.protocol.quota;
 
 import java.io.IOException;
+import org.cornelspoke.coordination.quota.ClassAmounts;
 import org.cornelspoke.coordination.quota.ShareMessage;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
@@ -28,7 +29,7 @@
   private static final int RECALL = 4;
   private static final int RETURN = 5;
 
-  private static final int REPORT_SIZE = 12;
+  private static final int REPORT_SIZE = 16;
   private static final int GRANT_SIZE = 9;
   private static final int RESET_SIZE = 3;
   private static final int RECALL_SIZE = 7;
@@ -68,8 +69,8 @@
       packer.packLong(report.sequence());
       writeShare(packer, report.held());
       writeShare(packer, report.returned());
-      packer.packDouble(report.demandPerSecond());
-      packer.packInt(report.waiting());
+      writeAmounts(packer, report.demandPerSecond());
+      writeAmounts(packer, report.waiting());
     } else if (message instanceof Grant grant) {
       writeHead(packer, GRANT_SIZE, GRANT, grant);
       packer.packLong(grant.acknowledged());
@@ -119,8 +120,8 @@
               unpacker.unpackLong(),
               readShare(unpacker),
               readShare(unpacker),
-              unpacker.unpackDouble(),
-              unpacker.unpackInt());
+              readAmounts(unpacker),
+              readAmounts(unpacker));
       case GRANT ->
           new Grant(
               account,
@@ -154,6 +155,16 @@
     packer.packLong(message.session());
   }
 
+  private static void writeAmounts(MessagePacker packer, ClassAmounts amounts) throws IOException {
+    packer.packFloat((float) amounts.critical());
+    packer.packFloat((float) amounts.interactive());
+    packer.packFloat((float) amounts.bulk());
+  }
+
+  private static ClassAmounts readAmounts(MessageUnpacker unpacker) throws IOException {
+    return new ClassAmounts(unpacker.unpackFloat(), unpacker.unpackFloat(), unpacker.unpackFloat());
+  }
+
   private static void writeShare(MessagePacker packer, TokenShare share) throws IOException {
     packer.packDouble(share.rateTokensPerSecond());
     packer.packDouble(share.burstTokens());
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/SmallAccountSharesTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/SmallAccountSharesTest.java
@@ -8,6 +8,7 @@
 import org.apache.commons.math3.random.RandomGenerator;
 import org.apache.commons.math3.random.Well19937c;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.state.config.Account;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -43,6 +44,8 @@
   private ShareOwner owner;
   private int granted;
   private int refused;
+  private int grantedCritical;
+  private int refusedCritical;
 
   @ParameterizedTest
   @ValueSource(ints = {8, 13, 20, 30, 72, 300})
@@ -73,6 +76,20 @@
     assertThat(granted / seconds()).isAtLeast(SERVED_PART * 20);
   }
 
+  /**
+   * Guards against an account whose orders are refused while other daemons get tokens for reads.
+   */
+  @Test
+  void criticalRequestsAtOneDaemonComeBeforeOthersElsewhere() {
+    start(100, 60);
+    arrive(60, 0, 1, TrafficClass.CRITICAL);
+
+    load(150, DAEMONS);
+
+    assertThat(refusedCritical).isAtMost((int) (0.01 * grantedCritical));
+    assertThat(granted / seconds()).isAtLeast(SERVED_PART * 100);
+  }
+
   private static double seconds() {
     return MEASURED_NANOS / 1e9;
   }
@@ -126,34 +143,41 @@
 
   /** Sends requests at random times to random daemons and counts what they get. */
   private void load(double perSecond, int usedDaemons) {
-    arrive(perSecond, usedDaemons);
+    arrive(perSecond, 0, usedDaemons, TrafficClass.INTERACTIVE);
     network.runUntil(WARM_UP_NANOS);
     granted = 0;
     refused = 0;
+    grantedCritical = 0;
+    refusedCritical = 0;
     network.runUntil(WARM_UP_NANOS + MEASURED_NANOS);
   }
 
-  private void arrive(double perSecond, int usedDaemons) {
+  private void arrive(
+      double perSecond, int firstDaemon, int usedDaemons, TrafficClass trafficClass) {
     long now = network.nowNanos();
+    int critical = trafficClass == TrafficClass.CRITICAL ? 1 : 0;
     holders
-        .get(random.nextInt(usedDaemons))
+        .get(firstDaemon + random.nextInt(usedDaemons))
         .acquire(
             ACCOUNT,
+            trafficClass,
             now + WAIT_NANOS,
             new RateLimiter.Listener() {
               @Override
               public void onGranted() {
                 granted++;
+                grantedCritical += critical;
               }
 
               @Override
               public void onRefused(long retryAfterMillis) {
                 refused++;
+                refusedCritical += critical;
               }
             },
             now);
     network.after(
         (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1e9),
-        () -> arrive(perSecond, usedDaemons));
+        () -> arrive(perSecond, firstDaemon, usedDaemons, trafficClass));
   }
 }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/protocol/quota/ShareMessageCodecTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/quota/ShareMessageCodecTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
+import org.cornelspoke.coordination.quota.ClassAmounts;
 import org.cornelspoke.coordination.quota.ShareMessage;
 import org.cornelspoke.coordination.quota.TokenShare;
 import org.cornelspoke.model.AccountId;
@@ -18,7 +19,14 @@
   private static final TokenShare SHARE = new TokenShare(12.25, 7, 3.5);
   private static final List<ShareMessage> MESSAGES =
       List.of(
-          new ShareMessage.Report(ACCOUNT, 1L << 50, 3, SHARE, TokenShare.EMPTY, 99.5, 4),
+          new ShareMessage.Report(
+              ACCOUNT,
+              1L << 50,
+              3,
+              SHARE,
+              TokenShare.EMPTY,
+              new ClassAmounts(99.5, 0, 1),
+              new ClassAmounts(0, 4, 0)),
           new ShareMessage.Grant(ACCOUNT, 5, 3, 3_000_000_000L, SHARE, 9),
           new ShareMessage.Reset(ACCOUNT, 5),
           new ShareMessage.Recall(ACCOUNT, 5, SHARE, true),
