Issue rate shares as soon as every daemon has told what it holds

Cause: after an election the owner waited until all daemons had been attached for 0.6 s, because it could not see when their reports had arrived. Shares that daemons of a lost relay still held were unknown to it, so a shorter wait would have issued them twice.

Change: a daemon sends HolderReady behind its reports, and its relay passes it on behind its own; the owner issues when all registered daemons are ready. A relay that tells a daemon to start anew passes the remaining share and lease on (Carried), and the owner reissues it only after that lease. Relays tell a restarted leadership by its term. The registry counts as complete once the leadership has been proved. AttachmentTracker no longer decides about shares.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/AttachmentTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/AttachmentTracker.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.state.registry.Registry;
 import org.cornelspoke.state.registry.RegistryChange;
@@ -29,7 +27,6 @@
   private long term = -1;
   private long ledSinceNanos;
   private long seenVersion = UNSEEN;
-  private long allSinceNanos = UNSEEN;
 
   /** Creates a tracker that does not lead. */
   public AttachmentTracker(long leaseNanos) {
@@ -43,7 +40,6 @@
       term = currentTerm;
       ledSinceNanos = nowNanos;
       seenAtNanos.clear();
-      allSinceNanos = UNSEEN;
       seenVersion = UNSEEN;
     }
   }
@@ -58,35 +54,6 @@
     daemons.forEach(daemon -> seenAtNanos.put(daemon, nowNanos));
   }
 
-  /**
-   * Returns true if every daemon with a registered target has been attached in this term, and the
-   * last of them for some time.
-   *
-   * @param settledNanos the time for which all of them must have been attached
-   */
-  public boolean allAttached(Registry registry, long settledNanos, long nowNanos) {
-    if (term < 0 || !missing(registry).isEmpty()) {
-      allSinceNanos = UNSEEN;
-      return false;
-    }
-    if (allSinceNanos == UNSEEN) {
-      allSinceNanos = nowNanos;
-    }
-    return nowNanos - allSinceNanos >= settledNanos;
-  }
-
-  /** Returns the daemons with registered targets that no relay has reported in this term. */
-  public Set<DaemonId> missing(Registry registry) {
-    Set<DaemonId> missing = new LinkedHashSet<>();
-    for (RegistryImage.Entry entry : registry.targets()) {
-      DaemonId daemon = entry.target().orElseThrow().daemon();
-      if (!seenAtNanos.containsKey(daemon)) {
-        missing.add(daemon);
-      }
-    }
-    return missing;
-  }
-
   /** Returns the removals that are due; empty while this member does not lead. */
   public List<RegistryChange> expired(Registry registry, long nowNanos) {
     List<RegistryChange> due = new ArrayList<>();
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
@@ -1,5 +1,7 @@
 package org.cornelspoke.coordination.quota;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
@@ -27,6 +29,10 @@
   private long recallEndNanos;
   private long lastReportFromHolderNanos;
   private long sessionUsed;
+  private final List<CarriedShare> carried = new ArrayList<>();
+
+  /** A share that a daemon got elsewhere and uses until its lease ends. */
+  private record CarriedShare(TokenShare share, long endNanos) {}
 
   RelayedAccount(
       AccountId account,
@@ -48,6 +54,8 @@
     if (link.hasLease(nowNanos)) {
       report(nowNanos);
     }
+    carried.removeIf(share -> nowNanos - share.endNanos() >= 0);
+    carried.forEach(share -> link.carry(share.share(), share.endNanos() - nowNanos));
   }
 
   void onDisconnected() {
@@ -94,7 +102,10 @@
   void onReport(String holder, Report report, long nowNanos) {
     prepare(nowNanos);
     lastReportFromHolderNanos = nowNanos;
-    book.onReport(holder, report, false, nowNanos);
+    if (!book.onReport(holder, report, false, nowNanos) && report.leaseLeftNanos() > 0) {
+      carried.add(new CarriedShare(report.held(), nowNanos + report.leaseLeftNanos()));
+      link.carry(report.held(), report.leaseLeftNanos());
+    }
     serve(nowNanos);
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
@@ -93,28 +93,29 @@
    * Takes a report, renews the lease and gives the holder what it needs.
    *
    * @param adopting true if shares that are not on record were issued by an earlier leader
+   * @return false if the holder has a share that is not on record and was told to start anew
    */
-  void onReport(String holder, Report report, boolean adopting, long nowNanos) {
+  boolean onReport(String holder, Report report, boolean adopting, long nowNanos) {
     ShareChild child = children.get(holder);
     if (child != null && report.session() < child.session()) {
-      return;
+      return true;
     }
     if (child == null || report.session() > child.session()) {
       child = startSession(holder, child, report, adopting);
       if (child == null) {
         out.accept(holder, new Reset(account, report.session()));
-        return;
+        return false;
       }
     }
     if (!child.accept(report.sequence())) {
-      return;
+      return true;
     }
     spare.add(child.onReturned(report.returned()), nowNanos);
     child.onReport(report, nowNanos);
     if (leaseNanosAt.applyAsLong(nowNanos) <= 0) {
       // The report is answered by the first grant after a lease has come from above.
       child.renew(nowNanos + UNANSWERED_NANOS);
-      return;
+      return true;
     }
     grant(
         child,
@@ -123,6 +124,16 @@
     if (!adopting) {
       recallExcess(child, nowNanos);
     }
+    return true;
+  }
+
+  /** Reissues a share, without tokens, only after a lease that this owner has not given. */
+  void onCarried(TokenShare share, long leaseLeftNanos, long nowNanos) {
+    lost.add(
+        new LostShare(
+            share.rateTokensPerSecond(),
+            share.burstTokens(),
+            nowNanos + ShareTimes.expiryNanos(leaseLeftNanos)));
   }
 
   /** Takes a returned part into the spare capacity. */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
+import org.cornelspoke.coordination.quota.ShareMessage.Carried;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Report;
 import org.cornelspoke.coordination.quota.ShareMessage.Return;
@@ -115,7 +116,22 @@
     }
     TokenShare held = bucket.share(nowNanos).merge(passedOn);
     toOwner.accept(
-        new Report(account, session, sequence, held, returned, demandPerSecond, waiting));
+        new Report(
+            account,
+            session,
+            sequence,
+            held,
+            returned,
+            demandPerSecond,
+            waiting,
+            hasLease(nowNanos) ? leaseEndNanos - nowNanos : 0));
+  }
+
+  /** Tells the owner of a share that a daemon uses until its lease ends. */
+  void carry(TokenShare share, long leaseLeftNanos) {
+    if (connected) {
+      toOwner.accept(new Carried(account, session, share, leaseLeftNanos));
+    }
   }
 
   private TokenShare takeUnused(TokenShare passedOn, long nowNanos) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
@@ -10,7 +10,7 @@
  * and once. The number of a later session of the same holder is greater; messages of another
  * session are ignored, so nothing from before a lost connection takes effect after it.
  */
-public sealed interface ShareMessage {
+public sealed interface ShareMessage extends ShareFrame {
 
   /** Returns the account. */
   AccountId account();
@@ -27,6 +27,8 @@
    * @param returned burst without tokens that the holder gives up; nothing in the first report
    * @param demandPerSecond requests per second that arrive at the holder, by class
    * @param waiting requests that wait for a token, by class
+   * @param leaseLeftNanos time for which what is held stays usable without an answer; 0 if nothing
+   *     is held
    */
   record Report(
       AccountId account,
@@ -35,7 +37,8 @@
       TokenShare held,
       TokenShare returned,
       ClassAmounts demandPerSecond,
-      ClassAmounts waiting)
+      ClassAmounts waiting,
+      long leaseLeftNanos)
       implements ShareMessage {
 
     /** Checks the parts. */
@@ -46,6 +49,7 @@
       Assert.isTrue(sequence >= 1, "sequence must be 1 or more");
       Assert.notNull(demandPerSecond, "demandPerSecond");
       Assert.notNull(waiting, "waiting");
+      Assert.isTrue(leaseLeftNanos >= 0, "leaseLeftNanos must be 0 or more");
     }
   }
 
@@ -117,4 +121,21 @@
       Assert.isTrue(sequence >= 1, "sequence must be 1 or more");
     }
   }
+
+  /**
+   * Relay to owner: a daemon uses a share that neither the relay nor, perhaps, the owner has issued
+   * until its lease ends. An owner that adopts the shares of earlier leaders reissues it only then.
+   *
+   * @param leaseLeftNanos time until the lease ends
+   */
+  record Carried(AccountId account, long session, TokenShare share, long leaseLeftNanos)
+      implements ShareMessage {
+
+    /** Checks the parts. */
+    public Carried {
+      Assert.notNull(account, "account");
+      Assert.notNull(share, "share");
+      Assert.isTrue(leaseLeftNanos >= 0, "leaseLeftNanos must be 0 or more");
+    }
+  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
@@ -4,9 +4,11 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import org.cornelspoke.coordination.quota.ShareMessage.Carried;
 import org.cornelspoke.coordination.quota.ShareMessage.Report;
 import org.cornelspoke.coordination.quota.ShareMessage.Return;
 import org.cornelspoke.model.AccountId;
@@ -28,7 +30,9 @@
   private final ShareTimes times;
   private final BiConsumer<String, ShareMessage> out;
   private long quietUntilNanos;
+  private final long carriedUntilNanos;
   private final Map<AccountId, OwnedAccount> accounts = new HashMap<>();
+  private final Set<String> readyHolders = new HashSet<>();
   private long provedAsOfNanos;
 
   private record OwnedAccount(TokenBucket spare, ShareBook book, Account account) {}
@@ -43,6 +47,7 @@
     this.times = Assert.notNull(times, "times");
     this.out = Assert.notNull(out, "out");
     quietUntilNanos = electedNanos + times.quietNanos();
+    carriedUntilNanos = electedNanos + times.quietNanos();
     provedAsOfNanos = electedNanos;
   }
 
@@ -57,12 +62,26 @@
     }
   }
 
+  /** Notes that a daemon has told, through its present relay, all that it holds. */
+  public void onReady(String holder) {
+    readyHolders.add(Assert.notNull(holder, "holder"));
+  }
+
+  /** Returns the daemons among those given that have not told this owner what they hold. */
+  public Set<String> notReady(Collection<String> holders) {
+    Set<String> missing = new LinkedHashSet<>(holders);
+    missing.removeAll(readyHolders);
+    return missing;
+  }
+
   /**
-   * Ends the quiet time early. The caller knows that every daemon which may hold a share has told
-   * what it holds, so no share of an earlier leader is unknown.
+   * Ends the quiet time early if every daemon has told what it holds, so that no share of an
+   * earlier leader is unknown.
+   *
+   * @param holders all daemons that may hold a share
    */
-  public void endQuiet(long nowNanos) {
-    if (isQuiet(nowNanos)) {
+  public void endQuietIfReady(Collection<String> holders, long nowNanos) {
+    if (isQuiet(nowNanos) && notReady(holders).isEmpty()) {
       quietUntilNanos = nowNanos;
     }
   }
@@ -85,6 +104,13 @@
   public void onMessage(String holder, ShareMessage message, long nowNanos) {
     Assert.notNull(holder, "holder");
     OwnedAccount owned = owned(message.account(), nowNanos);
+    if (message instanceof Carried carried) {
+      // No lease of an earlier leader lasts longer.
+      if (nowNanos - carriedUntilNanos < 0) {
+        owned.book().onCarried(carried.share(), carried.leaseLeftNanos(), nowNanos);
+      }
+      return;
+    }
     if (!isProved(nowNanos)) {
       if (message instanceof Return returned) {
         owned.book().onReturn(holder, returned, nowNanos);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import org.cornelspoke.coordination.quota.ClassAmounts;
+import org.cornelspoke.coordination.quota.ShareFrame;
+import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
 import org.cornelspoke.coordination.quota.ShareMessage;
+import org.cornelspoke.coordination.quota.ShareMessage.Carried;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Report;
@@ -29,16 +32,24 @@
   private static final int RECALL = 4;
   private static final int RETURN = 5;
 
-  private static final int REPORT_SIZE = 16;
+  private static final int CARRIED = 6;
+  private static final int HOLDER_READY = 7;
+
+  private static final int REPORT_SIZE = 17;
   private static final int GRANT_SIZE = 9;
   private static final int RESET_SIZE = 3;
   private static final int RECALL_SIZE = 7;
   private static final int RETURN_SIZE = 7;
+  private static final int CARRIED_SIZE = 7;
+  private static final int HOLDER_READY_SIZE = 2;
+
+  /** Leases are written in milliseconds, rounded up, which takes fewer bytes. */
+  private static final long NANOS_PER_MILLI = 1_000_000;
 
   private ShareMessageCodec() {}
 
   /** Returns the encoded message. */
-  public static byte[] encode(ShareMessage message) {
+  public static byte[] encode(ShareFrame message) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       write(packer, message);
       return packer.toByteArray();
@@ -52,9 +63,9 @@
    *
    * @throws IOException if the bytes are not exactly one valid message
    */
-  public static ShareMessage decode(byte[] bytes) throws IOException {
+  public static ShareFrame decode(byte[] bytes) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      ShareMessage message = read(unpacker);
+      ShareFrame message = read(unpacker);
       if (unpacker.hasNext()) {
         throw new IOException("bytes after the share message");
       }
@@ -63,7 +74,7 @@
   }
 
   /** Writes a message as part of a larger frame. */
-  public static void write(MessagePacker packer, ShareMessage message) throws IOException {
+  public static void write(MessagePacker packer, ShareFrame message) throws IOException {
     if (message instanceof Report report) {
       writeHead(packer, REPORT_SIZE, REPORT, report);
       packer.packLong(report.sequence());
@@ -71,6 +82,7 @@
       writeShare(packer, report.returned());
       writeAmounts(packer, report.demandPerSecond());
       writeAmounts(packer, report.waiting());
+      writeMillis(packer, report.leaseLeftNanos());
     } else if (message instanceof Grant grant) {
       writeHead(packer, GRANT_SIZE, GRANT, grant);
       packer.packLong(grant.acknowledged());
@@ -87,6 +99,14 @@
       writeHead(packer, RETURN_SIZE, RETURN, returned);
       packer.packLong(returned.sequence());
       writeShare(packer, returned.returned());
+    } else if (message instanceof Carried carried) {
+      writeHead(packer, CARRIED_SIZE, CARRIED, carried);
+      writeShare(packer, carried.share());
+      writeMillis(packer, carried.leaseLeftNanos());
+    } else if (message instanceof HolderReady ready) {
+      packer.packArrayHeader(HOLDER_READY_SIZE);
+      packer.packInt(HOLDER_READY);
+      packer.packString(ready.holder());
     }
   }
 
@@ -95,7 +115,7 @@
    *
    * @throws IOException if the next value is not a valid message
    */
-  public static ShareMessage read(MessageUnpacker unpacker) throws IOException {
+  public static ShareFrame read(MessageUnpacker unpacker) throws IOException {
     try {
       int size = unpacker.unpackArrayHeader();
       int type = unpacker.unpackInt();
@@ -109,7 +129,10 @@
     }
   }
 
-  private static ShareMessage readBody(MessageUnpacker unpacker, int type) throws IOException {
+  private static ShareFrame readBody(MessageUnpacker unpacker, int type) throws IOException {
+    if (type == HOLDER_READY) {
+      return new HolderReady(unpacker.unpackString());
+    }
     AccountId account = new AccountId(unpacker.unpackString());
     long session = unpacker.unpackLong();
     return switch (type) {
@@ -121,7 +144,8 @@
               readShare(unpacker),
               readShare(unpacker),
               readAmounts(unpacker),
-              readAmounts(unpacker));
+              readAmounts(unpacker),
+              readMillis(unpacker));
       case GRANT ->
           new Grant(
               account,
@@ -132,6 +156,7 @@
               unpacker.unpackDouble());
       case RESET -> new Reset(account, session);
       case RECALL -> new Recall(account, session, readShare(unpacker), unpacker.unpackBoolean());
+      case CARRIED -> new Carried(account, session, readShare(unpacker), readMillis(unpacker));
       default -> new Return(account, session, unpacker.unpackLong(), readShare(unpacker));
     };
   }
@@ -143,6 +168,8 @@
       case RESET -> RESET_SIZE;
       case RECALL -> RECALL_SIZE;
       case RETURN -> RETURN_SIZE;
+      case CARRIED -> CARRIED_SIZE;
+      case HOLDER_READY -> HOLDER_READY_SIZE;
       default -> -1;
     };
   }
@@ -155,6 +182,14 @@
     packer.packLong(message.session());
   }
 
+  private static void writeMillis(MessagePacker packer, long nanos) throws IOException {
+    packer.packLong((nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
+  }
+
+  private static long readMillis(MessageUnpacker unpacker) throws IOException {
+    return Math.multiplyExact(unpacker.unpackLong(), NANOS_PER_MILLI);
+  }
+
   private static void writeAmounts(MessagePacker packer, ClassAmounts amounts) throws IOException {
     packer.packFloat((float) amounts.critical());
     packer.packFloat((float) amounts.interactive());
--- a/cornelspoke-core/src/test/java/org/cornelspoke/protocol/quota/ShareMessageCodecTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/quota/ShareMessageCodecTest.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.List;
 import org.cornelspoke.coordination.quota.ClassAmounts;
+import org.cornelspoke.coordination.quota.ShareFrame;
 import org.cornelspoke.coordination.quota.ShareMessage;
 import org.cornelspoke.coordination.quota.TokenShare;
 import org.cornelspoke.model.AccountId;
@@ -17,7 +18,7 @@
 
   private static final AccountId ACCOUNT = new AccountId("obec-7");
   private static final TokenShare SHARE = new TokenShare(12.25, 7, 3.5);
-  private static final List<ShareMessage> MESSAGES =
+  private static final List<ShareFrame> MESSAGES =
       List.of(
           new ShareMessage.Report(
               ACCOUNT,
@@ -26,22 +27,25 @@
               SHARE,
               TokenShare.EMPTY,
               new ClassAmounts(99.5, 0, 1),
-              new ClassAmounts(0, 4, 0)),
+              new ClassAmounts(0, 4, 0),
+              3_200_000_000L),
           new ShareMessage.Grant(ACCOUNT, 5, 3, 3_000_000_000L, SHARE, 9),
           new ShareMessage.Reset(ACCOUNT, 5),
           new ShareMessage.Recall(ACCOUNT, 5, SHARE, true),
-          new ShareMessage.Return(ACCOUNT, 5, 6, SHARE));
+          new ShareMessage.Return(ACCOUNT, 5, 6, SHARE),
+          new ShareMessage.Carried(ACCOUNT, 5, SHARE, 1_500_000_000L),
+          new ShareFrame.HolderReady("10.1.0.7"));
 
   @Test
   void everyMessageSurvivesEncoding() throws IOException {
-    for (ShareMessage message : MESSAGES) {
+    for (ShareFrame message : MESSAGES) {
       assertThat(ShareMessageCodec.decode(ShareMessageCodec.encode(message))).isEqualTo(message);
     }
   }
 
   @Test
   void truncatedOrLengthenedMessagesAreRefused() {
-    for (ShareMessage message : MESSAGES) {
+    for (ShareFrame message : MESSAGES) {
       byte[] bytes = ShareMessageCodec.encode(message);
       for (int length = 0; length < bytes.length; length++) {
         byte[] shorter = Arrays.copyOf(bytes, length);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -71,8 +71,6 @@
   private final Set<FrameConnection> peerConnections = new HashSet<>();
   private final Map<VmId, FrameConnection> relayConnections = new HashMap<>();
   private final Map<Long, StatusCollector> statusCollectors = new HashMap<>();
-  private Optional<VmId> reportedTo = Optional.empty();
-  private boolean attachedSinceReport;
   private Optional<ControlMessage.Relays> relays = Optional.empty();
   private long statusCorrelation;
   private ScheduledRunnable nextTick;
@@ -202,18 +200,11 @@
     return sessions.ageNanos(nanoClock.getAsLong());
   }
 
-  /**
-   * Returns true if this member leads and every daemon with a target has been attached to some
-   * relay for the time.
-   */
-  public boolean allDaemonsAttached(long settledNanos) {
-    return log.isLeader()
-        && attachments.allAttached(machine.registry(), settledNanos, nanoClock.getAsLong());
-  }
-
-  /** Returns the daemons with targets that no relay has reported to this leader. */
-  public Set<DaemonId> missingDaemons() {
-    return attachments.missing(machine.registry());
+  /** Returns the daemons with registered targets. */
+  public Set<DaemonId> registeredDaemons() {
+    Set<DaemonId> daemons = new HashSet<>();
+    machine.registry().targets().forEach(e -> daemons.add(e.target().orElseThrow().daemon()));
+    return daemons;
   }
 
   /** Returns the bytes of all frames sent to daemons, without the length prefixes. */
@@ -249,7 +240,6 @@
   RelaySession attach(ControlMessage.ControlHello hello, FrameConnection connection) {
     sessions.session(hello.daemon()).ifPresent(former -> connections.get(former).close());
     RelaySession session = sessions.attach(hello, nanoClock.getAsLong());
-    attachedSinceReport = true;
     connections.put(session, connection);
     relays.ifPresent(known -> send(connection, known));
     shareEndpoint.ifPresent(endpoint -> endpoint.onAttached(hello.daemon()));
@@ -345,13 +335,8 @@
       LOGGER.log(Level.INFO, "daemon {0} is silent; closing its connection", silent.daemon());
       connections.get(silent).close();
     }
-    Optional<VmId> leader = log.leader();
-    boolean changed = attachedSinceReport || !leader.equals(reportedTo);
-    if (changed || now - reportedAtNanos >= reportMillis * NANOS_PER_MILLI) {
-      // A new leader issues no rate shares before it knows that all daemons are attached.
+    if (now - reportedAtNanos >= reportMillis * NANOS_PER_MILLI) {
       reportedAtNanos = now;
-      reportedTo = leader;
-      attachedSinceReport = false;
       reportAttached();
     }
     nextTick = reactor.delayBackground(TICK_MILLIS, this::tick);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
@@ -3,11 +3,14 @@
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.quota.ShareFrame;
+import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
 import org.cornelspoke.coordination.quota.ShareHolder;
 import org.cornelspoke.coordination.quota.ShareMessage;
 import org.cornelspoke.coordination.quota.ShareTimes;
 import org.cornelspoke.daemon.controlclient.ControlClient;
 import org.cornelspoke.daemon.controlclient.ShareListener;
+import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.protocol.quota.ShareMessageCodec;
 
 /**
@@ -21,13 +24,15 @@
 
   private final Eventloop traffic;
   private final Eventloop control;
+  private final DaemonId daemon;
   private final ShareHolder holder;
   private ControlClient client;
   private long lastSession;
 
-  HolderChannel(Eventloop traffic, Eventloop control, ShareTimes times) {
+  HolderChannel(Eventloop traffic, Eventloop control, DaemonId daemon, ShareTimes times) {
     this.traffic = traffic;
     this.control = control;
+    this.daemon = daemon;
     this.holder = new ShareHolder(times, this::send);
   }
 
@@ -47,6 +52,7 @@
           long micros = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
           lastSession = Math.max(lastSession + 1, micros);
           holder.onConnected(lastSession, System.nanoTime());
+          send(new HolderReady(daemon.value()));
         });
   }
 
@@ -57,16 +63,19 @@
 
   @Override
   public void onMessage(byte[] message) {
-    ShareMessage decoded;
+    ShareFrame decoded;
     try {
       decoded = ShareMessageCodec.decode(message);
     } catch (IOException e) {
       throw new IllegalArgumentException("malformed share message", e);
     }
-    traffic.execute(() -> holder.onMessage(decoded, System.nanoTime()));
+    if (!(decoded instanceof ShareMessage shareMessage)) {
+      throw new IllegalArgumentException("a relay must not send " + decoded);
+    }
+    traffic.execute(() -> holder.onMessage(shareMessage, System.nanoTime()));
   }
 
-  private void send(ShareMessage message) {
+  private void send(ShareFrame message) {
     byte[] encoded = ShareMessageCodec.encode(message);
     // A message that meets a lost connection is dropped; the next session states what is held.
     control.execute(() -> client.sendShare(encoded));
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -4,9 +4,15 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.cornelspoke.coordination.consensus.ReplicatedLog;
+import org.cornelspoke.coordination.quota.ShareFrame;
+import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
 import org.cornelspoke.coordination.quota.ShareMessage;
 import org.cornelspoke.coordination.quota.ShareOwner;
 import org.cornelspoke.coordination.quota.ShareRelay;
@@ -38,9 +44,6 @@
 
   private static final long QUIET_LOG_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** Several reports of a daemon to its relay, and of the relay to the owner. */
-  private static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
-
   private final NioReactor reactor;
   private final VmId self;
   private final ReplicatedLog log;
@@ -48,13 +51,16 @@
   private final ShareTimes times;
   private final double sharedBurstPart;
   private final ShareRelay middle;
+  private final Set<DaemonId> readyDaemons = new LinkedHashSet<>();
   private RelayServer server;
   private Optional<ShareOwner> owner = Optional.empty();
   private long quietLoggedNanos;
   private long loggedTerm = -1;
   private long ownerTerm;
+  private boolean ownerProved;
   private Revision ownerRevision = Revision.NONE;
   private Optional<VmId> connectedTo = Optional.empty();
+  private long connectedTerm;
   private long lastSession;
   private long provedAtNanos;
   private ScheduledRunnable nextTick;
@@ -92,23 +98,59 @@
   @Override
   public void onDetached(DaemonId daemon) {
     // The share of the daemon returns when its lease ends.
+    readyDaemons.remove(daemon);
   }
 
   @Override
   public void onMessage(DaemonId daemon, byte[] message) {
-    middle.onHolderMessage(daemon.value(), decode(message), System.nanoTime());
+    ShareFrame decoded = decode(message);
+    if (decoded instanceof ShareMessage share) {
+      middle.onHolderMessage(daemon.value(), share, System.nanoTime());
+    } else {
+      readyDaemons.add(daemon);
+      if (connectedTo.isPresent()) {
+        sendToOwner(new HolderReady(daemon.value()));
+      }
+    }
   }
 
   @Override
   public void onRelayMessage(VmId relay, byte[] message) {
-    ShareMessage decoded = decode(message);
-    owner.ifPresent(o -> o.onMessage(relay.value(), decoded, System.nanoTime()));
+    ShareFrame decoded = decode(message);
+    currentOwner(System.nanoTime()).ifPresent(o -> receiveAsOwner(o, relay, decoded));
+  }
+
+  private void receiveAsOwner(ShareOwner current, VmId relay, ShareFrame frame) {
+    long now = System.nanoTime();
+    if (frame instanceof ShareMessage message) {
+      current.onMessage(relay.value(), message, now);
+    } else if (frame instanceof HolderReady ready) {
+      current.onReady(ready.holder());
+      endQuietIfReady(current, now);
+    }
+  }
+
+  /**
+   * The registry is complete once the leadership has been proved, which needs all older entries.
+   */
+  private void endQuietIfReady(ShareOwner current, long now) {
+    if (ownerProved) {
+      current.endQuietIfReady(registeredDaemons(), now);
+    }
+  }
+
+  private Set<String> registeredDaemons() {
+    return server.registeredDaemons().stream().map(DaemonId::value).collect(Collectors.toSet());
   }
 
   @Override
   public void onOwnerMessage(VmId from, byte[] message) {
+    ShareFrame decoded = decode(message);
+    if (!(decoded instanceof ShareMessage share)) {
+      throw new IllegalArgumentException("an owner must not send " + decoded);
+    }
     if (connectedTo.filter(from::equals).isPresent()) {
-      middle.onOwnerMessage(decode(message), System.nanoTime());
+      middle.onOwnerMessage(share, System.nanoTime());
     }
   }
 
@@ -128,21 +170,27 @@
     nextTick = reactor.delayBackground(TICK_MILLIS, this::tick);
   }
 
-  private void followLeadership(long now) {
+  /** Relays may learn of an election and send before the next tick here. */
+  private Optional<ShareOwner> currentOwner(long now) {
     if (!log.isLeader()) {
       owner = Optional.empty();
-      return;
-    }
-    if (owner.isEmpty() || ownerTerm != log.term()) {
+    } else if (owner.isEmpty() || ownerTerm != log.term()) {
       owner = Optional.of(new ShareOwner(times, this::sendToRelay, now));
       ownerTerm = log.term();
+      ownerProved = false;
+      provedAtNanos = now - TimeUnit.MILLISECONDS.toNanos(PROOF_MILLIS);
       ownerRevision = Revision.NONE;
       LOGGER.log(Level.INFO, "owns the rate shares in term {0}", ownerTerm);
     }
-    ShareOwner current = owner.get();
-    if (server.allDaemonsAttached(SETTLED_NANOS)) {
-      current.endQuiet(now);
+    return owner;
+  }
+
+  private void followLeadership(long now) {
+    if (currentOwner(now).isEmpty()) {
+      return;
     }
+    ShareOwner current = owner.get();
+    endQuietIfReady(current, now);
     logQuiet(current, now);
     if (!config.revision().equals(ownerRevision)) {
       ownerRevision = config.revision();
@@ -169,7 +217,7 @@
           Level.INFO,
           "event=rate-shares-withheld term={0} missingDaemons={1}",
           ownerTerm,
-          server.missingDaemons());
+          current.notReady(registeredDaemons()));
     } else if (!quiet && loggedTerm != ownerTerm) {
       loggedTerm = ownerTerm;
       LOGGER.log(Level.INFO, "event=rate-shares-issued term={0}", ownerTerm);
@@ -188,6 +236,10 @@
           @Override
           public void onCurrent(long index) {
             current.confirmLeadership(askedAtNanos);
+            if (owner.filter(current::equals).isPresent()) {
+              ownerProved = true;
+              endQuietIfReady(current, System.nanoTime());
+            }
           }
 
           @Override
@@ -199,13 +251,15 @@
 
   private void followLeader(long now) {
     Optional<VmId> leader = log.leader();
-    if (connectedTo.isPresent() && !connectedTo.equals(leader)) {
+    if (connectedTo.isPresent() && (!connectedTo.equals(leader) || connectedTerm != log.term())) {
       disconnect();
     }
     if (connectedTo.isEmpty() && leader.isPresent()) {
       connectedTo = leader;
+      connectedTerm = log.term();
       lastSession = Math.max(lastSession + 1, wallClockMicros());
       middle.onConnected(lastSession, now);
+      List.copyOf(readyDaemons).forEach(daemon -> sendToOwner(new HolderReady(daemon.value())));
     }
   }
 
@@ -214,11 +268,11 @@
     middle.onDisconnected(System.nanoTime());
   }
 
-  private void sendToOwner(ShareMessage message) {
+  private void sendToOwner(ShareFrame message) {
     VmId leader = connectedTo.orElseThrow();
     if (leader.equals(self)) {
       reactor.postLast(
-          () -> owner.ifPresent(o -> o.onMessage(self.value(), message, System.nanoTime())));
+          () -> currentOwner(System.nanoTime()).ifPresent(o -> receiveAsOwner(o, self, message)));
     } else if (!server.sendShareToOwner(leader, ShareMessageCodec.encode(message))) {
       // The message is lost, so the session must end; not now, because the caller is in it.
       reactor.postLast(() -> onOwnerLost(leader));
@@ -237,7 +291,7 @@
     server.sendShare(new DaemonId(daemon), ShareMessageCodec.encode(message));
   }
 
-  private static ShareMessage decode(byte[] message) {
+  private static ShareFrame decode(byte[] message) {
     try {
       return ShareMessageCodec.decode(message);
     } catch (IOException e) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -47,7 +47,7 @@
     this.settings = settings;
     this.profile = profile;
     this.traffic = EventLoops.create("traffic", metrics());
-    this.shares = new HolderChannel(traffic, control(), profile.shareTimes);
+    this.shares = new HolderChannel(traffic, control(), settings.daemonId(), profile.shareTimes);
     this.client =
         ControlClient.builder()
             .withReactor(control())
