Compare latencies of targets within a kind of work

Cause: the selector averaged the latencies of everything a target answered. A service that answers both requests of 480 ms and calls of 30 ms gave averages that varied by half, so the choice between fast and slow targets was nearly random.

Change: each latency is compared with the mean of its kind (service, class, nested or not) over all targets, and a target's multiple of it is averaged.

Result: new test fastTargetIsPreferredAlthoughRequestsDifferInLength passes; a target of speed 1.6 beside two of 0.7 gets at least 0.63 of the choices (at most two thirds are possible).

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/Call.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/Call.java
@@ -8,6 +8,7 @@
 import org.cornelspoke.coordination.admission.GateRequest;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.routing.TargetSelector.AttemptResult;
+import org.cornelspoke.coordination.routing.WorkKind;
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.ServiceName;
@@ -95,7 +96,11 @@
             : result.notRun() && callee.alive ? AttemptResult.REFUSED : AttemptResult.FAILURE;
     boolean nestedFailure = !result.success() && result.nested() && callee.alive;
     caller.selector.onResult(
-        callee.target.id(), nestedFailure ? AttemptResult.CANCELLED : seen, now() - start, now());
+        callee.target.id(),
+        new WorkKind(callee.target.service(), request.trafficClass(), position > 0),
+        nestedFailure ? AttemptResult.CANCELLED : seen,
+        now() - start,
+        now());
     if (callee.alive) {
       caller.selector.onLoad(callee.target.id(), callee.gate.load(), now());
     }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/DefaultTargetSelector.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/DefaultTargetSelector.java
@@ -38,6 +38,7 @@
   private final RandomGenerator random;
   private final Map<TargetId, TargetStats> stats = new HashMap<>();
   private final Map<ServiceName, List<TargetStats>> subsets = new HashMap<>();
+  private final Map<WorkKind, TypicalLatency> typicalLatencies = new HashMap<>();
 
   /**
    * Creates a selector without targets.
@@ -80,6 +81,7 @@
         });
     stats.clear();
     stats.putAll(kept);
+    typicalLatencies.keySet().removeIf(kind -> !targets.containsKey(kind.service()));
   }
 
   @Override
@@ -104,12 +106,19 @@
   }
 
   @Override
-  public void onResult(TargetId target, AttemptResult result, long latencyNanos, long nowNanos) {
+  public void onResult(
+      TargetId target, WorkKind kind, AttemptResult result, long latencyNanos, long nowNanos) {
     TargetStats known = stats.get(target);
     if (known == null) {
       return;
     }
-    if (known.onEnd(result, latencyNanos, nowNanos)
+    double relativeLatency =
+        result == AttemptResult.SUCCESS
+            ? typicalLatencies
+                .computeIfAbsent(kind, unused -> new TypicalLatency())
+                .relative(latencyNanos)
+            : 0;
+    if (known.onEnd(result, relativeLatency, nowNanos)
         && mayEject(known.target().service(), nowNanos)) {
       known.eject(nowNanos);
     }
@@ -207,9 +216,7 @@
     }
     TargetStats a = candidates.get(first);
     TargetStats b = candidates.get(second);
-    // A target without a latency of its own is taken to be as fast as the other candidate.
-    double typical = Math.max(a.latencyNanos(), b.latencyNanos());
-    return a.cost(typical, nowNanos) <= b.cost(typical, nowNanos) ? a : b;
+    return a.cost(nowNanos) <= b.cost(nowNanos) ? a : b;
   }
 
   private boolean mayEject(ServiceName service, long nowNanos) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetSelector.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetSelector.java
@@ -27,8 +27,13 @@
    */
   Optional<Target> select(ServiceName service, Set<TargetId> excluded, long nowNanos);
 
-  /** Ends an attempt that {@link #select} counted. */
-  void onResult(TargetId target, AttemptResult result, long latencyNanos, long nowNanos);
+  /**
+   * Ends an attempt that {@link #select} counted.
+   *
+   * @param kind what was asked; latencies are compared within a kind
+   */
+  void onResult(
+      TargetId target, WorkKind kind, AttemptResult result, long latencyNanos, long nowNanos);
 
   /** Takes the load that a reply reported. */
   void onLoad(TargetId target, GateLoad load, long nowNanos);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetStats.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetStats.java
@@ -8,7 +8,7 @@
 /** What the selector has observed of one target. */
 final class TargetStats {
 
-  /** Weight of a new latency sample; about the last 20 attempts count. */
+  /** Least weight of a new latency sample; about the last 20 attempts count. */
   private static final double LATENCY_WEIGHT = 0.1;
 
   /** Consecutive failures that eject a target. */
@@ -47,7 +47,8 @@
   private final long sinceNanos;
   private final boolean slowStart;
   private int inFlight;
-  private double latencyNanos;
+  private double relativeLatency = 1;
+  private int latencySamples;
   private double failureRate;
   private double recentFailures;
   private long recentAsOfNanos;
@@ -94,21 +95,16 @@
   }
 
   /** Returns the expected cost of one more attempt; lower is better. */
-  double cost(double typicalLatencyNanos, long nowNanos) {
-    double latency = latencyNanos > 0 ? latencyNanos : typicalLatencyNanos;
+  double cost(long nowNanos) {
     double work = inFlight + 1.0;
     if (loadIsRecent(nowNanos)) {
       work = Math.max(work, load.inFlight() + 1.0) + load.queued();
     }
     double capacity = loadIsRecent(nowNanos) ? load.limit() : target.slots();
-    double cost = Math.max(latency, 1) * (1 + work / Math.max(1, capacity)) / warmth(nowNanos);
+    double cost = relativeLatency * (1 + work / Math.max(1, capacity)) / warmth(nowNanos);
     return isSaturated(nowNanos) ? cost * 2 : cost;
   }
 
-  double latencyNanos() {
-    return latencyNanos;
-  }
-
   /** Returns the part of the last attempts that failed; it fades while nothing is tried. */
   double recentFailures(long nowNanos) {
     long elapsedNanos = nowNanos - recentAsOfNanos;
@@ -123,8 +119,12 @@
     inFlight++;
   }
 
-  /** Counts the end of an attempt and returns true if the target should be ejected. */
-  boolean onEnd(AttemptResult result, long attemptNanos, long nowNanos) {
+  /**
+   * Counts the end of an attempt and returns true if the target should be ejected.
+   *
+   * @param attemptRelativeLatency latency of a success as a multiple of the typical one
+   */
+  boolean onEnd(AttemptResult result, double attemptRelativeLatency, long nowNanos) {
     inFlight = Math.max(0, inFlight - 1);
     if (result == AttemptResult.SUCCESS || result == AttemptResult.FAILURE) {
       double failed = result == AttemptResult.FAILURE ? 1 : 0;
@@ -134,10 +134,9 @@
       case SUCCESS -> {
         consecutiveFailures = 0;
         failureRate *= 1 - FAILURE_WEIGHT;
-        latencyNanos =
-            latencyNanos == 0
-                ? attemptNanos
-                : latencyNanos + LATENCY_WEIGHT * (attemptNanos - latencyNanos);
+        latencySamples++;
+        double weight = Math.max(LATENCY_WEIGHT, 1.0 / (latencySamples + 1));
+        relativeLatency += weight * (attemptRelativeLatency - relativeLatency);
       }
       case REFUSED -> refusedAtNanos = nowNanos;
       case FAILURE -> {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/routing/DefaultTargetSelectorTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/routing/DefaultTargetSelectorTest.java
@@ -17,6 +17,7 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
+import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.registry.TargetState;
 import org.junit.jupiter.api.Test;
@@ -25,6 +26,7 @@
 class DefaultTargetSelectorTest {
 
   private static final ServiceName SERVICE = new ServiceName("hatol");
+  private static final WorkKind KIND = new WorkKind(SERVICE, TrafficClass.INTERACTIVE, false);
   private static final long SECOND = 1_000_000_000L;
   private static final String[] CENTRES = {"a", "b", "c"};
 
@@ -52,6 +54,38 @@
         new DaemonId(self), new DataCentreId("a"), 20, new Well19937c(9));
   }
 
+  /**
+   * Guards against speeds that disappear in the mixture of long requests and short calls, so that
+   * slow targets get as much as fast ones.
+   */
+  @Test
+  void fastTargetIsPreferredAlthoughRequestsDifferInLength() {
+    DefaultTargetSelector selector =
+        new DefaultTargetSelector(
+            new DaemonId("self"), new DataCentreId("without-targets"), 20, new Well19937c(9));
+    selector.setTargets(Map.of(SERVICE, targets(3)), 0);
+    Well19937c random = new Well19937c(5);
+    double[] speeds = {0.7, 0.7, 1.6};
+    int[] chosen = new int[3];
+    long now = SECOND;
+    for (int i = 0; i < 4_000; i++) {
+      now += SECOND / 100;
+      Target target = selector.select(SERVICE, Set.of(), now).orElseThrow();
+      int index = Integer.parseInt(target.id().value().substring(2));
+      boolean nested = random.nextDouble() < 0.9;
+      double workSeconds = (nested ? 0.03 : 0.48) * Math.exp(0.5 * random.nextGaussian());
+      selector.onResult(
+          target.id(),
+          new WorkKind(SERVICE, TrafficClass.INTERACTIVE, nested),
+          AttemptResult.SUCCESS,
+          (long) (workSeconds / speeds[index] * SECOND),
+          now);
+      chosen[index]++;
+    }
+    // The fast one is among the two candidates of two thirds of the choices.
+    assertThat(chosen[2] / 4_000.0).isAtLeast(0.63);
+  }
+
   /**
    * Guards against targets that fail part of their requests, too few to be ejected, and keep their
    * share; one of them is in the daemon's own data centre.
@@ -68,7 +102,11 @@
       int index = Integer.parseInt(target.id().value().substring(2));
       boolean fails = index < 2 && random.nextDouble() < 0.4;
       selector.onResult(
-          target.id(), fails ? AttemptResult.FAILURE : AttemptResult.SUCCESS, SECOND / 100, now);
+          target.id(),
+          KIND,
+          fails ? AttemptResult.FAILURE : AttemptResult.SUCCESS,
+          SECOND / 100,
+          now);
       if (i >= 100) {
         chosen[index]++;
       }
@@ -90,7 +128,7 @@
     Map<TargetId, Integer> chosen = new HashMap<>();
     for (int i = 0; i < count; i++) {
       TargetId id = selector.select(SERVICE, Set.of(), now).orElseThrow().id();
-      selector.onResult(id, result, 1_000_000, now);
+      selector.onResult(id, KIND, result, 1_000_000, now);
       chosen.merge(id, 1, Integer::sum);
     }
     return chosen;
@@ -146,7 +184,7 @@
     List<Long> times = new ArrayList<>();
     for (int round = 0; round < 4; round++) {
       while (!selector.isEjected(failing, now)) {
-        selector.onResult(failing, AttemptResult.FAILURE, 1, now);
+        selector.onResult(failing, KIND, AttemptResult.FAILURE, 1, now);
       }
       long start = now;
       while (selector.isEjected(failing, now)) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.routing.TargetSelector.AttemptResult;
+import org.cornelspoke.coordination.routing.WorkKind;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.TargetId;
 import org.cornelspoke.protocol.call.CallEnding;
@@ -40,6 +41,7 @@
   private final byte[] body;
   private final boolean repeatable;
   private final boolean nested;
+  private final WorkKind kind;
   private final long deadlineNanos;
   private final Consumer<CallResult> listener;
   private final Set<TargetId> tried = new HashSet<>();
@@ -70,6 +72,7 @@
       long deadlineNanos,
       Consumer<CallResult> listener) {
     this.nested = nested;
+    this.kind = new WorkKind(head.service(), head.trafficClass(), nested);
     this.parts = parts;
     this.with = parts.with();
     this.head = head;
@@ -135,7 +138,7 @@
           callLocal(now);
           return;
         }
-        with.selector().onResult(target.id(), AttemptResult.REFUSED, 0, now);
+        report(target.id(), AttemptResult.REFUSED, 0, now);
       } else {
         PeerLink link = parts.links().find(target);
         if (link != null && link.isReady()) {
@@ -143,8 +146,7 @@
           return;
         }
         boolean leaving = link != null && link.isGoingAway();
-        with.selector()
-            .onResult(target.id(), leaving ? AttemptResult.REFUSED : AttemptResult.FAILURE, 0, now);
+        report(target.id(), leaving ? AttemptResult.REFUSED : AttemptResult.FAILURE, 0, now);
       }
     }
   }
@@ -194,7 +196,7 @@
     CallResult result = ending.result();
     TargetId id = target.id();
     target = null;
-    with.selector().onResult(id, attemptResultOf(result), now - attemptNanos, now);
+    report(id, attemptResultOf(result), now - attemptNanos, now);
     lastTarget = id;
     lastLoad = ending.load();
     if (ending.load() != null) {
@@ -294,12 +296,16 @@
     }
     if (target != null) {
       long now = System.nanoTime();
-      with.selector().onResult(target.id(), AttemptResult.CANCELLED, now - attemptNanos, now);
+      report(target.id(), AttemptResult.CANCELLED, now - attemptNanos, now);
       target = null;
       callsMade++;
     }
   }
 
+  private void report(TargetId id, AttemptResult result, long latencyNanos, long now) {
+    with.selector().onResult(id, kind, result, latencyNanos, now);
+  }
+
   private void end(CallResult result) {
     finish();
     if (mayHaveRun && result instanceof CallResult.Refused refused) {
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
@@ -15,6 +15,7 @@
 import org.cornelspoke.coordination.retry.RetryLedger;
 import org.cornelspoke.coordination.retry.RetryThrottle;
 import org.cornelspoke.coordination.routing.TargetSelector;
+import org.cornelspoke.coordination.routing.WorkKind;
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.ServiceName;
@@ -132,7 +133,8 @@
     }
 
     @Override
-    public void onResult(TargetId target, AttemptResult result, long latencyNanos, long nowNanos) {}
+    public void onResult(
+        TargetId target, WorkKind kind, AttemptResult result, long latencyNanos, long nowNanos) {}
 
     @Override
     public void onLoad(TargetId target, GateLoad load, long nowNanos) {}
