Let daemons say that they are ready although they attach while they start

Cause: the control client starts before the traffic part, and the channel of rate shares got the client only with the latter. A daemon that was attached in between sent its readiness nowhere.

Change: the channel knows where to send before the client is started.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
@@ -3,12 +3,12 @@
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.cornelspoke.coordination.quota.ShareFrame;
 import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
 import org.cornelspoke.coordination.quota.ShareHolder;
 import org.cornelspoke.coordination.quota.ShareMessage;
 import org.cornelspoke.coordination.quota.ShareTimes;
-import org.cornelspoke.daemon.controlclient.ControlClient;
 import org.cornelspoke.daemon.controlclient.ShareListener;
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.protocol.quota.ShareMessageCodec;
@@ -26,7 +26,7 @@
   private final Eventloop control;
   private final DaemonId daemon;
   private final ShareHolder holder;
-  private ControlClient client;
+  private Consumer<byte[]> relay;
   private long lastSession;
 
   HolderChannel(Eventloop traffic, Eventloop control, DaemonId daemon, ShareTimes times) {
@@ -40,8 +40,15 @@
     return holder;
   }
 
-  void start(ControlClient controlClient) {
-    this.client = controlClient;
+  /**
+   * Sets what sends a message over the present connection, on the control thread. Must be called
+   * before the first connection, which may be there before {@link #start}.
+   */
+  void sendTo(Consumer<byte[]> newRelay) {
+    this.relay = newRelay;
+  }
+
+  void start() {
     traffic.execute(this::tick);
   }
 
@@ -78,7 +85,7 @@
   private void send(ShareFrame message) {
     byte[] encoded = ShareMessageCodec.encode(message);
     // A message that meets a lost connection is dropped; the next session states what is held.
-    control.execute(() -> client.sendShare(encoded));
+    control.execute(() -> relay.accept(encoded));
   }
 
   private void tick() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -58,6 +58,8 @@
             .withFreshnessBoundMillis(settings.freshnessBoundMillis())
             .withShareListener(shares)
             .build();
+    // A message that finds no connection is dropped; the next session states what is held.
+    shares.sendTo(client::sendShare);
     RateLimiter limiter =
         profile.rateFloorPart > 0
             ? new FloorRateLimiter(shares.holder(), client::current, profile.rateFloorPart)
@@ -108,7 +110,7 @@
   @Override
   void startTraffic() throws IOException {
     daemon.start();
-    shares.start(client);
+    shares.start();
     LOGGER.log(
         Level.INFO,
         "traffic daemon {0} serves on {1}",
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/runtime/HolderChannelTest.java
@@ -0,0 +1,39 @@
+package org.cornelspoke.daemon.runtime;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import java.util.ArrayList;
+import java.util.List;
+import org.cornelspoke.coordination.quota.ShareFrame;
+import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
+import org.cornelspoke.coordination.quota.ShareTimes;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.protocol.quota.ShareMessageCodec;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a daemon that reaches its relay while it starts and never says that it holds
+ * nothing; a new leader then issued no rate shares for five seconds.
+ */
+class HolderChannelTest {
+
+  private final Eventloop traffic = Eventloop.create();
+  private final Eventloop control = Eventloop.create();
+  private final List<byte[]> sent = new ArrayList<>();
+
+  @Test
+  void daemonThatAttachesBeforeItServesSaysThatItIsReady() throws Exception {
+    DaemonId daemon = new DaemonId("10.1.0.7");
+    HolderChannel channel = new HolderChannel(traffic, control, daemon, ShareTimes.DEFAULT);
+    channel.sendTo(sent::add);
+
+    channel.onAttached();
+    traffic.run();
+    control.run();
+
+    assertThat(sent).hasSize(1);
+    ShareFrame frame = ShareMessageCodec.decode(sent.get(0));
+    assertThat(frame).isEqualTo(new HolderReady(daemon.value()));
+  }
+}
