Advise refused callers to come back within the latency objective

Cause: every refusal for overload said to come back after a second. The second try of a request with an objective of 300 to 1,200 ms was then late even when it was served, although an overload of many seconds leaves it the same chance earlier.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
@@ -139,6 +139,7 @@
         head,
         route.repeatable(),
         System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
+        route.latencyObjectiveMillis(),
         account.filter(Account::isLimited).isPresent(),
         headers.idempotencyKey());
   }
@@ -173,7 +174,13 @@
             context.revision(),
             budget);
     request.setParent(parentId);
-    request.start(head, route.repeatable(), deadline, false, headers.idempotencyKey());
+    request.start(
+        head,
+        route.repeatable(),
+        deadline,
+        route.latencyObjectiveMillis(),
+        false,
+        headers.idempotencyKey());
   }
 
   private CallHead callHead(
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.admission.RetryAdvice;
 import org.cornelspoke.coordination.quota.RateLimiter;
 import org.cornelspoke.coordination.quota.TokenShare;
 import org.cornelspoke.model.CallId;
@@ -38,6 +39,7 @@
   private CallHead head;
   private boolean repeatable;
   private long deadlineNanos;
+  private long objectiveMillis;
   private CallId parent;
   private String idempotencyKey;
   private ClaimKey claimKey;
@@ -71,6 +73,7 @@
   /**
    * Starts the request.
    *
+   * @param newObjectiveMillis time within which an answer is of full use to the caller
    * @param charged true if the request takes a rate token
    * @param newIdempotencyKey or null
    */
@@ -78,11 +81,13 @@
       CallHead newHead,
       boolean newRepeatable,
       long newDeadlineNanos,
+      long newObjectiveMillis,
       boolean charged,
       String newIdempotencyKey) {
     this.head = newHead;
     this.repeatable = newRepeatable;
     this.deadlineNanos = newDeadlineNanos;
+    this.objectiveMillis = newObjectiveMillis;
     this.idempotencyKey = newIdempotencyKey;
     long now = System.nanoTime();
     if (now >= deadlineNanos) {
@@ -212,7 +217,8 @@
       respond(new HttpResponse(answered.status(), answered.headers(), answered.body()));
     } else if (result instanceof CallResult.Refused refused) {
       long millis = refused.retryAfterMillis();
-      refuse(refused.reason(), millis == 0 ? DEFAULT_RETRY_MILLIS : millis);
+      long suggested = millis == 0 ? DEFAULT_RETRY_MILLIS : millis;
+      refuse(refused.reason(), RetryAdvice.millis(refused.reason(), suggested, objectiveMillis));
     } else if (result instanceof CallResult.Failed failed) {
       boolean unavailable = failed.reason().httpStatus() == 503;
       answer(failed.reason(), Verdict.MAY_HAVE_RUN, unavailable ? DEFAULT_RETRY_MILLIS : -1);
