--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
@@ -35,13 +35,14 @@
   private static final int CARRIED = 6;
   private static final int HOLDER_READY = 7;
 
-  private static final int REPORT_SIZE = 17;
-  private static final int GRANT_SIZE = 9;
+  private static final int REPORT_SIZE = 13;
+  private static final int GRANT_SIZE = 7;
   private static final int RESET_SIZE = 3;
-  private static final int RECALL_SIZE = 7;
-  private static final int RETURN_SIZE = 7;
-  private static final int CARRIED_SIZE = 7;
+  private static final int RECALL_SIZE = 5;
+  private static final int RETURN_SIZE = 5;
+  private static final int CARRIED_SIZE = 5;
   private static final int HOLDER_READY_SIZE = 2;
+  private static final int SHARE_SIZE = 3;
 
   /** Leases are written in milliseconds, rounded up, which takes fewer bytes. */
   private static final long NANOS_PER_MILLI = 1_000_000;
@@ -200,13 +201,25 @@
     return new ClassAmounts(unpacker.unpackFloat(), unpacker.unpackFloat(), unpacker.unpackFloat());
   }
 
+  /** Most shares are empty: nothing is returned by a report and nothing added by a renewal. */
   private static void writeShare(MessagePacker packer, TokenShare share) throws IOException {
+    if (share.isEmpty()) {
+      packer.packNil();
+      return;
+    }
+    packer.packArrayHeader(SHARE_SIZE);
     packer.packDouble(share.rateTokensPerSecond());
     packer.packDouble(share.burstTokens());
     packer.packDouble(share.levelTokens());
   }
 
   private static TokenShare readShare(MessageUnpacker unpacker) throws IOException {
+    if (unpacker.tryUnpackNil()) {
+      return TokenShare.EMPTY;
+    }
+    if (unpacker.unpackArrayHeader() != SHARE_SIZE) {
+      throw new IOException("a share has " + SHARE_SIZE + " values");
+    }
     return new TokenShare(
         unpacker.unpackDouble(), unpacker.unpackDouble(), unpacker.unpackDouble());
   }
