Keep the rate share holder going when an answer brings the next request

Cause: the holder's tick iterated over its accounts while it refused requests that had waited too long. The answer lets a pipelined request follow at once; if that was the first of its account, the map changed during the iteration, the exception ended the tick before it was scheduled again, and from then on no request that waited for a token at this daemon was answered.

Change: ticks go over a copy, expired requests are collected before they are refused, the next tick is scheduled first, and serving waiting requests doesn't nest when a granted request gives its token back at once.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -48,6 +48,7 @@
   private long lastArrivalNanos;
   private long sessionUsed;
   private double reportedDemand;
+  private boolean serving;
 
   HeldAccount(AccountId account, ShareTimes times, Consumer<ShareMessage> toOwner, long nowNanos) {
     this.times = times;
@@ -184,8 +185,17 @@
   }
 
   private void serve(long nowNanos) {
-    while (!waiters.isEmpty() && tryTake(nowNanos)) {
-      waiters.poll().onGranted();
+    if (serving) {
+      // A request that is granted, refused by a throttle and gives its token back ends up here.
+      return;
+    }
+    serving = true;
+    try {
+      while (!waiters.isEmpty() && tryTake(nowNanos)) {
+        waiters.poll().onGranted();
+      }
+    } finally {
+      serving = false;
     }
     link.giveUpSpent(TokenShare.EMPTY, nowNanos);
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
@@ -72,9 +73,12 @@
 
   /** Sends reports that are due and refuses requests that waited too long; every few ms. */
   public void onTick(long nowNanos) {
+    // Listeners may start the next request of their caller, which may bring a new account.
+    for (HeldAccount account : List.copyOf(accounts.values())) {
+      account.onTick(nowNanos);
+    }
     for (Iterator<HeldAccount> all = accounts.values().iterator(); all.hasNext(); ) {
       HeldAccount account = all.next();
-      account.onTick(nowNanos);
       if (account.isIdle(nowNanos)) {
         // The session number of a later start must be higher.
         connectionSession = Math.max(connectionSession, account.nextSession());
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenQueue.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenQueue.java
@@ -1,9 +1,11 @@
 package org.cornelspoke.coordination.quota;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import org.cornelspoke.model.TrafficClass;
 
@@ -73,15 +75,18 @@
 
   /** Refuses the requests whose deadline has passed. */
   void refuseExpired(long nowNanos, long retryAfterMillis) {
+    // A listener may add the next request of its caller.
+    List<RateLimiter.Listener> expired = new ArrayList<>();
     for (Deque<Waiter> queue : waiters.values()) {
       for (Iterator<Waiter> all = queue.iterator(); all.hasNext(); ) {
         Waiter waiter = all.next();
         if (nowNanos - waiter.deadlineNanos() >= 0) {
           all.remove();
           size--;
-          waiter.listener().onRefused(retryAfterMillis);
+          expired.add(waiter.listener());
         }
       }
     }
+    expired.forEach(listener -> listener.onRefused(retryAfterMillis));
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
@@ -89,7 +89,8 @@
   }
 
   private void tick() {
-    holder.onTick(System.nanoTime());
+    // Without further ticks, requests that wait for a token would never be answered.
     traffic.delayBackground(TICK_MILLIS, this::tick);
+    holder.onTick(System.nanoTime());
   }
 }
