--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
@@ -54,7 +54,7 @@
     if (link.hasLease(nowNanos)) {
       report(nowNanos);
     }
-    carried.removeIf(share -> nowNanos - share.endNanos() >= 0);
+    dropEndedCarried(nowNanos);
     carried.forEach(share -> link.carry(share.share(), share.endNanos() - nowNanos));
   }
 
@@ -103,6 +103,7 @@
     prepare(nowNanos);
     lastReportFromHolderNanos = nowNanos;
     if (!book.onReport(holder, report, false, nowNanos) && report.leaseLeftNanos() > 0) {
+      dropEndedCarried(nowNanos);
       carried.add(new CarriedShare(report.held(), nowNanos + report.leaseLeftNanos()));
       link.carry(report.held(), report.leaseLeftNanos());
     }
@@ -204,6 +205,10 @@
     }
   }
 
+  private void dropEndedCarried(long nowNanos) {
+    carried.removeIf(share -> nowNanos - share.endNanos() >= 0);
+  }
+
   private void dropAll(long nowNanos) {
     book.clear();
     spare.clear(nowNanos);
