--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/slopes/ShareFleet.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/slopes/ShareFleet.java
@@ -172,12 +172,12 @@
   private void countDaemon(ShareMessage message) {
     totals.daemonMessages++;
     totals.daemonMessagesByKind.merge(message.getClass().getSimpleName(), 1L, Long::sum);
-    totals.daemonBytes += ShareMessageCodec.encode(message).length;
+    totals.daemonBytes += ShareMessageCodec.encode(List.of(message)).length;
   }
 
   private void countOwner(ShareMessage message) {
     totals.relayOwnerMessages++;
-    totals.relayOwnerBytes += ShareMessageCodec.encode(message).length;
+    totals.relayOwnerBytes += ShareMessageCodec.encode(List.of(message)).length;
   }
 
   private long cpu(Runnable action) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ClassAmounts.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ClassAmounts.java
@@ -63,6 +63,15 @@
     return new ClassAmounts(critical * factor, interactive * factor, bulk * factor);
   }
 
+  /** Returns these amounts without a class and those that it outranks. */
+  public ClassAmounts above(TrafficClass trafficClass) {
+    return switch (trafficClass) {
+      case CRITICAL -> NONE;
+      case INTERACTIVE -> new ClassAmounts(critical, 0, 0);
+      case BULK -> new ClassAmounts(critical, interactive, 0);
+    };
+  }
+
   /** Returns what is left after an amount was taken, from the highest class first. */
   public ClassAmounts lessFirst(double taken) {
     return new ClassAmounts(
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/DemandMeter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/DemandMeter.java
@@ -41,6 +41,15 @@
     slots[0]++;
   }
 
+  /** Counts whole requests that arrived together. */
+  void onArrivals(ClassAmounts requests, long nowNanos) {
+    advance(nowNanos);
+    int count = (int) Math.round(requests.total());
+    arrivals += count;
+    classWeights = classWeights.plus(requests);
+    slots[0] += count;
+  }
+
   boolean windowIsOlderThan(long ageNanos, long nowNanos) {
     return nowNanos - windowStartNanos >= ageNanos;
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -2,14 +2,19 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Reset;
+import org.cornelspoke.coordination.quota.ShareMessage.Tokens;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.TrafficClass;
 
-/** One account at a daemon: its share, the requests that wait for a token, and the demand. */
+/**
+ * One account at a daemon: the requests that wait for a token, the demand, and a share. While the
+ * demand is small there is no share, and each request asks for a token of its own.
+ */
 final class HeldAccount {
 
   /**
@@ -27,6 +32,15 @@
   /** Report intervals between reports of a steady demand; well below the lease. */
   private static final int STEADY_INTERVALS = 5;
 
+  /**
+   * Demand from which a share is held. Below it, a share is idle most of the time, and its reports
+   * outnumber the requests.
+   */
+  private static final double SHARE_DEMAND_PER_SECOND = 2;
+
+  /** Demand below which the share is given up. */
+  private static final double NO_SHARE_DEMAND_PER_SECOND = 1;
+
   private static final double MILLIS_PER_SECOND = 1e3;
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
   private static final long MAX_RETRY_AFTER_MILLIS = 30_000;
@@ -40,6 +54,7 @@
   private final ShareTimes times;
   private final TokenBucket bucket;
   private final ShareLink link;
+  private final TokenAsks asks;
   private final DemandMeter demand;
   private final TokenQueue waiters = new TokenQueue();
   private final Deque<Long> givenBackEndNanos = new ArrayDeque<>();
@@ -48,12 +63,15 @@
   private long lastArrivalNanos;
   private long sessionUsed;
   private double reportedDemand;
+  private ClassAmounts unasked = ClassAmounts.NONE;
+  private boolean usesShare;
   private boolean serving;
 
   HeldAccount(AccountId account, ShareTimes times, Consumer<ShareMessage> toOwner, long nowNanos) {
     this.times = times;
     bucket = new TokenBucket(nowNanos);
     link = new ShareLink(account, bucket, toOwner);
+    asks = new TokenAsks(account, times.askAgainNanos(), toOwner);
     demand = new DemandMeter(nowNanos);
     lastArrivalNanos = nowNanos;
   }
@@ -61,6 +79,8 @@
   void onConnected(long session, long nowNanos) {
     dropEndedLeases(nowNanos);
     sessionUsed = link.open(session);
+    asks.open(session);
+    unasked = waiters.sizeByClass();
     if (link.hasLease(nowNanos)) {
       // A new leader issues nothing before it knows what is held.
       report(nowNanos);
@@ -69,6 +89,15 @@
 
   void onDisconnected() {
     link.close();
+    asks.close();
+  }
+
+  void onTokens(Tokens tokens, long nowNanos) {
+    ClassAmounts asked = asks.onTokens(tokens, nowNanos);
+    serve(nowNanos);
+    tokens
+        .exhaustion()
+        .ifPresent(state -> waiters.refuseNewest(state, asked, retryAfterMillis(nowNanos)));
   }
 
   void onGrant(Grant grant, long nowNanos) {
@@ -78,6 +107,7 @@
     }
     link.onGrant(grant, nowNanos);
     dropEndedLeases(nowNanos);
+    asks.setExhausted(grant.exhaustion(), nowNanos);
     serve(nowNanos);
   }
 
@@ -120,20 +150,41 @@
   void onTick(long nowNanos) {
     dropEndedLeases(nowNanos);
     serve(nowNanos);
-    waiters.refuseExpired(nowNanos, retryAfterMillis());
+    waiters.refuseExpired(nowNanos, retryAfterMillis(nowNanos));
     if (isUnused(nowNanos)) {
-      link.giveUp(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE, nowNanos);
-      bucket.clear(nowNanos);
-      sessionUsed = link.dropLease();
+      giveUpShare(nowNanos);
       return;
     }
     if (demand.windowIsOlderThan(times.reportNanos(), nowNanos)) {
       demand.roll(nowNanos);
-      reportIfDue(nowNanos);
+      chooseShare(nowNanos);
+      if (usesShare) {
+        reportIfDue(nowNanos);
+      }
+    }
+    if (!usesShare && !asks.isAsking(nowNanos)) {
+      // Covers requests that wait longer than an ask is kept.
+      unasked = waiters.sizeByClass();
     }
     askIfWaiting(nowNanos);
   }
 
+  private void chooseShare(long nowNanos) {
+    double perSecond = demand.perSecond(nowNanos);
+    if (perSecond >= SHARE_DEMAND_PER_SECOND) {
+      usesShare = true;
+    } else if (usesShare && perSecond < NO_SHARE_DEMAND_PER_SECOND) {
+      giveUpShare(nowNanos);
+    }
+  }
+
+  private void giveUpShare(long nowNanos) {
+    usesShare = false;
+    link.giveUp(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE, nowNanos);
+    bucket.clear(nowNanos);
+    sessionUsed = link.dropLease();
+  }
+
   void acquire(
       TrafficClass trafficClass, long deadlineNanos, RateLimiter.Listener listener, long nowNanos) {
     dropEndedLeases(nowNanos);
@@ -143,10 +194,13 @@
       listener.onGranted();
       return;
     }
-    if (nowNanos - deadlineNanos >= 0 || !waiters.add(trafficClass, deadlineNanos, listener)) {
-      listener.onRefused(retryAfterMillis());
+    if (nowNanos - deadlineNanos >= 0
+        || isExhausted(trafficClass, nowNanos)
+        || !waiters.add(trafficClass, deadlineNanos, listener)) {
+      listener.onRefused(retryAfterMillis(nowNanos));
       return;
     }
+    unasked = unasked.plus(trafficClass, 1);
     serve(nowNanos);
     askIfWaiting(nowNanos);
   }
@@ -179,11 +233,24 @@
   }
 
   private void askIfWaiting(long nowNanos) {
-    if (!waiters.isEmpty() && link.mayAsk(nowNanos)) {
-      report(nowNanos);
+    if (waiters.isEmpty()) {
+      unasked = ClassAmounts.NONE;
+    } else if (usesShare) {
+      if (link.mayAsk(nowNanos)) {
+        report(nowNanos);
+      }
+    } else if (unasked.total() > 0 && asks.mayAsk(nowNanos)) {
+      asks.ask(unasked, nowNanos);
+      unasked = ClassAmounts.NONE;
     }
   }
 
+  private boolean isExhausted(TrafficClass trafficClass, long nowNanos) {
+    double coming = bucket.rate() * times.usableWaitSeconds();
+    return waiters.size() + 1 > coming
+        && asks.exhaustion(nowNanos).filter(state -> state.includes(trafficClass)).isPresent();
+  }
+
   private void serve(long nowNanos) {
     if (serving) {
       // A request that is granted, refused by a throttle and gives its token back ends up here.
@@ -219,6 +286,9 @@
     if (tryTakeGivenBack(nowNanos)) {
       return true;
     }
+    if (asks.tryTake(nowNanos)) {
+      return true;
+    }
     if (formerBucket != null && formerBucket.tryTake(nowNanos)) {
       return true;
     }
@@ -236,16 +306,19 @@
   }
 
   private void report(long nowNanos) {
+    unasked = ClassAmounts.NONE;
     reportedDemand = demand.perSecond(nowNanos);
     link.report(
         TokenShare.EMPTY, demand.perSecondByClass(nowNanos), waiters.sizeByClass(), nowNanos);
   }
 
-  private long retryAfterMillis() {
+  private long retryAfterMillis(long nowNanos) {
     double millis =
         bucket.rate() > 0
             ? MILLIS_PER_SECOND * (waiters.size() + 1) / bucket.rate()
             : MILLIS_PER_SECOND;
-    return (long) Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(MIN_RETRY_AFTER_MILLIS, millis));
+    long boundedMillis = (long) Math.min(MAX_RETRY_AFTER_MILLIS, millis);
+    long exhaustedMillis = TimeUnit.NANOSECONDS.toMillis(asks.exhaustedNanos(nowNanos));
+    return Math.max(MIN_RETRY_AFTER_MILLIS, Math.max(exhaustedMillis, boundedMillis));
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.cornelspoke.coordination.quota.ShareMessage.Ask;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Report;
@@ -43,7 +45,9 @@
     this.times = times;
     spare = new TokenBucket(nowNanos);
     link = new ShareLink(account, spare, toOwner);
-    book = new ShareBook(account, spare, toHolder, this::leaseNanos);
+    book =
+        new ShareBook(
+            account, spare, toHolder, this::leaseNanos, this::exhaustion, times, nowNanos);
     lastReportFromHolderNanos = nowNanos;
   }
 
@@ -110,6 +114,13 @@
     serve(nowNanos);
   }
 
+  void onAsk(String holder, Ask ask, long nowNanos) {
+    prepare(nowNanos);
+    lastReportFromHolderNanos = nowNanos;
+    book.onAsk(holder, ask, nowNanos);
+    serve(nowNanos);
+  }
+
   void onReturn(String holder, Return returned, long nowNanos) {
     prepare(nowNanos);
     book.onReturn(holder, returned, nowNanos);
@@ -125,6 +136,8 @@
     prepare(nowNanos);
     returnForced(nowNanos);
     serve(nowNanos);
+    link.giveUpSpent(book.passedOn(), nowNanos);
+    book.rollDemand(times.reportNanos(), nowNanos);
     if (link.reportIsOlderThan(times.reportNanos(), nowNanos)) {
       report(nowNanos);
     }
@@ -149,6 +162,10 @@
     return (long) (Math.min(times.leaseNanos(), remainingNanos) * LEASE_PART);
   }
 
+  private Optional<Exhaustion> exhaustion(ShareBook shares, long nowNanos) {
+    return shares.hasEnoughWaiting(nowNanos) ? link.exhaustion(nowNanos) : Optional.empty();
+  }
+
   private void prepare(long nowNanos) {
     dropEndedLease(nowNanos);
     if (nowNanos - recallEndNanos >= 0) {
@@ -196,7 +213,7 @@
   }
 
   private void report(long nowNanos) {
-    link.report(book.passedOn(), book.demandPerSecond(), book.waiting(), nowNanos);
+    link.report(book.passedOn(), book.demandPerSecond(nowNanos), book.waiting(), nowNanos);
   }
 
   private void dropEndedLease(long nowNanos) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareBook.java
@@ -5,8 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.LongUnaryOperator;
+import org.cornelspoke.coordination.quota.ShareMessage.Ask;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Report;
@@ -19,8 +21,9 @@
  * An owner's side of one account: the spare capacity in its own bucket, what each holder has, and
  * what was lost and waits for the end of its lease.
  *
- * <p>Rates follow demand. Most of the burst stays spare and moves to holders with waiting requests
- * together with its tokens; holders that have more than they need are asked to return it.
+ * <p>Holders with a steady demand have shares, others ask for single tokens. Rates follow demand.
+ * Most of the burst stays spare and moves to holders with waiting requests together with its
+ * tokens; holders that have more than they need are asked to return it.
  */
 final class ShareBook {
 
@@ -45,6 +48,15 @@
    */
   private static final double MIN_HELD_BURST_TOKENS = 2;
 
+  /**
+   * The same while the rate is ample. The refill that is lost isn't missed then, and a share at
+   * hand answers without a round trip and while the owner is lost.
+   */
+  private static final double MIN_HELD_BURST_OF_AMPLE_RATE_TOKENS = 1;
+
+  /** Part of the rate up to which the demand counts as small. */
+  private static final double AMPLE_DEMAND_PART = 0.75;
+
   /** Time of demand that a holder's burst covers in addition to random variation. */
   private static final double BURST_SECONDS = 0.12;
 
@@ -59,9 +71,19 @@
   private static final long RECALL_NANOS = 20_000_000L;
   private static final double ROUNDING = 1e-7;
 
+  /** Longest time for which an account counts as exhausted without a further message. */
+  private static final double MAX_EXHAUSTED_SECONDS = 0.5;
+
   /** Time that a holder without a share stays on record while its owner has no lease. */
   private static final long UNANSWERED_NANOS = 1_000_000_000L;
 
+  /** Tells whether new requests of the account would wait in vain for a token. */
+  interface ExhaustionRule {
+
+    /** Returns the state of the account, or nothing if new requests may be served. */
+    Optional<Exhaustion> apply(ShareBook book, long nowNanos);
+  }
+
   private record LostShare(double rate, double burst, long reissueNanos) {}
 
   private final AccountId account;
@@ -70,6 +92,9 @@
   private final LongUnaryOperator leaseNanosAt;
   private final Map<String, ShareChild> children = new LinkedHashMap<>();
   private final List<LostShare> lost = new ArrayList<>();
+  private final ExhaustionRule exhaustionRule;
+  private final ShareTimes times;
+  private final TokenBook tokens;
 
   /**
    * Creates a book without holders.
@@ -77,16 +102,82 @@
    * @param spare the owner's own bucket
    * @param out sends a message to a holder
    * @param leaseNanosAt length of a lease given at a time; 0 if none can be given
+   * @param exhaustionRule decides whether holders are told that the account is exhausted
    */
   ShareBook(
       AccountId account,
       TokenBucket spare,
       BiConsumer<String, ShareMessage> out,
-      LongUnaryOperator leaseNanosAt) {
+      LongUnaryOperator leaseNanosAt,
+      ExhaustionRule exhaustionRule,
+      ShareTimes times,
+      long nowNanos) {
     this.account = account;
     this.spare = spare;
     this.out = out;
     this.leaseNanosAt = leaseNanosAt;
+    this.exhaustionRule = exhaustionRule;
+    this.times = times;
+    this.tokens = new TokenBook(account, spare, out, times, nowNanos);
+  }
+
+  /** Takes an ask for single tokens and serves it, refuses it, or lets it wait. */
+  void onAsk(String holder, Ask ask, long nowNanos) {
+    boolean waitsAlready = waiting().total() > 0;
+    tokens.onAsk(holder, ask, nowNanos);
+    if (!waitsAlready) {
+      serveWaiting(nowNanos);
+    }
+    if (tokens.waiting().total() > 0) {
+      exhaustionRule.apply(this, nowNanos).ifPresent(tokens::refuseNewest);
+    }
+  }
+
+  /** Ends the window in which asks are counted if it is older than the given time. */
+  void rollDemand(long windowNanos, long nowNanos) {
+    tokens.rollDemand(windowNanos, nowNanos);
+  }
+
+  /**
+   * Compares the requests that wait with the tokens that come while a new one may wait. Answers
+   * accounts above their rate: what would be refused after its wait is refused at once.
+   */
+  static Optional<Exhaustion> exhaustedByWaiting(ShareBook book, long nowNanos) {
+    double rate = book.rate();
+    double coming = book.comingTokens(nowNanos);
+    ClassAmounts waiting = book.waiting();
+    for (TrafficClass trafficClass : TrafficClass.values()) {
+      double vain = waiting.upTo(trafficClass) + 1 - Math.max(1, coming);
+      if (waiting.of(trafficClass) > 0 && vain > 0) {
+        double seconds = rate > 0 ? vain / rate : MAX_EXHAUSTED_SECONDS;
+        return Optional.of(
+            new Exhaustion(trafficClass, (long) (Math.min(seconds, MAX_EXHAUSTED_SECONDS) * 1e9)));
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Returns true if as many requests wait as are served while a new one may wait. Fewer leave
+   * tokens unused, whatever the state of the whole account.
+   */
+  boolean hasEnoughWaiting(long nowNanos) {
+    return waiting().total() + 1 > comingTokens(nowNanos);
+  }
+
+  private double comingTokens(long nowNanos) {
+    return spare.level(nowNanos) + recallableTokens(nowNanos) + rate() * times.usableWaitSeconds();
+  }
+
+  /** Returns the tokens of holders without waiting requests, which a recall brings back. */
+  private double recallableTokens(long nowNanos) {
+    double sum = 0;
+    for (ShareChild child : children.values()) {
+      if (child.waiting().total() == 0) {
+        sum += child.highestLevel(nowNanos);
+      }
+    }
+    return sum;
   }
 
   /**
@@ -146,8 +237,10 @@
 
   /** Reissues, without tokens, what holders lost and whose leases have ended. */
   void releaseExpired(long nowNanos) {
+    tokens.releaseExpired(nowNanos);
     for (Iterator<ShareChild> all = children.values().iterator(); all.hasNext(); ) {
       ShareChild child = all.next();
+      child.dropStaleWaiting(times.reportedWaitNanos(), nowNanos);
       if (nowNanos - child.expiresNanos() >= 0) {
         all.remove();
         spare.add(new TokenShare(child.rate(), child.burst(), 0), nowNanos);
@@ -166,10 +259,14 @@
    * Gives spare tokens to holders with waiting requests and recalls more if they do not suffice.
    */
   void serveWaiting(long nowNanos) {
-    if (leaseNanosAt.applyAsLong(nowNanos) <= 0) {
+    long leaseNanos = leaseNanosAt.applyAsLong(nowNanos);
+    if (leaseNanos <= 0 || waiting().total() <= 0) {
       return;
     }
     for (TrafficClass trafficClass : TrafficClass.values()) {
+      if (leaseNanos >= times.tokenNanos()) {
+        tokens.serve(trafficClass, nowNanos);
+      }
       for (ShareChild child : children.values()) {
         if (child.waiting().upTo(trafficClass) > 0) {
           TokenShare added = takeFor(child, child.waiting().upTo(trafficClass), nowNanos);
@@ -230,10 +327,11 @@
   void clear() {
     children.clear();
     lost.clear();
+    tokens.clear();
   }
 
   boolean isEmpty() {
-    return children.isEmpty() && lost.isEmpty();
+    return children.isEmpty() && lost.isEmpty() && tokens.isEmpty();
   }
 
   /** Returns the rate of this owner and its holders together. */
@@ -249,7 +347,7 @@
   /** Returns what holders have or have lost, with an estimate of their level. */
   TokenShare passedOn() {
     double rate = 0;
-    double burst = 0;
+    double burst = tokens.outTokens();
     double level = 0;
     for (ShareChild child : children.values()) {
       rate += child.rate();
@@ -263,16 +361,20 @@
     return new TokenShare(rate, burst, level);
   }
 
-  ClassAmounts demandPerSecond() {
-    return children.values().stream()
-        .map(ShareChild::demandPerSecond)
-        .reduce(ClassAmounts.NONE, ClassAmounts::plus);
+  ClassAmounts demandPerSecond(long nowNanos) {
+    ClassAmounts sum = tokens.demandPerSecond(nowNanos);
+    for (ShareChild child : children.values()) {
+      sum = sum.plus(child.demandPerSecond());
+    }
+    return sum;
   }
 
   ClassAmounts waiting() {
-    return children.values().stream()
-        .map(ShareChild::waiting)
-        .reduce(ClassAmounts.NONE, ClassAmounts::plus);
+    ClassAmounts sum = tokens.waiting();
+    for (ShareChild child : children.values()) {
+      sum = sum.plus(child.waiting());
+    }
+    return sum;
   }
 
   /** Sends a grant, which also renews the lease from the time of the last report. */
@@ -288,7 +390,8 @@
             child.reportSequence(),
             leaseNanos,
             added,
-            wantedBurst(child)));
+            wantedBurst(child, nowNanos),
+            exhaustionRule.apply(this, nowNanos)));
   }
 
   private ShareChild startSession(
@@ -324,8 +427,8 @@
    */
   private TokenShare takeFor(ShareChild child, double waiting, long nowNanos) {
     double level = spare.level(nowNanos);
-    double wantedRate = wantedRate(child);
-    double wantedBurst = wantedBurst(child);
+    double wantedRate = wantedRate(child, nowNanos);
+    double wantedBurst = wantedBurst(child, nowNanos);
     double rate = wantedRate - child.rate();
     if (rate < wantedRate * RATE_TOLERANCE) {
       rate = 0;
@@ -342,8 +445,8 @@
   }
 
   private void recallExcess(ShareChild child, long nowNanos) {
-    double wantedRate = wantedRate(child);
-    double wantedBurst = wantedBurst(child);
+    double wantedRate = wantedRate(child, nowNanos);
+    double wantedBurst = wantedBurst(child, nowNanos);
     boolean excess =
         child.rate() > wantedRate * EXCESS_RATE + ROUNDING
             || child.burst() > wantedBurst * EXCESS_BURST + 1;
@@ -362,8 +465,8 @@
     out.accept(child.holder(), new Recall(account, child.session(), keep, forced));
   }
 
-  private double wantedRate(ShareChild child) {
-    double burst = wantedBurst(child);
+  private double wantedRate(ShareChild child, long nowNanos) {
+    double burst = wantedBurst(child, nowNanos);
     // A holder that can't keep a whole token is served token by token from the spare capacity.
     if (burst < 1) {
       return 0;
@@ -372,7 +475,7 @@
     // part of the rate stays spare and reaches the holder as tokens when requests wait.
     double part = burst / (burst + 1);
     double total = rate();
-    ClassAmounts demand = demandPerSecond();
+    ClassAmounts demand = demandPerSecond(nowNanos);
     double headroom =
         Math.min(AMPLE_RATE_HEADROOM, demand.total() > 0 ? total / demand.total() : 1);
     return headroom >= RATE_HEADROOM
@@ -396,16 +499,20 @@
     return wanted;
   }
 
-  private double wantedBurst(ShareChild child) {
+  private double wantedBurst(ShareChild child, long nowNanos) {
     double demand = child.demandPerSecond().total();
     if (demand <= 0) {
       return 0;
     }
+    double allDemand = demandPerSecond(nowNanos).total();
     double needed =
         demand * BURST_SECONDS + BURST_DEVIATIONS * Math.sqrt(demand * BURST_SECONDS) + 1;
-    double wanted =
-        Math.min(needed, HELD_BURST_PART * burst() * demand / demandPerSecond().total());
-    return wanted < MIN_HELD_BURST_TOKENS ? 0 : wanted;
+    double wanted = Math.min(needed, HELD_BURST_PART * burst() * demand / allDemand);
+    double least =
+        allDemand <= AMPLE_DEMAND_PART * rate()
+            ? MIN_HELD_BURST_OF_AMPLE_RATE_TOKENS
+            : MIN_HELD_BURST_TOKENS;
+    return wanted < least ? 0 : wanted;
   }
 
   private static double part(double kept, double all) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareChild.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareChild.java
@@ -92,6 +92,13 @@
     recalledNanos = nowNanos;
   }
 
+  /** Forgets waiting requests that have given up since the report. */
+  void dropStaleWaiting(long ageNanos, long nowNanos) {
+    if (nowNanos - levelAsOfNanos >= ageNanos) {
+      waiting = ClassAmounts.NONE;
+    }
+  }
+
   double rate() {
     return rate;
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
@@ -8,6 +8,7 @@
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Reset;
+import org.cornelspoke.coordination.quota.ShareMessage.Tokens;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.util.Assert;
@@ -68,6 +69,8 @@
       account.onRecall(recall, nowNanos);
     } else if (message instanceof Reset reset) {
       account.onReset(reset, nowNanos);
+    } else if (message instanceof Tokens tokens) {
+      account.onTokens(tokens, nowNanos);
     }
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareLink.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.cornelspoke.coordination.quota.ShareMessage.Carried;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
@@ -39,6 +40,8 @@
   private long askNanos = MIN_ASK_NANOS;
   private SentReport answered;
   private double targetBurst = Double.MAX_VALUE;
+  private Optional<Exhaustion> exhaustion = Optional.empty();
+  private long exhaustedEndNanos;
 
   ShareLink(AccountId account, TokenBucket bucket, Consumer<ShareMessage> toOwner) {
     this.account = account;
@@ -158,12 +161,22 @@
       }
     }
     targetBurst = grant.targetBurst();
+    exhaustion = grant.exhaustion();
+    exhaustedEndNanos = nowNanos + exhaustion.map(Exhaustion::nanos).orElse(0L);
     if (grant.added().levelTokens() >= 1) {
       askNanos = MIN_ASK_NANOS;
     }
     bucket.add(grant.added(), nowNanos);
   }
 
+  /** Returns whether the account is exhausted, by the owner's last grant. */
+  Optional<Exhaustion> exhaustion(long nowNanos) {
+    long leftNanos = exhaustedEndNanos - nowNanos;
+    return leftNanos > 0
+        ? exhaustion.map(state -> new Exhaustion(state.highest(), leftNanos))
+        : Optional.empty();
+  }
+
   /** Returns what exceeds the amounts to keep. */
   void onRecall(TokenShare keep, long nowNanos) {
     TokenShare held = bucket.share(nowNanos);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareMessage.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.coordination.quota;
 
+import java.util.Optional;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.util.Assert;
 
@@ -60,6 +61,7 @@
    * @param leaseNanos length of the lease, from the time when that report was sent
    * @param added what the holder gets in addition
    * @param targetBurst burst that the holder should keep; it returns more when it is not in use
+   * @param exhaustion whether new requests of the account would wait in vain
    */
   record Grant(
       AccountId account,
@@ -67,7 +69,8 @@
       long acknowledged,
       long leaseNanos,
       TokenShare added,
-      double targetBurst)
+      double targetBurst,
+      Optional<Exhaustion> exhaustion)
       implements ShareMessage {
 
     /** Checks the parts. */
@@ -77,6 +80,7 @@
       Assert.isTrue(acknowledged >= 0, "acknowledged must be 0 or more");
       Assert.isTrue(leaseNanos >= 0, "leaseNanos must be 0 or more");
       Assert.notNegative(targetBurst, "targetBurst");
+      Assert.notNull(exhaustion, "exhaustion");
     }
   }
 
@@ -138,4 +142,52 @@
       Assert.isTrue(leaseLeftNanos >= 0, "leaseLeftNanos must be 0 or more");
     }
   }
+
+  /**
+   * Holder to owner: asks for single tokens without a share. An ask that is lost is not repeated;
+   * the requests behind it run into their time limit.
+   *
+   * @param session session of the connection
+   * @param number number of the ask in the session, from 1
+   * @param requests requests that wait for a token and were not asked for before, by class
+   */
+  record Ask(AccountId account, long session, long number, ClassAmounts requests)
+      implements ShareMessage {
+
+    /** Checks the parts. */
+    public Ask {
+      Assert.notNull(account, "account");
+      Assert.isTrue(number >= 1, "number must be 1 or more");
+      Assert.notNull(requests, "requests");
+    }
+  }
+
+  /**
+   * Owner to holder: answers an ask, perhaps in several messages. Once the tokens may no longer be
+   * used, their burst is the owner's again without any message.
+   *
+   * @param session session of the ask
+   * @param number number of the ask
+   * @param count tokens, 0 or more
+   * @param usableNanos time after the ask was sent in which the tokens may be used
+   * @param exhaustion present if the ask was refused for its exhausted classes
+   */
+  record Tokens(
+      AccountId account,
+      long session,
+      long number,
+      int count,
+      long usableNanos,
+      Optional<Exhaustion> exhaustion)
+      implements ShareMessage {
+
+    /** Checks the parts. */
+    public Tokens {
+      Assert.notNull(account, "account");
+      Assert.isTrue(number >= 1, "number must be 1 or more");
+      Assert.isTrue(count >= 0, "count must be 0 or more");
+      Assert.isTrue(usableNanos >= 0, "usableNanos must be 0 or more");
+      Assert.notNull(exhaustion, "exhaustion");
+    }
+  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
@@ -175,7 +175,16 @@
         account -> {
           TokenBucket spare = new TokenBucket(nowNanos);
           return new OwnedAccount(
-              spare, new ShareBook(account, spare, out, now -> times.leaseNanos()), null);
+              spare,
+              new ShareBook(
+                  account,
+                  spare,
+                  out,
+                  now -> times.leaseNanos(),
+                  ShareBook::exhaustedByWaiting,
+                  times,
+                  nowNanos),
+              null);
         });
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareRelay.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareRelay.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.cornelspoke.coordination.quota.ShareMessage.Ask;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Report;
@@ -81,6 +82,8 @@
       account.onReport(holder, report, nowNanos);
     } else if (message instanceof Return returned) {
       account.onReturn(holder, returned, nowNanos);
+    } else if (message instanceof Ask ask) {
+      account.onAsk(holder, ask, nowNanos);
     }
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenQueue.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenQueue.java
@@ -75,7 +75,6 @@
 
   /** Refuses the requests whose deadline has passed. */
   void refuseExpired(long nowNanos, long retryAfterMillis) {
-    // A listener may add the next request of its caller.
     List<RateLimiter.Listener> expired = new ArrayList<>();
     for (Deque<Waiter> queue : waiters.values()) {
       for (Iterator<Waiter> all = queue.iterator(); all.hasNext(); ) {
@@ -87,6 +86,26 @@
         }
       }
     }
-    expired.forEach(listener -> listener.onRefused(retryAfterMillis));
+    refuse(expired, retryAfterMillis);
+  }
+
+  /** Refuses the newest requests of the exhausted classes, as many as are given by class. */
+  void refuseNewest(Exhaustion exhaustion, ClassAmounts requests, long retryAfterMillis) {
+    List<RateLimiter.Listener> given = new ArrayList<>();
+    for (Map.Entry<TrafficClass, Deque<Waiter>> entry : waiters.entrySet()) {
+      if (exhaustion.includes(entry.getKey())) {
+        long count = Math.min(Math.round(requests.of(entry.getKey())), entry.getValue().size());
+        for (long i = 0; i < count; i++) {
+          given.add(entry.getValue().pollLast().listener());
+          size--;
+        }
+      }
+    }
+    refuse(given, retryAfterMillis);
+  }
+
+  /** Called with the queue in order, since a listener may add the next request of its caller. */
+  private static void refuse(List<RateLimiter.Listener> listeners, long retryAfterMillis) {
+    listeners.forEach(listener -> listener.onRefused(retryAfterMillis));
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
@@ -1,26 +1,34 @@
 package org.cornelspoke.protocol.quota;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import org.cornelspoke.coordination.quota.ClassAmounts;
+import org.cornelspoke.coordination.quota.Exhaustion;
 import org.cornelspoke.coordination.quota.ShareFrame;
 import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
 import org.cornelspoke.coordination.quota.ShareMessage;
+import org.cornelspoke.coordination.quota.ShareMessage.Ask;
 import org.cornelspoke.coordination.quota.ShareMessage.Carried;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
 import org.cornelspoke.coordination.quota.ShareMessage.Report;
 import org.cornelspoke.coordination.quota.ShareMessage.Reset;
 import org.cornelspoke.coordination.quota.ShareMessage.Return;
+import org.cornelspoke.coordination.quota.ShareMessage.Tokens;
 import org.cornelspoke.coordination.quota.TokenShare;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.TrafficClass;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Writes share messages as MessagePack arrays {@code [type, account, session, fields...]} and reads
- * them.
+ * Writes batches of share messages as a MessagePack array of arrays {@code [type, account, session,
+ * fields...]} and reads them.
  *
  * <p>Stateless and safe for use by any thread.
  */
@@ -34,25 +42,37 @@
 
   private static final int CARRIED = 6;
   private static final int HOLDER_READY = 7;
+  private static final int ASK = 8;
+  private static final int TOKENS = 9;
 
   private static final int REPORT_SIZE = 13;
-  private static final int GRANT_SIZE = 7;
+  private static final int GRANT_SIZE = 8;
   private static final int RESET_SIZE = 3;
   private static final int RECALL_SIZE = 5;
   private static final int RETURN_SIZE = 5;
   private static final int CARRIED_SIZE = 5;
   private static final int HOLDER_READY_SIZE = 2;
+  private static final int ASK_SIZE = 5;
+  private static final int TOKENS_SIZE = 7;
   private static final int SHARE_SIZE = 3;
+  private static final int EXHAUSTION_SIZE = 2;
+
+  /** Classes by the number that stands for them on the wire. */
+  private static final List<TrafficClass> CLASSES =
+      List.of(TrafficClass.CRITICAL, TrafficClass.INTERACTIVE, TrafficClass.BULK);
 
   /** Leases are written in milliseconds, rounded up, which takes fewer bytes. */
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private ShareMessageCodec() {}
 
-  /** Returns the encoded message. */
-  public static byte[] encode(ShareFrame message) {
+  /** Returns a batch of messages, which may be empty. */
+  public static byte[] encode(List<? extends ShareFrame> batch) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-      write(packer, message);
+      packer.packArrayHeader(batch.size());
+      for (ShareFrame message : batch) {
+        write(packer, message);
+      }
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("writing to memory failed", e);
@@ -60,17 +80,29 @@
   }
 
   /**
-   * Reads one message that fills the array.
+   * Reads a batch that fills the array.
    *
-   * @throws IOException if the bytes are not exactly one valid message
+   * @throws IOException if the bytes are not exactly one valid batch
    */
-  public static ShareFrame decode(byte[] bytes) throws IOException {
+  public static List<ShareFrame> decode(byte[] bytes) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      ShareFrame message = read(unpacker);
+      int size = readSize(unpacker);
+      List<ShareFrame> batch = new ArrayList<>();
+      for (int i = 0; i < size; i++) {
+        batch.add(read(unpacker));
+      }
       if (unpacker.hasNext()) {
-        throw new IOException("bytes after the share message");
+        throw new IOException("bytes after the share messages");
       }
-      return message;
+      return batch;
+    }
+  }
+
+  private static int readSize(MessageUnpacker unpacker) throws IOException {
+    try {
+      return unpacker.unpackArrayHeader();
+    } catch (MessagePackException e) {
+      throw new IOException("malformed batch of share messages", e);
     }
   }
 
@@ -90,6 +122,7 @@
       packer.packLong(grant.leaseNanos());
       writeShare(packer, grant.added());
       packer.packDouble(grant.targetBurst());
+      writeExhaustion(packer, grant.exhaustion());
     } else if (message instanceof Reset reset) {
       writeHead(packer, RESET_SIZE, RESET, reset);
     } else if (message instanceof Recall recall) {
@@ -104,6 +137,16 @@
       writeHead(packer, CARRIED_SIZE, CARRIED, carried);
       writeShare(packer, carried.share());
       writeMillis(packer, carried.leaseLeftNanos());
+    } else if (message instanceof Ask ask) {
+      writeHead(packer, ASK_SIZE, ASK, ask);
+      packer.packLong(ask.number());
+      writeAmounts(packer, ask.requests());
+    } else if (message instanceof Tokens tokens) {
+      writeHead(packer, TOKENS_SIZE, TOKENS, tokens);
+      packer.packLong(tokens.number());
+      packer.packInt(tokens.count());
+      writeMillisDown(packer, tokens.usableNanos());
+      writeExhaustion(packer, tokens.exhaustion());
     } else if (message instanceof HolderReady ready) {
       packer.packArrayHeader(HOLDER_READY_SIZE);
       packer.packInt(HOLDER_READY);
@@ -154,10 +197,20 @@
               unpacker.unpackLong(),
               unpacker.unpackLong(),
               readShare(unpacker),
-              unpacker.unpackDouble());
+              unpacker.unpackDouble(),
+              readExhaustion(unpacker));
       case RESET -> new Reset(account, session);
       case RECALL -> new Recall(account, session, readShare(unpacker), unpacker.unpackBoolean());
       case CARRIED -> new Carried(account, session, readShare(unpacker), readMillis(unpacker));
+      case ASK -> new Ask(account, session, unpacker.unpackLong(), readAmounts(unpacker));
+      case TOKENS ->
+          new Tokens(
+              account,
+              session,
+              unpacker.unpackLong(),
+              unpacker.unpackInt(),
+              readMillis(unpacker),
+              readExhaustion(unpacker));
       default -> new Return(account, session, unpacker.unpackLong(), readShare(unpacker));
     };
   }
@@ -171,6 +224,8 @@
       case RETURN -> RETURN_SIZE;
       case CARRIED -> CARRIED_SIZE;
       case HOLDER_READY -> HOLDER_READY_SIZE;
+      case ASK -> ASK_SIZE;
+      case TOKENS -> TOKENS_SIZE;
       default -> -1;
     };
   }
@@ -187,10 +242,36 @@
     packer.packLong((nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
   }
 
+  /** Rounds down a time that must not become longer. */
+  private static void writeMillisDown(MessagePacker packer, long nanos) throws IOException {
+    packer.packLong(nanos / NANOS_PER_MILLI);
+  }
+
   private static long readMillis(MessageUnpacker unpacker) throws IOException {
     return Math.multiplyExact(unpacker.unpackLong(), NANOS_PER_MILLI);
   }
 
+  private static void writeExhaustion(MessagePacker packer, Optional<Exhaustion> exhaustion)
+      throws IOException {
+    if (exhaustion.isEmpty()) {
+      packer.packNil();
+      return;
+    }
+    packer.packArrayHeader(EXHAUSTION_SIZE);
+    packer.packInt(CLASSES.indexOf(exhaustion.get().highest()));
+    writeMillis(packer, exhaustion.get().nanos());
+  }
+
+  private static Optional<Exhaustion> readExhaustion(MessageUnpacker unpacker) throws IOException {
+    if (unpacker.tryUnpackNil()) {
+      return Optional.empty();
+    }
+    if (unpacker.unpackArrayHeader() != EXHAUSTION_SIZE) {
+      throw new IOException("a state of an account has " + EXHAUSTION_SIZE + " values");
+    }
+    return Optional.of(new Exhaustion(CLASSES.get(unpacker.unpackInt()), readMillis(unpacker)));
+  }
+
   private static void writeAmounts(MessagePacker packer, ClassAmounts amounts) throws IOException {
     packer.packFloat((float) amounts.critical());
     packer.packFloat((float) amounts.interactive());
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ShareHolderTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ShareHolderTest.java
@@ -4,9 +4,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
-import org.cornelspoke.coordination.quota.ShareMessage.Grant;
-import org.cornelspoke.coordination.quota.ShareMessage.Report;
+import org.cornelspoke.coordination.quota.ShareMessage.Ask;
+import org.cornelspoke.coordination.quota.ShareMessage.Tokens;
 import org.cornelspoke.model.AccountId;
 import org.junit.jupiter.api.Test;
 
@@ -80,10 +81,9 @@
           },
           0);
     }
-    Report report = (Report) sent.get(0);
-    TokenShare one = new TokenShare(0, 1, 1);
+    Ask ask = (Ask) sent.get(0);
     holder.onMessage(
-        new Grant(FIRST, report.session(), report.sequence(), 1_000_000_000L, one, 1), 1);
+        new Tokens(FIRST, ask.session(), ask.number(), 1, WAIT_NANOS, Optional.empty()), 1);
 
     assertThat(granted).isEqualTo(WAITING);
   }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/SmallAccountSharesTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/SmallAccountSharesTest.java
@@ -35,7 +35,8 @@
 
   private static final ShareTimes TIMES =
       new ShareTimes(
-          TimeUnit.SECONDS.toNanos(10), 300 * MILLI, 1_500 * MILLI, TimeUnit.SECONDS.toNanos(4));
+              TimeUnit.SECONDS.toNanos(10), 300 * MILLI, 1_500 * MILLI, TimeUnit.SECONDS.toNanos(4))
+          .withWaitNanos(WAIT_NANOS);
 
   private final RandomGenerator random = new Well19937c(7);
   private final SimulatedNetwork network = new SimulatedNetwork(random);
--- a/cornelspoke-core/src/test/java/org/cornelspoke/protocol/quota/ShareMessageCodecTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/quota/ShareMessageCodecTest.java
@@ -6,11 +6,14 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import org.cornelspoke.coordination.quota.ClassAmounts;
+import org.cornelspoke.coordination.quota.Exhaustion;
 import org.cornelspoke.coordination.quota.ShareFrame;
 import org.cornelspoke.coordination.quota.ShareMessage;
 import org.cornelspoke.coordination.quota.TokenShare;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.TrafficClass;
 import org.junit.jupiter.api.Test;
 
 /** Guards against messages that change on the way and against malformed ones being accepted. */
@@ -29,7 +32,19 @@
               new ClassAmounts(99.5, 0, 1),
               new ClassAmounts(0, 4, 0),
               3_200_000_000L),
-          new ShareMessage.Grant(ACCOUNT, 5, 3, 3_000_000_000L, SHARE, 9),
+          new ShareMessage.Grant(ACCOUNT, 5, 3, 3_000_000_000L, SHARE, 9, Optional.empty()),
+          new ShareMessage.Grant(
+              ACCOUNT,
+              5,
+              4,
+              3_000_000_000L,
+              SHARE,
+              9,
+              Optional.of(new Exhaustion(TrafficClass.BULK, 40_000_000L))),
+          new ShareMessage.Ask(ACCOUNT, 5, 7, new ClassAmounts(1, 0, 2)),
+          new ShareMessage.Tokens(ACCOUNT, 5, 7, 2, 130_000_000L, Optional.empty()),
+          new ShareMessage.Tokens(
+              ACCOUNT, 5, 7, 0, 0, Optional.of(new Exhaustion(TrafficClass.CRITICAL, 0))),
           new ShareMessage.Reset(ACCOUNT, 5),
           new ShareMessage.Recall(ACCOUNT, 5, SHARE, true),
           new ShareMessage.Return(ACCOUNT, 5, 6, SHARE),
@@ -38,15 +53,17 @@
 
   @Test
   void everyMessageSurvivesEncoding() throws IOException {
+    assertThat(ShareMessageCodec.decode(ShareMessageCodec.encode(MESSAGES))).isEqualTo(MESSAGES);
     for (ShareFrame message : MESSAGES) {
-      assertThat(ShareMessageCodec.decode(ShareMessageCodec.encode(message))).isEqualTo(message);
+      assertThat(ShareMessageCodec.decode(encode(message))).containsExactly(message);
     }
+    assertThat(ShareMessageCodec.decode(ShareMessageCodec.encode(List.of()))).isEmpty();
   }
 
   @Test
   void truncatedOrLengthenedMessagesAreRefused() {
     for (ShareFrame message : MESSAGES) {
-      byte[] bytes = ShareMessageCodec.encode(message);
+      byte[] bytes = encode(message);
       for (int length = 0; length < bytes.length; length++) {
         byte[] shorter = Arrays.copyOf(bytes, length);
         assertThrows(IOException.class, () -> ShareMessageCodec.decode(shorter));
@@ -58,8 +75,12 @@
 
   @Test
   void unknownTypeIsRefused() {
-    byte[] bytes = ShareMessageCodec.encode(MESSAGES.get(2));
-    bytes[1] = 9;
+    byte[] bytes = encode(MESSAGES.get(2));
+    bytes[2] = 99;
     assertThrows(IOException.class, () -> ShareMessageCodec.decode(bytes));
   }
+
+  private static byte[] encode(ShareFrame message) {
+    return ShareMessageCodec.encode(List.of(message));
+  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
@@ -2,6 +2,7 @@
 
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cornelspoke.coordination.quota.ShareFrame;
@@ -22,10 +23,14 @@
   /** A fraction of the wait for a token; each tick costs a wake-up of the traffic thread. */
   private static final long TICK_MILLIS = 50;
 
+  /** Shortest time between two batches to the relay; a tenth of the wait for a token. */
+  private static final long BATCH_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
   private final Eventloop traffic;
   private final Eventloop control;
   private final DaemonId daemon;
   private final ShareHolder holder;
+  private final BatchSender outbox;
   private Consumer<byte[]> relay;
   private long lastSession;
 
@@ -33,7 +38,8 @@
     this.traffic = traffic;
     this.control = control;
     this.daemon = daemon;
-    this.holder = new ShareHolder(times, this::send);
+    this.outbox = new BatchSender(traffic, BATCH_NANOS, this::send);
+    this.holder = new ShareHolder(times, outbox::add);
   }
 
   ShareHolder holder() {
@@ -58,33 +64,48 @@
         () -> {
           long micros = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
           lastSession = Math.max(lastSession + 1, micros);
+          outbox.clear();
           holder.onConnected(lastSession, System.nanoTime());
-          send(new HolderReady(daemon.value()));
+          outbox.add(new HolderReady(daemon.value()));
         });
   }
 
   @Override
   public void onDetached() {
-    traffic.execute(() -> holder.onDisconnected(System.nanoTime()));
+    traffic.execute(
+        () -> {
+          outbox.clear();
+          holder.onDisconnected(System.nanoTime());
+        });
   }
 
   @Override
   public void onMessage(byte[] message) {
-    ShareFrame decoded;
+    List<ShareFrame> decoded;
     try {
       decoded = ShareMessageCodec.decode(message);
     } catch (IOException e) {
       throw new IllegalArgumentException("malformed share message", e);
     }
-    if (!(decoded instanceof ShareMessage shareMessage)) {
-      throw new IllegalArgumentException("a relay must not send " + decoded);
+    for (ShareFrame frame : decoded) {
+      if (!(frame instanceof ShareMessage)) {
+        throw new IllegalArgumentException("a relay must not send " + frame);
+      }
+    }
+    traffic.execute(() -> receive(decoded));
+  }
+
+  private void receive(List<ShareFrame> batch) {
+    long now = System.nanoTime();
+    outbox.onAnswer();
+    for (ShareFrame frame : batch) {
+      holder.onMessage((ShareMessage) frame, now);
     }
-    traffic.execute(() -> holder.onMessage(shareMessage, System.nanoTime()));
   }
 
-  private void send(ShareFrame message) {
-    byte[] encoded = ShareMessageCodec.encode(message);
-    // A message that meets a lost connection is dropped; the next session states what is held.
+  private void send(List<ShareFrame> batch) {
+    byte[] encoded = ShareMessageCodec.encode(batch);
+    // A batch that meets a lost connection is dropped; the next session states what is held.
     control.execute(() -> relay.accept(encoded));
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -4,8 +4,11 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +20,7 @@
 import org.cornelspoke.coordination.quota.ShareOwner;
 import org.cornelspoke.coordination.quota.ShareRelay;
 import org.cornelspoke.coordination.quota.ShareTimes;
+import org.cornelspoke.coordination.quota.ShareTurns;
 import org.cornelspoke.daemon.relay.RelayServer;
 import org.cornelspoke.daemon.relay.ShareEndpoint;
 import org.cornelspoke.model.DaemonId;
@@ -42,6 +46,9 @@
   /** Less than half of the age at which a proof of leadership ends. */
   private static final long PROOF_MILLIS = 400;
 
+  /** Shortest time between two batches to the owner; a twentieth of the wait for a token. */
+  private static final long BATCH_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
   private static final long QUIET_LOG_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final NioReactor reactor;
@@ -51,6 +58,10 @@
   private final ShareTimes times;
   private final double sharedBurstPart;
   private final ShareRelay middle;
+  private final ShareTurns turns = new ShareTurns(System::nanoTime);
+  private final BatchSender toOwner;
+  private final Map<DaemonId, List<ShareFrame>> toDaemons = new LinkedHashMap<>();
+  private final Map<VmId, List<ShareFrame>> toRelays = new LinkedHashMap<>();
   private final Set<DaemonId> readyDaemons = new LinkedHashSet<>();
   private RelayServer server;
   private Optional<ShareOwner> owner = Optional.empty();
@@ -64,6 +75,7 @@
   private long lastSession;
   private long provedAtNanos;
   private ScheduledRunnable nextTick;
+  private Optional<ScheduledRunnable> nextTurn = Optional.empty();
 
   RelayShares(
       NioReactor reactor,
@@ -77,7 +89,8 @@
     this.self = self;
     this.log = log;
     this.config = config;
-    this.middle = new ShareRelay(times, this::sendToOwner, this::sendToDaemon);
+    this.toOwner = new BatchSender(reactor, BATCH_NANOS, this::transmitToOwner);
+    this.middle = new ShareRelay(times, toOwner::add, this::sendToDaemon);
   }
 
   void start(RelayServer relayServer) {
@@ -88,6 +101,7 @@
 
   void stop() {
     nextTick.cancel();
+    nextTurn.ifPresent(ScheduledRunnable::cancel);
   }
 
   @Override
@@ -103,21 +117,40 @@
 
   @Override
   public void onMessage(DaemonId daemon, byte[] message) {
-    ShareFrame decoded = decode(message);
-    if (decoded instanceof ShareMessage share) {
+    List<ShareFrame> batch = decode(message);
+    inTurn(
+        () -> {
+          // Every batch is answered, if only with an empty one, so that the daemon sends the next.
+          toDaemons.computeIfAbsent(daemon, unused -> new ArrayList<>());
+          batch.forEach(frame -> receiveFromDaemon(daemon, frame));
+        });
+  }
+
+  private void receiveFromDaemon(DaemonId daemon, ShareFrame frame) {
+    if (frame instanceof ShareMessage share) {
       middle.onHolderMessage(daemon.value(), share, System.nanoTime());
     } else {
       readyDaemons.add(daemon);
       if (connectedTo.isPresent()) {
-        sendToOwner(new HolderReady(daemon.value()));
+        toOwner.add(new HolderReady(daemon.value()));
       }
     }
   }
 
   @Override
   public void onRelayMessage(VmId relay, byte[] message) {
-    ShareFrame decoded = decode(message);
-    currentOwner(System.nanoTime()).ifPresent(o -> receiveAsOwner(o, relay, decoded));
+    receiveFromRelay(relay, decode(message));
+  }
+
+  private void receiveFromRelay(VmId relay, List<ShareFrame> batch) {
+    inTurn(
+        () ->
+            currentOwner(System.nanoTime())
+                .ifPresent(
+                    current -> {
+                      toRelays.computeIfAbsent(relay, unused -> new ArrayList<>());
+                      batch.forEach(frame -> receiveAsOwner(current, relay, frame));
+                    }));
   }
 
   private void receiveAsOwner(ShareOwner current, VmId relay, ShareFrame frame) {
@@ -145,12 +178,76 @@
 
   @Override
   public void onOwnerMessage(VmId from, byte[] message) {
-    ShareFrame decoded = decode(message);
-    if (!(decoded instanceof ShareMessage share)) {
-      throw new IllegalArgumentException("an owner must not send " + decoded);
+    List<ShareFrame> batch = decode(message);
+    for (ShareFrame frame : batch) {
+      if (!(frame instanceof ShareMessage)) {
+        throw new IllegalArgumentException("an owner must not send " + frame);
+      }
+    }
+    receiveFromOwner(from, batch);
+  }
+
+  private void receiveFromOwner(VmId from, List<ShareFrame> batch) {
+    inTurn(
+        () -> {
+          if (connectedTo.filter(from::equals).isPresent()) {
+            toOwner.onAnswer();
+            batch.forEach(frame -> middle.onOwnerMessage((ShareMessage) frame, System.nanoTime()));
+          }
+        });
+  }
+
+  /** Leaves the thread to the consensus and to other work between turns. */
+  private void inTurn(Runnable work) {
+    turns.add(work);
+    planTurn();
+  }
+
+  private void planTurn() {
+    if (nextTurn.isEmpty()) {
+      long delayMillis = TimeUnit.NANOSECONDS.toMillis(Math.max(0, turns.delayNanos()));
+      nextTurn = Optional.of(reactor.delayBackground(delayMillis, this::turn));
+    }
+  }
+
+  private void turn() {
+    nextTurn = Optional.empty();
+    try {
+      turns.run();
+    } finally {
+      // A message that can't be handled must not keep the others waiting.
+      flush();
+      if (turns.hasWork()) {
+        planTurn();
+      }
+    }
+  }
+
+  private void flush() {
+    toDaemons.forEach((daemon, batch) -> server.sendShare(daemon, ShareMessageCodec.encode(batch)));
+    toDaemons.clear();
+    toRelays.forEach(this::flushToRelay);
+    toRelays.clear();
+  }
+
+  private void flushToRelay(VmId relay, List<ShareFrame> batch) {
+    if (relay.equals(self)) {
+      receiveFromOwner(self, batch);
+    } else {
+      server.answerShareOfRelay(relay, ShareMessageCodec.encode(batch));
+    }
+  }
+
+  private void transmitToOwner(List<ShareFrame> batch) {
+    if (connectedTo.isEmpty()) {
+      return;
     }
-    if (connectedTo.filter(from::equals).isPresent()) {
-      middle.onOwnerMessage(share, System.nanoTime());
+    VmId leader = connectedTo.get();
+    if (leader.equals(self)) {
+      receiveFromRelay(self, batch);
+    } else if (!server.sendShareToOwner(leader, ShareMessageCodec.encode(batch))) {
+      // The batch is lost, so the session must end.
+      onOwnerLost(leader);
     }
   }
 
@@ -162,12 +259,13 @@
   }
 
   private void tick() {
+    nextTick = reactor.delayBackground(TICK_MILLIS, this::tick);
     long now = System.nanoTime();
     followLeadership(now);
     followLeader(now);
     owner.ifPresent(o -> o.onTick(now));
     middle.onTick(now);
-    nextTick = reactor.delayBackground(TICK_MILLIS, this::tick);
+    flush();
   }
 
   /** Relays may learn of an election and send before the next tick here. */
@@ -258,40 +356,27 @@
       connectedTo = leader;
       connectedTerm = log.term();
       lastSession = Math.max(lastSession + 1, wallClockMicros());
+      toOwner.clear();
       middle.onConnected(lastSession, now);
-      List.copyOf(readyDaemons).forEach(daemon -> sendToOwner(new HolderReady(daemon.value())));
+      List.copyOf(readyDaemons).forEach(daemon -> toOwner.add(new HolderReady(daemon.value())));
     }
   }
 
   private void disconnect() {
     connectedTo = Optional.empty();
+    toOwner.clear();
     middle.onDisconnected(System.nanoTime());
   }
 
-  private void sendToOwner(ShareFrame message) {
-    VmId leader = connectedTo.orElseThrow();
-    if (leader.equals(self)) {
-      reactor.postLast(
-          () -> currentOwner(System.nanoTime()).ifPresent(o -> receiveAsOwner(o, self, message)));
-    } else if (!server.sendShareToOwner(leader, ShareMessageCodec.encode(message))) {
-      // The message is lost, so the session must end; not now, because the caller is in it.
-      reactor.postLast(() -> onOwnerLost(leader));
-    }
-  }
-
   private void sendToRelay(String relay, ShareMessage message) {
-    if (relay.equals(self.value())) {
-      reactor.postLast(() -> middle.onOwnerMessage(message, System.nanoTime()));
-    } else {
-      server.answerShareOfRelay(new VmId(relay), ShareMessageCodec.encode(message));
-    }
+    toRelays.computeIfAbsent(new VmId(relay), unused -> new ArrayList<>()).add(message);
   }
 
   private void sendToDaemon(String daemon, ShareMessage message) {
-    server.sendShare(new DaemonId(daemon), ShareMessageCodec.encode(message));
+    toDaemons.computeIfAbsent(new DaemonId(daemon), unused -> new ArrayList<>()).add(message);
   }
 
-  private static ShareFrame decode(byte[] message) {
+  private static List<ShareFrame> decode(byte[] message) {
     try {
       return ShareMessageCodec.decode(message);
     } catch (IOException e) {
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/runtime/HolderChannelTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/runtime/HolderChannelTest.java
@@ -5,7 +5,6 @@
 import io.activej.eventloop.Eventloop;
 import java.util.ArrayList;
 import java.util.List;
-import org.cornelspoke.coordination.quota.ShareFrame;
 import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
 import org.cornelspoke.coordination.quota.ShareTimes;
 import org.cornelspoke.model.DaemonId;
@@ -33,7 +32,7 @@
     control.run();
 
     assertThat(sent).hasSize(1);
-    ShareFrame frame = ShareMessageCodec.decode(sent.get(0));
-    assertThat(frame).isEqualTo(new HolderReady(daemon.value()));
+    assertThat(ShareMessageCodec.decode(sent.get(0)))
+        .containsExactly(new HolderReady(daemon.value()));
   }
 }
