Bound the memory of answers without an end

Cause: upstreams in trouble may send bytes without end until the caller closes. Heads, chunk lines, trailers, interim answers and surplus were bounded; a body without a length grew to the largest body, 64 MiB on the platform, on each connection, so a few of them took the heap of 160 MiB.

Change: unfinished answers of an upstream may take a quarter of the heap together. Above it the largest one is given up: its connection is closed, and its caller learns that the request may have run.

Tests: nine kinds of endless answers and endless surplus on a kept connection (passed before), a hundred large bodies at once with another request beside them (new).

Conclusion: one upstream in trouble can't take the memory of its daemon.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/BodyReader.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/BodyReader.java
@@ -87,6 +87,11 @@
     return untilClose;
   }
 
+  /** Returns the memory that the body takes so far. */
+  int reservedBytes() {
+    return body.length;
+  }
+
   /** Returns the bytes read. */
   byte[] body() {
     return size == body.length ? body : Arrays.copyOf(body, size);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
@@ -45,6 +45,7 @@
   private boolean writing;
   private boolean closed;
   private long writtenBytes;
+  private int reservedBytes;
   private long idleSinceNanos;
   private long idleLimitNanos = DEFAULT_IDLE_NANOS;
 
@@ -126,6 +127,24 @@
     } catch (HttpSyntaxException e) {
       fail();
     }
+    if (exchange != null && bodyReader != null) {
+      reserve(bodyReader.reservedBytes());
+    }
+  }
+
+  int reservedBytes() {
+    return reservedBytes;
+  }
+
+  /** Gives up an answer that takes more memory than there is; the request may have run. */
+  void giveUp() {
+    fail();
+  }
+
+  private void reserve(int bytes) {
+    int change = bytes - reservedBytes;
+    reservedBytes = bytes;
+    pool.onReserved(change);
   }
 
   @Override
@@ -142,6 +161,7 @@
       return;
     }
     closed = true;
+    reserve(0);
     socket.close();
     pool.onClosed(this);
   }
@@ -212,6 +232,7 @@
     AnswerPolicy.Kind kind = judge();
     CallResult answer = result(kind);
     exchange = null;
+    reserve(0);
     boolean clean = kind != AnswerPolicy.Kind.UNUSABLE && skippedAnswers == 0;
     if (in.size() > 0) {
       pool.onSurplus();
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamPool.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamPool.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
@@ -37,6 +38,9 @@
    */
   private static final long MIN_REST_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
 
+  /** Part of the heap that unfinished answers of the upstream may take. */
+  private static final double RESERVED_HEAP_PART = 0.25;
+
   private static final SocketSettings SOCKET_SETTINGS =
       SocketSettings.builder().withTcpNoDelay(true).build();
 
@@ -49,8 +53,11 @@
   private final Counter surplus;
   private final Counter unexpectedData;
   private final Counter opened;
+  private final Counter givenUp;
   private int maxConnections;
   private int connecting;
+  private long maxReservedBytes = (long) (Runtime.getRuntime().maxMemory() * RESERVED_HEAP_PART);
+  private long reservedBytes;
   private boolean closed;
 
   /**
@@ -74,6 +81,7 @@
     this.maxConnections = maxConnections;
     this.surplus = metrics.counter("upstream.surplus-closes");
     this.unexpectedData = metrics.counter("upstream.idle-data-closes");
+    this.givenUp = metrics.counter("upstream.answers-given-up");
     this.opened = metrics.counter("upstream.connections-opened");
   }
 
@@ -89,6 +97,12 @@
     maxConnections = connections;
   }
 
+  /** Sets the memory that unfinished answers may take; a quarter of the heap by default. */
+  public void setMaxReservedBytes(long bytes) {
+    Assert.isTrue(bytes > 0, "bytes must be positive");
+    maxReservedBytes = bytes;
+  }
+
   /** Sends a request. */
   public UpstreamExchange send(UpstreamRequest request, UpstreamExchange.Listener listener) {
     UpstreamExchange exchange = new UpstreamExchange(request, listener);
@@ -130,6 +144,20 @@
     idle.remove(connection);
   }
 
+  /**
+   * Counts the memory of unfinished answers. If there is too much, the largest answer is given up:
+   * a faulty upstream may send bytes without end, on many connections at once.
+   */
+  void onReserved(long changeBytes) {
+    reservedBytes += changeBytes;
+    if (changeBytes > 0 && reservedBytes > maxReservedBytes) {
+      givenUp.inc();
+      open.stream()
+          .max(Comparator.comparingInt(UpstreamConnection::reservedBytes))
+          .ifPresent(UpstreamConnection::giveUp);
+    }
+  }
+
   void onSurplus() {
     surplus.inc();
   }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamPoolTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamPoolTest.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.transport.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
 import com.codahale.metrics.MetricRegistry;
@@ -27,10 +28,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class UpstreamPoolTest {
 
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+  private static final int MAX_BODY_BYTES = 1 << 20;
   private static final String FORGED = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
 
   private final Eventloop reactor = Eventloop.create();
@@ -225,6 +228,120 @@
     assertThat(last.headers().size()).isEqualTo(0);
   }
 
+  /** Guards against an upstream whose bytes never end and take memory until the deadline. */
+  @Test
+  void answersWithoutEndAreGivenUp() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\n";
+    String chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (String[] answer :
+        new String[][] {
+          {"endless status line", "HTTP/1.1 200 ", "a"},
+          {"endless header line", head + "X: ", "a"},
+          {"endless headers", head, "X: a\r\n"},
+          {"endless interim answers", interim, interim},
+          {"endless chunk size", chunked, "0"},
+          {"endless chunk extension", chunked + "1;", "a"},
+          {"endless chunks", chunked, "4\r\naaaa\r\n"},
+          {"endless trailer", chunked + "0\r\n", "X: a\r\n"},
+          {"endless body without length", head + "Connection: close\r\n\r\n", "a"},
+        }) {
+      CompletableFuture<CallResult> result = send("POST");
+      Socket socket = accepted.take();
+      readRequest(socket);
+      CompletableFuture<Void> closed = writeWithoutEnd(socket, answer[1], answer[2]);
+      assertWithMessage(answer[0])
+          .that(result.get())
+          .isEqualTo(new CallResult.Failed(RefusalReason.UPSTREAM_FAILED));
+      closed.get(20, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Guards against surplus without end on a kept connection; the answer before it is whole. */
+  @Test
+  void surplusWithoutEndClosesTheConnection() throws Exception {
+    CompletableFuture<CallResult> result = send("GET");
+    Socket socket = accepted.take();
+    readRequest(socket);
+    CompletableFuture<Void> closed = writeWithoutEnd(socket, OK + "ok", "surplus");
+    assertThat(bodyOf(result)).isEqualTo("ok");
+    closed.get(20, TimeUnit.SECONDS);
+    assertNextRequestIsAnsweredOn(accepted);
+  }
+
+  /** Guards against many bodies without end that together take the memory of the daemon. */
+  @Test
+  @Timeout(60)
+  void memoryOfManyBodiesWithoutEndIsBounded() throws Exception {
+    onReactor(
+        () -> {
+          pool.setMaxReservedBytes(4 * MAX_BODY_BYTES);
+          return null;
+        });
+    List<CompletableFuture<CallResult>> results = new ArrayList<>();
+    List<CompletableFuture<Void>> writers = new ArrayList<>();
+    // A socket that is collected would be closed, which ends its body.
+    List<Socket> sockets = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      results.add(send("GET"));
+      Socket socket = accepted.take();
+      readRequest(socket);
+      sockets.add(socket);
+      // Less than the largest body each; together 50 times that.
+      writers.add(
+          CompletableFuture.runAsync(
+              () -> writeBody(socket, MAX_BODY_BYTES / 2), runnable -> daemonThread(runnable)));
+    }
+    CompletableFuture.allOf(writers.toArray(CompletableFuture[]::new)).get(20, TimeUnit.SECONDS);
+
+    assertNextRequestIsAnsweredOn(accepted);
+    // Four bodies fit; what the kernel still holds arrives soon.
+    while (failedAndGivenUp(results)[0] < results.size() - 4) {
+      Thread.sleep(10);
+    }
+    long[] counts = failedAndGivenUp(results);
+    assertThat(counts[1]).isEqualTo(counts[0]);
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  /** Returns how many exchanges have failed and how many answers were given up, at one moment. */
+  private long[] failedAndGivenUp(List<CompletableFuture<CallResult>> results) throws Exception {
+    return onReactor(
+        () ->
+            new long[] {
+              results.stream().filter(CompletableFuture::isDone).count(),
+              metrics.counter("upstream.answers-given-up").getCount()
+            });
+  }
+
+  /** Sends a part of a body and keeps the connection open, or stops when the caller closes. */
+  private static void writeBody(Socket socket, int bytes) {
+    try {
+      write(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + "a".repeat(bytes));
+    } catch (IOException e) {
+      // The caller has closed the connection.
+    }
+  }
+
+  /** Writes until the caller closes the connection. */
+  private static CompletableFuture<Void> writeWithoutEnd(Socket socket, String start, String more) {
+    CompletableFuture<Void> closed = new CompletableFuture<>();
+    daemonThread(
+        () -> {
+          try {
+            write(socket, start);
+            while (true) {
+              write(socket, more.repeat(1_000));
+            }
+          } catch (IOException e) {
+            closed.complete(null);
+          }
+        });
+    return closed;
+  }
+
   private void assertNextRequestIsAnsweredOn(LinkedBlockingQueue<Socket> sockets) throws Exception {
     CompletableFuture<CallResult> next = send("GET");
     Socket socket = sockets.take();
@@ -249,7 +366,12 @@
   private UpstreamPool newPool(int port) {
     // No spare connections, so that the order of accepted sockets is known.
     return new UpstreamPool(
-        reactor, new Endpoint("127.0.0.1", port), 1 << 20, 0, new DefaultAnswerPolicy(), metrics);
+        reactor,
+        new Endpoint("127.0.0.1", port),
+        MAX_BODY_BYTES,
+        0,
+        new DefaultAnswerPolicy(),
+        metrics);
   }
 
   private CompletableFuture<CallResult> send(String method) {
