--- a/cornelspoke-bench/src/test/java/org/cornelspoke/bench/scenario/ScenarioRunTest.java
+++ b/cornelspoke-bench/src/test/java/org/cornelspoke/bench/scenario/ScenarioRunTest.java
@@ -4,7 +4,6 @@
 
 import org.cornelspoke.coordination.admission.LimitAlgorithm;
 import org.cornelspoke.model.TrafficClass;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a bench that measures nothing, and against a loss of class 1 under overload. */
@@ -27,12 +26,8 @@
     assertThat(product.overBound()).isEqualTo(0);
   }
 
-  /**
-   * Guards against tokens of an account over its rate that are shared without regard to class.
-   * Known to fail, see KNOWN-RED.txt.
-   */
+  /** Guards against tokens of an account over its rate that are shared without regard to class. */
   @Test
-  @Tag("known-red")
   void classOneReachesItsTargetInASlowDeepService() {
     Measures product = run(Scenario.SLOW_DEEP_SERVICE, PRODUCT);
     assertThat(product.classRatio(TrafficClass.CRITICAL)).isAtLeast(0.99);
