Share the whole burst in fleets without floors

Cause: the shares leave 40% of each account's burst to the floors of the daemons. Fleets of more than 20 daemons have no floors, so that part of the burst was lost there.

Change: the leader leaves that part only while the fleet has at most 20 daemons with targets, the bound that the floors have.

What the whole burst brings is open.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/FloorRateLimiter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/FloorRateLimiter.java
@@ -23,8 +23,11 @@
   /** A floor holds one token, so that an idle fleet can't admit a burst on top of the shares. */
   private static final double FLOOR_BURST_TOKENS = 1;
 
-  /** Daemons whose floors together hold no more tokens than a deployment's fixed slack. */
-  private static final int MAX_DAEMONS_WITH_FLOOR = 20;
+  /**
+   * Largest fleet with floors. The floors of more daemons would together hold more tokens than the
+   * fixed slack of a deployment.
+   */
+  public static final int MAX_DAEMONS_WITH_FLOOR = 20;
 
   private final RateLimiter shares;
   private final Supplier<FleetView> views;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.cornelspoke.coordination.consensus.ReplicatedLog;
+import org.cornelspoke.coordination.quota.FloorRateLimiter;
 import org.cornelspoke.coordination.quota.ShareFrame;
 import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
 import org.cornelspoke.coordination.quota.ShareMessage;
@@ -70,6 +71,8 @@
   private long ownerTerm;
   private boolean ownerProved;
   private Revision ownerRevision = Revision.NONE;
+  private boolean ownerLeavesBurst = true;
+  private int mostDaemons;
   private Optional<VmId> connectedTo = Optional.empty();
   private long connectedTerm;
   private long lastSession;
@@ -290,8 +293,10 @@
     ShareOwner current = owner.get();
     endQuietIfReady(current, now);
     logQuiet(current, now);
-    if (!config.revision().equals(ownerRevision)) {
+    boolean floorsInUse = floorsInUse();
+    if (!config.revision().equals(ownerRevision) || floorsInUse != ownerLeavesBurst) {
       ownerRevision = config.revision();
+      ownerLeavesBurst = floorsInUse;
       current.setAccounts(
           config.entities().stream()
               .filter(Account.class::isInstance)
@@ -322,8 +327,18 @@
     }
   }
 
+  /** A fleet that has once been too large for floors stays without: daemons keep to that, too. */
+  private boolean floorsInUse() {
+    if (mostDaemons <= FloorRateLimiter.MAX_DAEMONS_WITH_FLOOR) {
+      mostDaemons = Math.max(mostDaemons, server.registeredDaemons().size());
+    }
+    return mostDaemons <= FloorRateLimiter.MAX_DAEMONS_WITH_FLOOR;
+  }
+
+  /** Leaves a part of the burst to the floors of the daemons while there are any. */
   private Account withSharedBurst(Account account) {
-    double burst = Math.max(1, account.burstTokens() * sharedBurstPart);
+    double part = ownerLeavesBurst ? sharedBurstPart : 1;
+    double burst = Math.max(1, account.burstTokens() * part);
     return new Account(account.id(), account.rateTokensPerSecond(), burst, account.weight());
   }
 
