Test the bound of single tokens under faults

Cause: the test of the rate's bound played an account of 600 requests/s, whose daemons all hold shares. Single tokens without a share weren't covered under restarts, lost connections and changes of the leader.

--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ShareBoundTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ShareBoundTest.java
@@ -23,6 +23,11 @@
   private static final double BURST = 120;
   private static final Account ACCOUNT = new Account(ShareCluster.ACCOUNT, RATE, BURST, 1);
 
+  private static final double SMALL_RATE = 8;
+  private static final double SMALL_BURST = 6;
+  private static final Account SMALL_ACCOUNT =
+      new Account(ShareCluster.ACCOUNT, SMALL_RATE, SMALL_BURST, 1);
+
   /** Open-loop arrivals that move between daemons every two seconds. */
   private static final class Load {
     private final ShareCluster cluster;
@@ -77,9 +82,15 @@
   }
 
   private static ShareCluster runWithFaults(int seed, double clockError, boolean quiet) {
+    return runWithFaults(seed, ACCOUNT, clockError, quiet);
+  }
+
+  private static ShareCluster runWithFaults(
+      int seed, Account account, double clockError, boolean quiet) {
     RandomGenerator random = new Well19937c(seed);
-    ShareCluster cluster = cluster(random, clockError, quiet);
-    new Load(cluster, random, RATE * (0.5 + 2 * random.nextDouble())).start();
+    ShareCluster cluster = new ShareCluster(random, account, 3, 4, clockError, quiet);
+    double rate = account.rateTokensPerSecond();
+    new Load(cluster, random, rate * (0.5 + 2 * random.nextDouble())).start();
     scheduleFault(cluster, random);
     cluster.network.runUntil(40 * SECOND);
     return cluster;
@@ -122,6 +133,17 @@
         .isEqualTo(0);
   }
 
+  /** The same for an account that is mostly served by single tokens without a share. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
+  void boundHoldsForSingleTokensThroughFaults(int seed) {
+    ShareCluster cluster = runWithFaults(seed, SMALL_ACCOUNT, 0.0049, true);
+    assertThat(cluster.admissions.size()).isGreaterThan(50);
+    assertWithMessage("admissions above the bound, seed %s", seed)
+        .that(excess(cluster.admissions, SMALL_RATE, SMALL_BURST))
+        .isEqualTo(0);
+  }
+
   @Test
   void checkRejectsLeaderThatIssuesAtOnce() {
     int excess = 0;
