Name the asks that a daemon remembers after their age

Cause: TokenAsks called them unanswered, but keeps answered ones, too, since an ask may get several answers.

Change: a field is renamed, a comment says what the method tells. No behaviour changes.

Conclusion: none beyond the name.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenAsks.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenAsks.java
@@ -25,7 +25,7 @@
   private final AccountId account;
   private final Consumer<ShareMessage> toOwner;
   private final long askAgainNanos;
-  private final Map<Long, Sent> unanswered = new HashMap<>();
+  private final Map<Long, Sent> recentAsks = new HashMap<>();
   private final Deque<Long> tokenEndNanos = new ArrayDeque<>();
   private boolean connected;
   private long session;
@@ -39,7 +39,7 @@
   /**
    * Creates the asks of an account.
    *
-   * @param askAgainNanos time after an ask from which no answer is expected
+   * @param askAgainNanos time after an ask from which no answer is expected any more
    */
   TokenAsks(AccountId account, long askAgainNanos, Consumer<ShareMessage> toOwner) {
     this.account = account;
@@ -52,12 +52,12 @@
     connected = true;
     session = newSession;
     number = 0;
-    unanswered.clear();
+    recentAsks.clear();
   }
 
   void close() {
     connected = false;
-    unanswered.clear();
+    recentAsks.clear();
   }
 
   boolean mayAsk(long nowNanos) {
@@ -67,7 +67,7 @@
   void ask(ClassAmounts requests, long nowNanos) {
     number++;
     lastAskNanos = nowNanos;
-    unanswered.put(number, new Sent(requests, nowNanos));
+    recentAsks.put(number, new Sent(requests, nowNanos));
     toOwner.accept(new Ask(account, session, number, requests));
   }
 
@@ -77,7 +77,7 @@
    * @return the requests behind the ask; the exhausted ones among them get no token
    */
   ClassAmounts onTokens(Tokens answer, long nowNanos) {
-    Sent sent = answer.session() == session ? unanswered.get(answer.number()) : null;
+    Sent sent = answer.session() == session ? recentAsks.get(answer.number()) : null;
     if (sent == null) {
       return ClassAmounts.NONE;
     }
@@ -104,10 +104,10 @@
     return Math.max(0, exhaustedEndNanos - nowNanos);
   }
 
-  /** Returns true if an ask is on its way whose answer may still come. */
+  /** Returns true if an ask was sent so recently that more answers to it may come. */
   boolean isAsking(long nowNanos) {
-    unanswered.values().removeIf(sent -> nowNanos - sent.sentNanos() >= askAgainNanos);
-    return !unanswered.isEmpty();
+    recentAsks.values().removeIf(sent -> nowNanos - sent.sentNanos() >= askAgainNanos);
+    return !recentAsks.isEmpty();
   }
 
   boolean tryTake(long nowNanos) {
