Log what an upstream states about itself

Cause: an upstream can state a rate limit and its departure in the head of a response. No log line of a daemon showed either, so the hypotheses about the exceeded limit could not be told apart.

Change: ResponsePolicy.notice reads the statement (Server-Limit and Server-Leaving on the platform, Cornelspoke-Rate-Limit and Cornelspoke-Leaving in the product's own interface), UpstreamNoticeTracker decides which one is in force, and the daemon beside the upstream logs event=upstream-notice when it changes and event=limited-upstream-load once per second while a limit is in force. No request is handled differently.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/DefaultResponsePolicy.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/DefaultResponsePolicy.java
@@ -1,5 +1,7 @@
 package org.cornelspoke.transport.http;
 
+import java.util.Optional;
+import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.protocol.call.Headers;
 
 /**
@@ -10,6 +12,8 @@
   private static final int SHED_STATUS = 503;
   private static final String SHED_HEADER = "cornelspoke-shed";
   private static final String SHED_VALUE = "1";
+  private static final UpstreamNoticeHeaders NOTICE_HEADERS =
+      new UpstreamNoticeHeaders("cornelspoke-rate-limit", "cornelspoke-leaving");
 
   @Override
   public Kind classify(Headers request, int status, Headers response) {
@@ -17,6 +21,11 @@
     return shed ? Kind.NOT_EXECUTED : Kind.RESPONSE;
   }
 
+  @Override
+  public Optional<UpstreamNotice> notice(Headers request, int status, Headers response) {
+    return NOTICE_HEADERS.parse(response);
+  }
+
   @Override
   public boolean allowsCloseDelimitedBody() {
     // A truncated response would look complete.
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/ResponsePolicy.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/ResponsePolicy.java
@@ -1,5 +1,7 @@
 package org.cornelspoke.transport.http;
 
+import java.util.Optional;
+import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.protocol.call.Headers;
 
 /** Classifies an upstream's response to a request by its status and headers. */
@@ -24,6 +26,14 @@
    */
   Kind classify(Headers request, int status, Headers response);
 
+  /**
+   * Returns what the upstream process states about itself, or empty if the response was not sent by
+   * the intended process or its statement is malformed.
+   *
+   * @param request the forwarded headers of the request
+   */
+  Optional<UpstreamNotice> notice(Headers request, int status, Headers response);
+
   /** Returns true if a response without length information may end with its connection. */
   boolean allowsCloseDelimitedBody();
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
@@ -216,6 +216,9 @@
       return;
     }
     head = parsed;
+    pool.responsePolicy()
+        .notice(exchange.request().headers(), parsed.status(), parsed.headers())
+        .ifPresent(exchange::onNotice);
     if (isBodyless(parsed.status())) {
       bodyReader = BodyReader.none();
     } else if (parsed.chunked()) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamExchange.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamExchange.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.transport.http;
 
+import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.protocol.call.CallResult;
 
 /** One request sent through an {@link UpstreamPool}. Confined to the reactor thread. */
@@ -8,6 +9,13 @@
   /** Receives the result of an exchange. */
   public interface Listener {
 
+    /**
+     * Called when the head of a response of the upstream process has arrived, before its body.
+     *
+     * @param notice what the process states about itself
+     */
+    default void onNotice(UpstreamNotice notice) {}
+
     /**
      * Called when the exchange ends with a complete response, a refusal that proves that the
      * request was not executed, or an unknown outcome. Called exactly once unless the exchange is
@@ -57,6 +65,12 @@
     connection = newConnection;
   }
 
+  void onNotice(UpstreamNotice notice) {
+    if (!ended) {
+      listener.onNotice(notice);
+    }
+  }
+
   void end(CallResult result) {
     if (!ended) {
       ended = true;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -4,6 +4,7 @@
 import org.cornelspoke.coordination.admission.Completion;
 import org.cornelspoke.coordination.admission.GateRequest;
 import org.cornelspoke.coordination.admission.UpstreamGate;
+import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.protocol.call.CallHead;
@@ -157,7 +158,21 @@
     UpstreamRequest request =
         new UpstreamRequest(
             head.method(), head.requestTarget(), head.headers(), addedHeaders, body);
-    exchange = upstream.pool.send(request, this::onUpstreamEnded);
+    upstream.onSent();
+    exchange =
+        upstream.pool.send(
+            request,
+            new UpstreamExchange.Listener() {
+              @Override
+              public void onNotice(UpstreamNotice notice) {
+                upstream.onNotice(notice, sentAtNanos, System.nanoTime());
+              }
+
+              @Override
+              public void onEnded(CallResult result) {
+                onUpstreamEnded(result);
+              }
+            });
   }
 
   private void onUpstreamEnded(CallResult result) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -5,6 +5,8 @@
 import org.cornelspoke.coordination.admission.PressureEstimator;
 import org.cornelspoke.coordination.admission.RootRequestThrottle;
 import org.cornelspoke.coordination.admission.UpstreamGate;
+import org.cornelspoke.coordination.admission.UpstreamNotice;
+import org.cornelspoke.coordination.admission.UpstreamNoticeTracker;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TrafficClass;
@@ -23,6 +25,8 @@
   final UpstreamPool pool;
   private final RootRequestThrottle rootThrottle;
   private final PressureEstimator downstreamPressure = new PressureEstimator();
+  private final UpstreamNoticeTracker noticeTracker = new UpstreamNoticeTracker();
+  private final UpstreamNoticeLog noticeLog;
   final NestedCallStatistics nestedCallStatistics = new NestedCallStatistics();
   int slots;
   boolean draining;
@@ -42,6 +46,7 @@
     this.address = address;
     this.gate = gate;
     this.pool = pool;
+    this.noticeLog = new UpstreamNoticeLog(service, instance);
   }
 
   /** Returns true if a root request of the class may be submitted to the gate. */
@@ -50,6 +55,24 @@
         || rootThrottle.tryAdmit(trafficClass, downstreamPressure.percent(nowNanos), nowNanos);
   }
 
+  /** Counts a request that is sent to the upstream. */
+  void onSent() {
+    noticeLog.onSent();
+  }
+
+  /** Processes what the upstream states about itself in the response to a request. */
+  void onNotice(UpstreamNotice notice, long sentAtNanos, long nowNanos) {
+    if (noticeTracker.onResponse(notice, sentAtNanos, nowNanos)) {
+      noticeLog.onChanged(noticeTracker.current());
+    }
+  }
+
+  /** Updates the gate; called every few milliseconds while requests are pending. */
+  void onTick(long nowNanos) {
+    gate.onTick(nowNanos);
+    noticeLog.onTick(noticeTracker.current(), gate.load(), nowNanos);
+  }
+
   /** Records the load reported at the end of a call that this upstream made. */
   void onCallEnded(GateLoad load, long nowNanos) {
     downstreamPressure.record(load.pressurePercent(), nowNanos);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -133,10 +133,10 @@
 
   void onTick(long nowNanos) {
     for (LocalUpstream upstream : new ArrayList<>(upstreams.values())) {
-      upstream.gate.onTick(nowNanos);
+      upstream.onTick(nowNanos);
     }
     for (LocalUpstream upstream : new ArrayList<>(withdrawnUpstreams)) {
-      upstream.gate.onTick(nowNanos);
+      upstream.onTick(nowNanos);
     }
   }
 
