Admit no more requests than an upstream states

Cause: the gate beside an upstream limits concurrency only. With short service times, 253 slots let any request rate through.

Change: DefaultUpstreamGate spaces its admissions by the stated rate (AdmissionRateLimit). Requests beyond it wait in the queues of the gate, in the order of classes and accounts, or are refused as an overload, which is not run and may go to another target at once. The reported load counts the slots that the rate can fill, so that other daemons prefer targets without a queue.

Why it works: every request to an upstream passes the gate of the daemon beside it, so this one place bounds the sum over all daemons.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/NaiveGate.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/NaiveGate.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalDouble;
 import org.cornelspoke.coordination.admission.Completion;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.GateRequest;
@@ -64,6 +65,11 @@
     limit = slots;
   }
 
+  @Override
+  public void setRateLimit(OptionalDouble requestsPerSecond, long nowNanos) {
+    // The naive gate ignores what its upstream states.
+  }
+
   @Override
   public void setDraining(boolean draining) {
     // No scenario drains a target.
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.state.config.Preset;
@@ -18,6 +19,9 @@
  * capacity of the classes below; when that is full, the waiting request with the lowest priority is
  * evicted in favour of one with a higher priority.
  *
+ * <p>If the upstream states a rate limit, requests beyond it wait in the same queues. This keeps
+ * the order of classes and accounts under a load that exceeds the rate but not the slots.
+ *
  * <p>Not safe for use by several threads.
  */
 public final class DefaultUpstreamGate implements UpstreamGate {
@@ -35,9 +39,14 @@
    */
   private static final double REQUIRED_SERVICE_FRACTION = 0.6;
 
+  /** Smoothing weight of a new service time; the mean covers about the last 50 requests. */
+  private static final double SERVICE_TIME_WEIGHT = 0.04;
+
   private final double interactiveFraction;
   private final ConcurrencyLimit limit;
+  private final AdmissionRateLimit rateLimit = new AdmissionRateLimit();
   private final Map<TrafficClass, ClassQueue> queues = new EnumMap<>(TrafficClass.class);
+  private double meanServiceNanos;
   private long newestFirstAfterNanos;
   private boolean draining;
   private int inFlight;
@@ -85,7 +94,9 @@
       refuse(entry, RefusalReason.PRESET, MAX_RETRY_AFTER_MILLIS);
     } else if (entry.remainingNanos(nowNanos) <= 0) {
       refuse(entry, RefusalReason.DEADLINE, retryAfterMillis());
-    } else if (hasFreeSlot(request.trafficClass()) && queue.waiting() == 0) {
+    } else if (hasFreeSlot(request.trafficClass())
+        && queue.waiting() == 0
+        && isNextAdmission(nowNanos)) {
       admitNew(queue, entry, nowNanos);
     } else {
       enqueue(queue, entry, nowNanos);
@@ -100,9 +111,18 @@
       throw new IllegalStateException("ticket is not admitted: " + entry.state());
     }
     entry.end();
-    // If requests wait, the limit counts as used up: their class may hold only a fraction of it.
-    int usedSlots = waiting() > 0 ? Math.max(inFlight, limit.limit()) : inFlight;
-    limit.onCompleted(entry.heldNanos(nowNanos), usedSlots, completion, nowNanos);
+    // If requests wait for a slot, the limit counts as used up: their class may hold only a
+    // fraction of it.
+    boolean limitUsedUp = waiting() > 0 && !rateLimit.isActive();
+    int usedSlots = limitUsedUp ? Math.max(inFlight, limit.limit()) : inFlight;
+    long heldNanos = entry.heldNanos(nowNanos);
+    limit.onCompleted(heldNanos, usedSlots, completion, nowNanos);
+    if (completion == Completion.SUCCESS) {
+      meanServiceNanos =
+          meanServiceNanos == 0
+              ? heldNanos
+              : meanServiceNanos + SERVICE_TIME_WEIGHT * (heldNanos - meanServiceNanos);
+    }
     queues.get(entry.request().trafficClass()).onCompleted(entry, completion, nowNanos);
     inFlight--;
     dispatch(nowNanos);
@@ -151,6 +171,12 @@
     limit.setAnnouncedSlots(slots);
   }
 
+  @Override
+  public void setRateLimit(OptionalDouble requestsPerSecond, long nowNanos) {
+    rateLimit.set(requestsPerSecond, nowNanos);
+    dispatch(nowNanos);
+  }
+
   @Override
   public void setDraining(boolean draining) {
     this.draining = draining;
@@ -159,8 +185,8 @@
   @Override
   public GateLoad load() {
     int criticalWaiting = queues.get(TrafficClass.CRITICAL).waiting();
-    int slots = Math.max(1, limit.limit());
-    return new GateLoad(inFlight, waiting(), limit.limit(), PERCENT * criticalWaiting / slots);
+    int slots = usableSlots();
+    return new GateLoad(inFlight, waiting(), slots, PERCENT * criticalWaiting / Math.max(1, slots));
   }
 
   /** Refuses all queued requests, so that callers can retry them at other targets. */
@@ -174,6 +200,16 @@
     }
   }
 
+  /** Returns true if a rate limit lets the next request in and no waiting one comes before it. */
+  private boolean isNextAdmission(long nowNanos) {
+    return !rateLimit.isActive() || (waiting() == 0 && rateLimit.hasPermit(nowNanos));
+  }
+
+  /** Returns the slots that can be in use at the same time under both limits. */
+  private int usableSlots() {
+    return rateLimit.concurrency(meanServiceNanos, limit.limit());
+  }
+
   private void admitNew(ClassQueue queue, GateEntry entry, long nowNanos) {
     // An idle gate admits any request, so that an outdated service time is measured again.
     if (inFlight > 0 && entry.remainingNanos(nowNanos) < requiredServiceNanos(queue)) {
@@ -251,12 +287,13 @@
     ClassQueue interactive = queues.get(TrafficClass.INTERACTIVE);
     while (interactive.waiting() > 0
         && inFlight < limit.limit()
-        && interactive.inFlight() < interactiveFraction * limit.limit()) {
+        && rateLimit.hasPermit(nowNanos)
+        && interactive.inFlight() < interactiveFraction * usableSlots()) {
       admitNext(interactive, nowNanos);
     }
     for (TrafficClass trafficClass : CLASSES) {
       ClassQueue queue = queues.get(trafficClass);
-      while (queue.waiting() > 0 && hasFreeSlot(trafficClass)) {
+      while (queue.waiting() > 0 && hasFreeSlot(trafficClass) && rateLimit.hasPermit(nowNanos)) {
         admitNext(queue, nowNanos);
       }
     }
@@ -280,6 +317,7 @@
     entry.admit(expectedNanos, nowNanos);
     queue.onAdmitted(entry.request(), expectedNanos);
     inFlight++;
+    rateLimit.usePermit();
     entry.listener().onAdmitted();
   }
 
@@ -309,17 +347,21 @@
 
   private double expectedWaitNanos(ClassQueue queue, GateRequest request, long nowNanos) {
     double higherWorkNanos = 0;
+    int higherRequests = 0;
     for (TrafficClass otherClass : CLASSES) {
       if (!otherClass.outranks(request.trafficClass())) {
         continue;
       }
       ClassQueue higher = queues.get(otherClass);
       higherWorkNanos += higher.waiting() * higher.meanServiceNanos();
+      higherRequests += higher.waiting();
     }
     boolean newestFirst = queue.isNewestFirst(newestFirstAfterNanos, nowNanos);
     double requestsAhead = newestFirst ? 0 : queue.expectedRequestsAhead(request);
     double slots = Math.max(1, queue.policy().slotShare() * limit.limit());
-    return (higherWorkNanos + (requestsAhead + 1) * queue.meanServiceNanos()) / slots;
+    return Math.max(
+        (higherWorkNanos + (requestsAhead + 1) * queue.meanServiceNanos()) / slots,
+        rateLimit.admissionNanos(higherRequests + requestsAhead + 1));
   }
 
   private long retryAfterMillis() {
@@ -329,7 +371,9 @@
       workNanos += queue.waiting() * queue.meanServiceNanos();
       serviceNanos = Math.max(serviceNanos, queue.meanServiceNanos());
     }
-    double millis = ((workNanos / limit.limit()) + serviceNanos) / NANOS_PER_MILLI;
+    double queueNanos =
+        Math.max(workNanos / limit.limit(), rateLimit.admissionNanos(waiting() + 1.0));
+    double millis = (queueNanos + serviceNanos) / NANOS_PER_MILLI;
     return (long) Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(MIN_RETRY_AFTER_MILLIS, millis));
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/UpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/UpstreamGate.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.coordination.admission;
 
+import java.util.OptionalDouble;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.state.config.Preset;
 
@@ -43,6 +44,14 @@
   /** Sets the number of slots that the upstream announces, an upper bound of the limit. */
   void setAnnouncedSlots(int slots);
 
+  /**
+   * Sets the rate of requests that the upstream states to accept, or removes the limit. Requests
+   * beyond it wait or are refused like those beyond the concurrency limit.
+   *
+   * @param requestsPerSecond 0 or more, or empty for no limit
+   */
+  void setRateLimit(OptionalDouble requestsPerSecond, long nowNanos);
+
   /**
    * Stops or resumes admission. Admitted requests continue; queued requests are refused at the next
    * tick.
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -63,7 +63,9 @@
   /** Processes what the upstream states about itself in the response to a request. */
   void onNotice(UpstreamNotice notice, long sentAtNanos, long nowNanos) {
     if (noticeTracker.onResponse(notice, sentAtNanos, nowNanos)) {
-      noticeLog.onChanged(noticeTracker.current());
+      UpstreamNotice current = noticeTracker.current();
+      noticeLog.onChanged(current);
+      gate.setRateLimit(current.requestsPerSecond(), nowNanos);
     }
   }
 
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.cornelspoke.coordination.admission.Completion;
 import org.cornelspoke.coordination.admission.GateLoad;
@@ -105,6 +106,9 @@
       slots = newSlots;
     }
 
+    @Override
+    public void setRateLimit(OptionalDouble requestsPerSecond, long nowNanos) {}
+
     @Override
     public void setDraining(boolean newDraining) {
       draining = newDraining;
