Stop sending requests to an upstream that says it is leaving

Callers could be sent to an upstream that was about to stop, for as long as it sent no draining report: a response with Server-Leaving had no effect.

What an upstream states in its responses was not used.

Why it works: every request to the upstream passes the gate of this daemon, which learns of the departure before any daemon passes the response on.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -165,7 +165,7 @@
             new UpstreamExchange.Listener() {
               @Override
               public void onNotice(UpstreamNotice notice) {
-                upstream.onNotice(notice, sentAtNanos, System.nanoTime());
+                calls.upstreams().onNotice(upstream, notice, sentAtNanos, System.nanoTime());
               }
 
               @Override
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -63,12 +63,15 @@
   /** Processes what the upstream states about itself in the response to a request. */
   void onNotice(UpstreamNotice notice, long sentAtNanos, long nowNanos) {
     if (noticeTracker.onResponse(notice, sentAtNanos, nowNanos)) {
-      UpstreamNotice current = noticeTracker.current();
-      noticeLog.onChanged(current);
-      gate.setRateLimit(current.requestsPerSecond(), nowNanos);
+      applyNotice(nowNanos);
     }
   }
 
+  /** Returns true if the upstream has stated that it is leaving. */
+  boolean isLeaving() {
+    return noticeTracker.current().leaving();
+  }
+
   /** Updates the gate; called every few milliseconds while requests are pending. */
   void onTick(long nowNanos) {
     gate.onTick(nowNanos);
@@ -84,4 +87,10 @@
   GateLoad load(long nowNanos) {
     return gate.load().withDownstreamPressure(downstreamPressure.percent(nowNanos));
   }
+
+  private void applyNotice(long nowNanos) {
+    UpstreamNotice current = noticeTracker.current();
+    noticeLog.onChanged(current);
+    gate.setRateLimit(current.requestsPerSecond(), nowNanos);
+  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.UpstreamGate;
+import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
@@ -85,11 +86,7 @@
     if (upstream == null) {
       return false;
     }
-    if (!upstream.draining) {
-      upstream.draining = true;
-      upstream.gate.setDraining(true);
-      publish(upstream);
-    }
+    startDraining(upstream);
     return true;
   }
 
@@ -140,6 +137,13 @@
     }
   }
 
+  /** Processes what an upstream states about itself in the response to a request. */
+  void onNotice(
+      LocalUpstream upstream, UpstreamNotice notice, long sentAtNanos, long nowNanos) {
+    upstream.onNotice(notice, sentAtNanos, nowNanos);
+    drainIfLeaving(upstream);
+  }
+
   void onCallStarted(LocalUpstream upstream) {
     upstream.inFlight++;
   }
@@ -176,6 +180,21 @@
     return sum;
   }
 
+  private void drainIfLeaving(LocalUpstream upstream) {
+    // A withdrawn upstream must not be published again.
+    if (upstream.isLeaving() && upstreams.get(upstream.service) == upstream) {
+      startDraining(upstream);
+    }
+  }
+
+  private void startDraining(LocalUpstream upstream) {
+    if (!upstream.draining) {
+      upstream.draining = true;
+      upstream.gate.setDraining(true);
+      publish(upstream);
+    }
+  }
+
   private LocalUpstream create(Announcement announcement) {
     UpstreamGate gate =
         collaborators
