Tell a restarted upstream process from the one before it

An upstream that restarted under its former id while it was draining got no requests any more until it deregistered.

Cause: processes were compared by id and address only, so the new process inherited the drain.

Change: ProcessId holds id and start time, and a new one replaces the upstream, its gate and its connections. UpstreamReportFilter uses the same type.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Announcement.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Announcement.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.traffic;
 
+import java.util.Optional;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.util.Assert;
@@ -7,13 +8,13 @@
 /**
  * The registration that an upstream sends to the daemon on its host.
  *
- * @param instance name of the upstream process, or null if none was given; a different name at the
- *     same address identifies a different process
  * @param slots requests that the upstream can serve concurrently
  * @param leaseMillis time after which the upstream is withdrawn unless it announces itself again
+ * @param process the upstream process, or empty if it was not named; another one at the same
+ *     address replaces it
  */
 public record Announcement(
-    ServiceName service, Endpoint address, int slots, long leaseMillis, String instance) {
+    ServiceName service, Endpoint address, int slots, long leaseMillis, Optional<ProcessId> process) {
 
   /** Validates the components. */
   public Announcement {
@@ -21,5 +22,6 @@
     Assert.notNull(address, "address");
     Assert.isTrue(slots >= 1, "slots must be 1 or more");
     Assert.isTrue(leaseMillis > 0, "leaseMillis must be positive");
+    Assert.notNull(process, "process");
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalApi.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalApi.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.Iterator;
+import java.util.Optional;
 import java.util.Set;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
@@ -73,7 +74,7 @@
     long leaseMillis =
         parseNumber(body, "leaseMillis", DEFAULT_LEASE_MILLIS, MIN_LEASE_MILLIS, MAX_LEASE_MILLIS);
     if (!registration.announce(
-        new Announcement(service, endpoint, (int) slots, leaseMillis, null))) {
+        new Announcement(service, endpoint, (int) slots, leaseMillis, Optional.empty()))) {
       return HttpResponse.ofText(503, "the daemon is stopping\n");
     }
     return HttpResponse.ofStatus(204);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -154,7 +154,7 @@
     collaborators.ledger().open(callId, head.extraAttempts());
     Headers addedHeaders =
         calls.upstreamHeaders(
-            head, callId, TimeUnit.NANOSECONDS.toMillis(remainingNanos), upstream.instance);
+            head, callId, TimeUnit.NANOSECONDS.toMillis(remainingNanos), upstream.instance());
     UpstreamRequest request =
         new UpstreamRequest(
             head.method(), head.requestTarget(), head.headers(), addedHeaders, body);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.daemon.traffic;
 
 import io.activej.reactor.schedule.ScheduledRunnable;
+import java.util.Optional;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.PressureEstimator;
 import org.cornelspoke.coordination.admission.RootRequestThrottle;
@@ -18,8 +19,8 @@
   final ServiceName service;
   final Endpoint address;
 
-  /** Name of the upstream process, or null if unknown. */
-  final String instance;
+  /** The upstream process, or empty if unknown. */
+  final Optional<ProcessId> process;
 
   final UpstreamGate gate;
   final UpstreamPool pool;
@@ -36,17 +37,17 @@
   LocalUpstream(
       ServiceName service,
       Endpoint address,
-      String instance,
+      Optional<ProcessId> process,
       UpstreamGate gate,
       RootRequestThrottle rootThrottle,
       UpstreamPool pool) {
     this.rootThrottle = rootThrottle;
-    this.instance = instance;
+    this.process = process;
     this.service = service;
     this.address = address;
     this.gate = gate;
     this.pool = pool;
-    this.noticeLog = new UpstreamNoticeLog(service, instance);
+    this.noticeLog = new UpstreamNoticeLog(service, instance());
   }
 
   /** Returns true if a root request of the class may be submitted to the gate. */
@@ -55,6 +56,11 @@
         || rootThrottle.tryAdmit(trafficClass, downstreamPressure.percent(nowNanos), nowNanos);
   }
 
+  /** Returns the name of the upstream process, or null if unknown. */
+  String instance() {
+    return process.map(ProcessId::instance).orElse(null);
+  }
+
   /** Counts a request that is sent to the upstream. */
   void onSent() {
     noticeLog.onSent();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.cornelspoke.coordination.admission.GateLoad;
@@ -61,7 +60,7 @@
     boolean sameProcess =
         upstream != null
             && upstream.address.equals(announcement.address())
-            && Objects.equals(upstream.instance, announcement.instance());
+            && upstream.process.equals(announcement.process());
     if (upstream != null && !sameProcess) {
       withdraw(service);
       upstream = null;
@@ -214,7 +213,7 @@
         new LocalUpstream(
             announcement.service(),
             announcement.address(),
-            announcement.instance(),
+            announcement.process(),
             gate,
             collaborators.rootThrottles().get(),
             pool);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/UpstreamReportFilter.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/UpstreamReportFilter.java
@@ -18,39 +18,33 @@
    */
   private static final long SILENCE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
-  /** One run of an upstream process; a restarted process may keep its instance name. */
-  private record Incarnation(String instance, long startedAtMillis) {}
-
-  private final Set<Incarnation> endedIncarnations = new HashSet<>();
-  private Incarnation current;
+  private final Set<ProcessId> endedProcesses = new HashSet<>();
+  private ProcessId current;
   private long lastSequence;
   private long lastReportAtNanos;
 
   /**
    * Processes a report.
    *
-   * @param instance name of the process
-   * @param startedAtMillis Unix time at which the process started, or 0 if unknown
-   * @param sequence sequence number, which increases with each report of one incarnation
+   * @param sequence sequence number, which increases with each report of one process
    * @return false if the report is older than the last accepted one, or if its process has ended
    */
-  public boolean accept(String instance, long startedAtMillis, long sequence, long nowNanos) {
-    Incarnation incarnation = new Incarnation(instance, startedAtMillis);
-    if (endedIncarnations.contains(incarnation)) {
+  public boolean accept(ProcessId process, long sequence, long nowNanos) {
+    if (endedProcesses.contains(process)) {
       return false;
     }
-    if (incarnation.equals(current)) {
+    if (process.equals(current)) {
       if (sequence <= lastSequence) {
         return false;
       }
     } else if (current != null) {
-      boolean startedEarlier = startedAtMillis < current.startedAtMillis();
+      boolean startedEarlier = process.startedAtMillis() < current.startedAtMillis();
       if (startedEarlier && nowNanos - lastReportAtNanos < SILENCE_TIMEOUT_NANOS) {
         return false;
       }
-      endedIncarnations.add(current);
+      endedProcesses.add(current);
     }
-    current = incarnation;
+    current = process;
     lastSequence = sequence;
     lastReportAtNanos = nowNanos;
     return true;
@@ -65,7 +59,7 @@
     if (current == null || !current.instance().equals(instance)) {
       return false;
     }
-    endedIncarnations.add(current);
+    endedProcesses.add(current);
     current = null;
     return true;
   }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/UpstreamReportFilterTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/UpstreamReportFilterTest.java
@@ -12,41 +12,41 @@
 
   @Test
   void ignoresReportThatArrivesAfterANewerOne() {
-    assertThat(filter.accept("i-1", 100, 2, 0)).isTrue();
-    assertThat(filter.accept("i-1", 100, 1, 1)).isFalse();
-    assertThat(filter.accept("i-1", 100, 3, 2)).isTrue();
+    assertThat(filter.accept(new ProcessId("i-1", 100), 2, 0)).isTrue();
+    assertThat(filter.accept(new ProcessId("i-1", 100), 1, 1)).isFalse();
+    assertThat(filter.accept(new ProcessId("i-1", 100), 3, 2)).isTrue();
   }
 
   @Test
   void restartUnderTheSameNameResetsTheSequence() {
-    filter.accept("i-1", 100, 50, 0);
+    filter.accept(new ProcessId("i-1", 100), 50, 0);
 
-    assertThat(filter.accept("i-1", 200, 1, 1)).isTrue();
-    assertThat(filter.accept("i-1", 100, 51, 2)).isFalse();
+    assertThat(filter.accept(new ProcessId("i-1", 200), 1, 1)).isTrue();
+    assertThat(filter.accept(new ProcessId("i-1", 100), 51, 2)).isFalse();
   }
 
   @Test
   void lateReportOfPreviousProcessDoesNotReplaceItsSuccessor() {
-    filter.accept("i-1", 100, 1, 0);
-    filter.accept("i-2", 200, 1, 1);
+    filter.accept(new ProcessId("i-1", 100), 1, 0);
+    filter.accept(new ProcessId("i-2", 200), 1, 1);
 
-    assertThat(filter.accept("i-1", 100, 9, TimeUnit.SECONDS.toNanos(60))).isFalse();
+    assertThat(filter.accept(new ProcessId("i-1", 100), 9, TimeUnit.SECONDS.toNanos(60))).isFalse();
   }
 
   @Test
   void processWithEarlierStartTimeIsAcceptedAfterSilence() {
-    filter.accept("i-1", 5_000, 1, 0);
+    filter.accept(new ProcessId("i-1", 5_000), 1, 0);
 
-    assertThat(filter.accept("i-2", 3_000, 1, TimeUnit.SECONDS.toNanos(1))).isFalse();
-    assertThat(filter.accept("i-2", 3_000, 2, TimeUnit.SECONDS.toNanos(5))).isTrue();
+    assertThat(filter.accept(new ProcessId("i-2", 3_000), 1, TimeUnit.SECONDS.toNanos(1))).isFalse();
+    assertThat(filter.accept(new ProcessId("i-2", 3_000), 2, TimeUnit.SECONDS.toNanos(5))).isTrue();
   }
 
   @Test
   void deregisteredProcessIsNotAcceptedAgain() {
-    filter.accept("i-1", 100, 1, 0);
+    filter.accept(new ProcessId("i-1", 100), 1, 0);
 
     assertThat(filter.deregister("i-2")).isFalse();
     assertThat(filter.deregister("i-1")).isTrue();
-    assertThat(filter.accept("i-1", 100, 2, 1)).isFalse();
+    assertThat(filter.accept(new ProcessId("i-1", 100), 2, 1)).isFalse();
   }
 }
