Return limit and departure of an upstream to its restarted daemon

A daemon that restarted beside a limited upstream sent it whatever its slots let through until the first response; beside a leaving upstream it sent requests again.

Cause: only the daemon beside the upstream knew what the upstream had stated, and a restart lost it. The daemons that had passed the responses on, and whose requests are counted, kept nothing.

Change: each reply carries the notice in force with the name of the process, the calling daemon remembers it (TargetNotices) and sends it with its calls, and the daemon beside the upstream adopts it if the process is the same: a departure for good, a limit until the first response. On the link the notice is a header line, which daemons of earlier builds pass over; further fields would close the link.

Why it works: a daemon whose requests count has passed on such a response, so its first call after the restart brings the notice before any of its requests is sent.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/UpstreamNoticeTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/UpstreamNoticeTracker.java
@@ -13,6 +13,7 @@
 
   private UpstreamNotice current = UpstreamNotice.NONE;
   private long limitStatedAtNanos;
+  private boolean responseReceived;
 
   /** Returns the notice in force. */
   public UpstreamNotice current() {
@@ -26,6 +27,7 @@
    * @return true if the notice in force has changed
    */
   public boolean onResponse(UpstreamNotice notice, long sentAtNanos, long nowNanos) {
+    responseReceived = true;
     OptionalDouble limit = notice.requestsPerSecond();
     if (limit.isPresent()) {
       limitStatedAtNanos = nowNanos;
@@ -35,6 +37,24 @@
     return replace(new UpstreamNotice(limit, current.leaving() || notice.leaving()));
   }
 
+  /**
+   * Processes a notice that another daemon received from the process earlier. A limit counts only
+   * until the first response of the process, which is more recent; of several, the lowest counts.
+   *
+   * @return true if the notice in force has changed
+   */
+  public boolean onEarlierNotice(UpstreamNotice notice, long nowNanos) {
+    OptionalDouble limit = current.requestsPerSecond();
+    OptionalDouble earlier = notice.requestsPerSecond();
+    if (!responseReceived
+        && earlier.isPresent()
+        && (limit.isEmpty() || earlier.getAsDouble() < limit.getAsDouble())) {
+      limit = earlier;
+      limitStatedAtNanos = nowNanos;
+    }
+    return replace(new UpstreamNotice(limit, current.leaving() || notice.leaving()));
+  }
+
   private boolean replace(UpstreamNotice notice) {
     boolean changed = !notice.equals(current);
     current = notice;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.RefusalReason;
@@ -56,6 +57,12 @@
   private static final int PONG = 10;
   private static final int GO_AWAY = 11;
 
+  /**
+   * Header line that carries a notice. It is no field of its own, because daemons of earlier builds
+   * reject messages with further fields but ignore unknown headers.
+   */
+  private static final String NOTICE_HEADER = "cornelspoke-upstream-notice";
+
   /** Limits the memory that a peer can occupy by continually sending new names. */
   private static final int MAX_CACHED_NAMES = 10_000;
 
@@ -150,7 +157,7 @@
     packer.packLong(head.revision().number());
     packer.packLong(head.remainingMillis());
     packer.packInt(head.extraAttempts());
-    writeBinary(head.headers().block());
+    writeHeaders(head.headers(), head.targetNotice());
     packer.packInt(call.bodyBytes());
     writeBinary(call.chunk());
   }
@@ -158,7 +165,7 @@
   private void writeReply(Reply reply) throws IOException {
     writeHeader(REPLY, reply.correlationId());
     packer.packInt(reply.status());
-    writeBinary(reply.headers().block());
+    writeHeaders(reply.headers(), reply.targetNotice());
     packer.packInt(reply.unusedAttempts());
     packer.packInt(reply.downstreamCalls());
     writeLoad(reply.load());
@@ -172,6 +179,18 @@
     packer.packLong(id);
   }
 
+  private void writeHeaders(Headers headers, Optional<TargetNotice> notice) throws IOException {
+    if (notice.isEmpty()) {
+      writeBinary(headers.block());
+      return;
+    }
+    Headers.Builder lines = new Headers.Builder();
+    for (int line = 0; line < headers.size(); line++) {
+      lines.addLine(headers, line);
+    }
+    writeBinary(lines.add(NOTICE_HEADER, notice.get().format()).build().block());
+  }
+
   private void writeLoad(GateLoad load) throws IOException {
     packer.packInt(load.inFlight());
     packer.packInt(load.queued());
@@ -190,16 +209,7 @@
       case CALL -> new Call(id, readHead(in), readBodyLength(in), readBinary(in));
       case CALL_CHUNK -> new CallChunk(id, readBinary(in));
       case CALL_END -> new CallEnd(id);
-      case REPLY ->
-          new Reply(
-              id,
-              in.unpackInt(),
-              readHeaders(in),
-              in.unpackInt(),
-              in.unpackInt(),
-              readLoad(in),
-              readBodyLength(in),
-              readBinary(in));
+      case REPLY -> readReply(in, id);
       case REPLY_CHUNK -> new ReplyChunk(id, readBinary(in));
       case REPLY_END -> new ReplyEnd(id);
       case REFUSAL ->
@@ -220,17 +230,61 @@
   }
 
   private CallHead readHead(MessageUnpacker in) throws IOException {
+    ServiceName service = cached(services, in.unpackString(), ServiceName::new);
+    String method = checkedRequestLineField(in.unpackString());
+    String requestTarget = checkedRequestLineField(in.unpackString());
+    AccountId account = cached(accounts, in.unpackString(), AccountId::new);
+    int weight = in.unpackInt();
+    TrafficClass trafficClass = TrafficClass.valueOf(in.unpackString());
+    Revision revision = new Revision(in.unpackLong());
+    long remainingMillis = in.unpackLong();
+    int extraAttempts = in.unpackInt();
+    Headers headers = readHeaders(in);
     return new CallHead(
-        cached(services, in.unpackString(), ServiceName::new),
-        checkedRequestLineField(in.unpackString()),
-        checkedRequestLineField(in.unpackString()),
-        cached(accounts, in.unpackString(), AccountId::new),
+        service,
+        method,
+        requestTarget,
+        account,
+        weight,
+        trafficClass,
+        revision,
+        remainingMillis,
+        extraAttempts,
+        withoutNotice(headers),
+        notice(headers));
+  }
+
+  private static Reply readReply(MessageUnpacker in, long id) throws IOException {
+    int status = in.unpackInt();
+    Headers headers = readHeaders(in);
+    return new Reply(
+        id,
+        status,
+        withoutNotice(headers),
         in.unpackInt(),
-        TrafficClass.valueOf(in.unpackString()),
-        new Revision(in.unpackLong()),
-        in.unpackLong(),
         in.unpackInt(),
-        readHeaders(in));
+        readLoad(in),
+        notice(headers),
+        readBodyLength(in),
+        readBinary(in));
+  }
+
+  private static Optional<TargetNotice> notice(Headers headers) throws ProtocolException {
+    String text = headers.get(NOTICE_HEADER);
+    return text == null ? Optional.empty() : Optional.of(TargetNotice.parse(text));
+  }
+
+  private static Headers withoutNotice(Headers headers) {
+    if (headers.find(NOTICE_HEADER) < 0) {
+      return headers;
+    }
+    Headers.Builder lines = new Headers.Builder();
+    for (int line = 0; line < headers.size(); line++) {
+      if (!headers.nameIs(line, NOTICE_HEADER)) {
+        lines.addLine(headers, line);
+      }
+    }
+    return lines.build();
   }
 
   /**
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallHead.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallHead.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.protocol.call;
 
+import java.util.Optional;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.ServiceName;
@@ -15,6 +16,7 @@
  * @param remainingMillis time that remained until the deadline when the call was sent
  * @param extraAttempts extra attempts granted to the call and its nested calls
  * @param headers end-to-end request headers without the client key
+ * @param targetNotice latest notice that the sender received of the target's upstream, or empty
  */
 public record CallHead(
     ServiceName service,
@@ -26,7 +28,34 @@
     Revision revision,
     long remainingMillis,
     int extraAttempts,
-    Headers headers) {
+    Headers headers,
+    Optional<TargetNotice> targetNotice) {
+
+  /** Creates a head without a notice. */
+  public CallHead(
+      ServiceName service,
+      String method,
+      String requestTarget,
+      AccountId account,
+      int weight,
+      TrafficClass trafficClass,
+      Revision revision,
+      long remainingMillis,
+      int extraAttempts,
+      Headers headers) {
+    this(
+        service,
+        method,
+        requestTarget,
+        account,
+        weight,
+        trafficClass,
+        revision,
+        remainingMillis,
+        extraAttempts,
+        headers,
+        Optional.empty());
+  }
 
   /** Checks that the components are present and in range. */
   public CallHead {
@@ -39,10 +68,12 @@
     Assert.notNull(revision, "revision");
     Assert.isTrue(extraAttempts >= 0, "extraAttempts must be 0 or more");
     Assert.notNull(headers, "headers");
+    Assert.notNull(targetNotice, "targetNotice");
   }
 
-  /** Returns a copy with the remaining time and extra attempts of a further attempt. */
-  public CallHead forAttempt(long newRemainingMillis, int newExtraAttempts) {
+  /** Returns a copy with the values of a further attempt. */
+  public CallHead forAttempt(
+      long newRemainingMillis, int newExtraAttempts, Optional<TargetNotice> newTargetNotice) {
     return new CallHead(
         service,
         method,
@@ -53,6 +84,7 @@
         revision,
         newRemainingMillis,
         newExtraAttempts,
-        headers);
+        headers,
+        newTargetNotice);
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallMessage.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.protocol.call;
 
+import java.util.Optional;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.Verdict;
@@ -47,6 +48,7 @@
   /**
    * Starts the response of the upstream.
    *
+   * @param targetNotice notice in force of the upstream process, or empty if there is none
    * @param bodyBytes length of the whole body
    * @param chunk first chunk of the body; the whole body if it is {@code bodyBytes} long
    */
@@ -58,6 +60,7 @@
       int unusedAttempts,
       int downstreamCalls,
       GateLoad load,
+      Optional<TargetNotice> targetNotice,
       int bodyBytes,
       byte[] chunk)
       implements CallMessage {}
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/PeerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/PeerLink.java
@@ -306,7 +306,8 @@
             result,
             Math.max(0, reply.unusedAttempts()),
             Math.max(0, reply.downstreamCalls()),
-            reply.load()));
+            reply.load(),
+            reply.targetNotice()));
   }
 
   private void onRefusal(Refusal refusal) throws ProtocolException {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/UpstreamNoticeTrackerTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/UpstreamNoticeTrackerTest.java
@@ -29,4 +29,16 @@
     assertThat(tracker.onResponse(UpstreamNotice.NONE, 30, 40)).isFalse();
     assertThat(tracker.current().leaving()).isTrue();
   }
+
+  /** Guards against stale limits of other daemons that replace what the process states itself. */
+  @Test
+  void earlierLimitCountsUntilTheFirstResponse() {
+    assertThat(tracker.onEarlierNotice(LIMITED, 10)).isTrue();
+    assertThat(tracker.current()).isEqualTo(LIMITED);
+    assertThat(tracker.onResponse(UpstreamNotice.NONE, 20, 30)).isTrue();
+    assertThat(tracker.onEarlierNotice(LIMITED, 40)).isFalse();
+    assertThat(tracker.current()).isEqualTo(UpstreamNotice.NONE);
+    assertThat(tracker.onEarlierNotice(LEAVING, 50)).isTrue();
+    assertThat(tracker.current().leaving()).isTrue();
+  }
 }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
@@ -4,8 +4,11 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import org.cornelspoke.coordination.admission.GateLoad;
+import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.Revision;
@@ -57,27 +60,64 @@
     assertWithMessage("rejected with seed " + SEED).that(rejected).isGreaterThan(1_000);
   }
 
+  /** Guards against notices that are lost or passed on as headers of a request or response. */
+  @Test
+  void noticesAreCarriedBesideTheHeaders() throws Exception {
+    Headers headers = new Headers.Builder().add("X", "1").build();
+    TargetNotice limited =
+        new TargetNotice("i-1@17", new UpstreamNotice(OptionalDouble.of(70.125), false));
+    TargetNotice leaving =
+        new TargetNotice("i-1@17", new UpstreamNotice(OptionalDouble.empty(), true));
+    for (TargetNotice notice : List.of(limited, leaving)) {
+      CallHead head = head(headers).forAttempt(1, 0, Optional.of(notice));
+      CallMessage.Call call =
+          (CallMessage.Call)
+              codec.decode(codec.encode(new CallMessage.Call(1, head, 0, new byte[0])));
+      assertThat(call.head().targetNotice()).hasValue(notice);
+      assertThat(call.head().headers().block()).isEqualTo(headers.block());
+      CallMessage.Reply reply =
+          (CallMessage.Reply)
+              codec.decode(
+                  codec.encode(
+                      new CallMessage.Reply(
+                          1,
+                          200,
+                          headers,
+                          0,
+                          0,
+                          GateLoad.IDLE,
+                          Optional.of(notice),
+                          0,
+                          new byte[0])));
+      assertThat(reply.targetNotice()).hasValue(notice);
+      assertThat(reply.headers().block()).isEqualTo(headers.block());
+    }
+  }
+
+  private static CallHead head(Headers headers) {
+    return new CallHead(
+        new ServiceName("svc"),
+        "GET",
+        "/a?b",
+        new AccountId("farm"),
+        3,
+        TrafficClass.BULK,
+        new Revision(9),
+        1_234,
+        2,
+        headers);
+  }
+
   private static List<CallMessage> messages() {
     Headers headers = new Headers.Builder().add("X", "1").add("y", "").build();
-    CallHead head =
-        new CallHead(
-            new ServiceName("svc"),
-            "GET",
-            "/a?b",
-            new AccountId("farm"),
-            3,
-            TrafficClass.BULK,
-            new Revision(9),
-            1_234,
-            2,
-            headers);
+    CallHead head = head(headers);
     GateLoad load = new GateLoad(1, 2, 3, 400);
     return List.of(
         CallMessage.Hello.of("me"),
         new CallMessage.Call(1, head, 5, new byte[] {1, 2, 3}),
         new CallMessage.CallChunk(1, new byte[] {4, 5}),
         new CallMessage.CallEnd(1),
-        new CallMessage.Reply(1, 200, headers, 1, 4, load, 0, new byte[0]),
+        new CallMessage.Reply(1, 200, headers, 1, 4, load, Optional.empty(), 0, new byte[0]),
         new CallMessage.ReplyChunk(1, new byte[] {7}),
         new CallMessage.ReplyEnd(1),
         new CallMessage.Refusal(1, RefusalReason.RATE, Verdict.NOT_RUN, 20, 2, 3, load),
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Announcement.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Announcement.java
@@ -14,7 +14,11 @@
  *     address replaces it
  */
 public record Announcement(
-    ServiceName service, Endpoint address, int slots, long leaseMillis, Optional<ProcessId> process) {
+    ServiceName service,
+    Endpoint address,
+    int slots,
+    long leaseMillis,
+    Optional<ProcessId> process) {
 
   /** Validates the components. */
   public Announcement {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -192,7 +192,7 @@
     lentAttempts = remainingAttempts - keptAttempts;
     remainingAttempts = keptAttempts;
     long remainingMillis = Math.max(0, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - now));
-    return head.forAttempt(remainingMillis, lentAttempts);
+    return head.forAttempt(remainingMillis, lentAttempts, dependencies.notices().of(target.id()));
   }
 
   private void onAttemptEnded(CallOutcome ending) {
@@ -214,6 +214,9 @@
         dependencies.upstreams().onNestedCallEnded(ending.load(), now);
       }
     }
+    if (result instanceof CallResult.Responded) {
+      dependencies.notices().onResponse(id, ending.targetNotice());
+    }
     lastResult = result;
     lastDownstreamCalls = ending.downstreamCalls();
     callsMade += 1 + lastDownstreamCalls;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/ForwardingDependencies.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/ForwardingDependencies.java
@@ -8,4 +8,5 @@
     LocalUpstreams upstreams,
     LocalCalls localCalls,
     PeerLinks links,
+    TargetNotices notices,
     SplittableRandom random) {}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -210,7 +210,12 @@
   private void complete(CallResult result, int unusedAttempts) {
     finish();
     listener.onEnded(
-        new CallOutcome(result, unusedAttempts, downstreamCalls, upstream.load(System.nanoTime())));
+        new CallOutcome(
+            result,
+            unusedAttempts,
+            downstreamCalls,
+            upstream.load(System.nanoTime()),
+            upstream.targetNotice()));
   }
 
   private int closeCall() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -11,6 +11,7 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TrafficClass;
+import org.cornelspoke.protocol.call.TargetNotice;
 import org.cornelspoke.transport.http.UpstreamPool;
 
 /** An upstream that has announced itself to this daemon. */
@@ -73,6 +74,28 @@
     }
   }
 
+  /**
+   * Processes a notice that another daemon received earlier; ignored if it is about another
+   * process.
+   */
+  void onEarlierNotice(TargetNotice notice, long nowNanos) {
+    boolean sameProcess = process.isPresent() && process.get().toString().equals(notice.process());
+    if (sameProcess && noticeTracker.onEarlierNotice(notice.notice(), nowNanos)) {
+      applyNotice(nowNanos);
+    }
+  }
+
+  /**
+   * Returns the notice in force, for the daemons that call the upstream, or empty if there is none
+   * or the process is not named.
+   */
+  Optional<TargetNotice> targetNotice() {
+    UpstreamNotice current = noticeTracker.current();
+    return current.equals(UpstreamNotice.NONE)
+        ? Optional.empty()
+        : process.map(id -> new TargetNotice(id.toString(), current));
+  }
+
   /** Returns true if the upstream has stated that it is leaving. */
   boolean isLeaving() {
     return noticeTracker.current().leaving();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -12,6 +12,7 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
+import org.cornelspoke.protocol.call.TargetNotice;
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.registry.TargetState;
@@ -137,12 +138,17 @@
   }
 
   /** Processes what an upstream states about itself in the response to a request. */
-  void onNotice(
-      LocalUpstream upstream, UpstreamNotice notice, long sentAtNanos, long nowNanos) {
+  void onNotice(LocalUpstream upstream, UpstreamNotice notice, long sentAtNanos, long nowNanos) {
     upstream.onNotice(notice, sentAtNanos, nowNanos);
     drainIfLeaving(upstream);
   }
 
+  /** Processes the notice that another daemon received from an upstream and sent with a call. */
+  void onEarlierNotice(LocalUpstream upstream, TargetNotice notice) {
+    upstream.onEarlierNotice(notice, System.nanoTime());
+    drainIfLeaving(upstream);
+  }
+
   void onCallStarted(LocalUpstream upstream) {
     upstream.inFlight++;
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/ProcessId.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/ProcessId.java
@@ -17,4 +17,10 @@
         instance.chars().allMatch(c -> c > ' ' && c < 0x7f),
         "instance must consist of printable ASCII characters without spaces");
   }
+
+  /** Returns the name with the start time, as one word. */
+  @Override
+  public String toString() {
+    return instance + '@' + startedAtMillis;
+  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -83,7 +83,12 @@
     LocalCalls localCalls = new LocalCalls(collaborators, upstreams, parents, signer, view);
     ForwardingDependencies forwarding =
         new ForwardingDependencies(
-            collaborators, upstreams, localCalls, links, new SplittableRandom());
+            collaborators,
+            upstreams,
+            localCalls,
+            links,
+            new TargetNotices(),
+            new SplittableRandom());
     EdgeHandler edgeHandler =
         new EdgeHandler(
             new EdgeDependencies(
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/UpstreamReportFilterTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/UpstreamReportFilterTest.java
@@ -37,7 +37,8 @@
   void processWithEarlierStartTimeIsAcceptedAfterSilence() {
     filter.accept(new ProcessId("i-1", 5_000), 1, 0);
 
-    assertThat(filter.accept(new ProcessId("i-2", 3_000), 1, TimeUnit.SECONDS.toNanos(1))).isFalse();
+    assertThat(filter.accept(new ProcessId("i-2", 3_000), 1, TimeUnit.SECONDS.toNanos(1)))
+        .isFalse();
     assertThat(filter.accept(new ProcessId("i-2", 3_000), 2, TimeUnit.SECONDS.toNanos(5))).isTrue();
   }
 
