Prefer other targets while requests wait for a stated rate

Callers waited up to a second at a limited upstream while another one of the service had free slots.

Cause: a gate reports its requests in flight. At a rate limit these fall below the usable slots between two admissions, so the target counted as unsaturated and, in the caller's own data centre, was preferred despite its queue.

Change: while requests wait for the rate, the gate reports all usable slots as in use.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -186,7 +186,11 @@
   public GateLoad load() {
     int criticalWaiting = queues.get(TrafficClass.CRITICAL).waiting();
     int slots = usableSlots();
-    return new GateLoad(inFlight, waiting(), slots, PERCENT * criticalWaiting / Math.max(1, slots));
+    // While requests wait for a rate limit, the slots that it can fill count as in use, also in the
+    // moments between two admissions.
+    int usedSlots = rateLimit.isActive() && waiting() > 0 ? Math.max(inFlight, slots) : inFlight;
+    return new GateLoad(
+        usedSlots, waiting(), slots, PERCENT * criticalWaiting / Math.max(1, slots));
   }
 
   /** Refuses all queued requests, so that callers can retry them at other targets. */
