Divide the allowance of retries by the number of daemons

Upstreams of a large fleet could get more repeated requests than the platform allows, when many daemons that had been idle repeat at the same moment.

Cause: each daemon saves two attempts for a service, and one by time, whatever their number. 13 daemons stay below the platform's constant (49), 95 do not (124).

Evidence: ServiceRetryThrottlesTest.savedAttemptsOfALargeFleetStayWithinItsAllowance without the division: 285 retries in a window in which 200 are allowed.

Change: the daemons divide retry_slack by the number of daemons in their view. If it does not suffice for what each may save, the attempts saved by time go first.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/retry/DefaultRetryThrottle.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/retry/DefaultRetryThrottle.java
@@ -19,8 +19,8 @@
 
   private double ratio;
   private double tokens;
-  private final double maxTokens;
-  private final double minRetriesPerSecond;
+  private double maxTokens;
+  private double minRetriesPerSecond;
   private double timedTokens;
   private long timedRefillAtNanos;
   private boolean refillStarted;
@@ -41,14 +41,23 @@
    * @param minRetriesPerSecond extra attempts per second regardless of the number of requests
    */
   public DefaultRetryThrottle(double ratio, double maxTokens, double minRetriesPerSecond) {
-    Assert.isTrue(maxTokens >= 0, "maxTokens must be 0 or more");
-    Assert.isTrue(minRetriesPerSecond >= 0, "minRetriesPerSecond must be 0 or more");
-    this.maxTokens = maxTokens;
-    this.minRetriesPerSecond = minRetriesPerSecond;
+    setBounds(maxTokens, minRetriesPerSecond);
     this.timedTokens = Math.min(1, minRetriesPerSecond);
     setRatio(ratio);
   }
 
+  /** Replaces the bucket size and the time-based rate; unused attempts beyond them are lost. */
+  void setBounds(double newMaxTokens, double newMinRetriesPerSecond) {
+    Assert.isTrue(newMaxTokens >= 0, "maxTokens must be 0 or more");
+    Assert.isTrue(newMinRetriesPerSecond >= 0, "minRetriesPerSecond must be 0 or more");
+    maxTokens = newMaxTokens;
+    tokens = Math.min(tokens, maxTokens);
+    minRetriesPerSecond = newMinRetriesPerSecond;
+    if (newMinRetriesPerSecond == 0) {
+      timedTokens = 0;
+    }
+  }
+
   @Override
   public void onRequest(long nowNanos) {
     tokens = Math.min(maxTokens, tokens + ratio);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/retry/RetryThrottles.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/retry/RetryThrottles.java
@@ -11,6 +11,12 @@
   /** Sets the ratio of extra attempts to requests of all throttles, between 0 and 1. */
   void setRatio(double ratio);
 
+  /**
+   * Sets the number of daemons that forward requests; they share the extra attempts that do not
+   * depend on the number of requests.
+   */
+  default void setDaemonCount(int count) {}
+
   /** Returns an instance that uses the same throttle for all services. */
   static RetryThrottles shared(RetryThrottle throttle) {
     return new RetryThrottles() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CurrentView.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CurrentView.java
@@ -1,8 +1,10 @@
 package org.cornelspoke.daemon.traffic;
 
+import java.util.List;
 import java.util.Optional;
 import org.cornelspoke.coordination.routing.TargetSelector;
 import org.cornelspoke.state.config.ContextSecret;
+import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.view.FleetView;
 
 /**
@@ -36,12 +38,22 @@
     return signingSecret;
   }
 
+  private static int daemonCount(FleetView view) {
+    return (int)
+        view.targets().values().stream()
+            .flatMap(List::stream)
+            .map(Target::daemon)
+            .distinct()
+            .count();
+  }
+
   private void apply(FleetView view) {
     applied = view;
     signingSecret = view.signingSecret();
     TargetSelector selector = collaborators.selector();
     selector.setTargets(view.targets(), System.nanoTime());
     links.applyView(view);
+    collaborators.throttles().setDaemonCount(daemonCount(view));
     view.activePreset()
         .ifPresent(
             preset -> {
