Send no notice beside the maximum of header lines

A response with 256 header lines of an upstream that states a limit could not be sent to the calling daemon, which would have waited until its deadline; found by reading the change.

Cause: the notice is a header line on the link, and headers have at most 256 lines.

Evidence: by reading; CallCodecTest.noticeIsOmittedBesideTheMaximumOfHeaders was not run against the code before.

Change: the notice is left out in that case. A process id of any length can be sent. The gate uses the smoothing weight of ClassQueue in place of a copy.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/ClassQueue.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/ClassQueue.java
@@ -17,7 +17,7 @@
 final class ClassQueue {
 
   /** Smoothing weight of a new service time; the mean covers about the last 50 requests. */
-  private static final double SERVICE_TIME_WEIGHT = 0.04;
+  static final double SERVICE_TIME_WEIGHT = 0.04;
 
   private static final double DEADLINE_REFUSAL_DECAY = 0.99;
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -39,9 +39,6 @@
    */
   private static final double REQUIRED_SERVICE_FRACTION = 0.6;
 
-  /** Smoothing weight of a new service time; the mean covers about the last 50 requests. */
-  private static final double SERVICE_TIME_WEIGHT = 0.04;
-
   private final double interactiveFraction;
   private final ConcurrencyLimit limit;
   private final AdmissionRateLimit rateLimit = new AdmissionRateLimit();
@@ -121,7 +118,7 @@
       meanServiceNanos =
           meanServiceNanos == 0
               ? heldNanos
-              : meanServiceNanos + SERVICE_TIME_WEIGHT * (heldNanos - meanServiceNanos);
+              : meanServiceNanos + ClassQueue.SERVICE_TIME_WEIGHT * (heldNanos - meanServiceNanos);
     }
     queues.get(entry.request().trafficClass()).onCompleted(entry, completion, nowNanos);
     inFlight--;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
@@ -180,7 +180,7 @@
   }
 
   private void writeHeaders(Headers headers, Optional<TargetNotice> notice) throws IOException {
-    if (notice.isEmpty()) {
+    if (notice.isEmpty() || headers.size() >= Headers.MAX_LINES) {
       writeBinary(headers.block());
       return;
     }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/Headers.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/Headers.java
@@ -17,8 +17,10 @@
   /** No header lines. */
   public static final Headers EMPTY = new Headers(new byte[0], new int[0]);
 
+  /** Maximum number of lines. */
+  public static final int MAX_LINES = 256;
+
   private static final int OFFSETS_PER_LINE = 4;
-  private static final int MAX_LINES = 256;
   private static final boolean[] TOKEN_BYTES = tokenTable();
 
   private final byte[] block;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/TargetNotice.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/TargetNotice.java
@@ -22,7 +22,7 @@
   private static final int LIMIT_DECIMALS = 6;
 
   private static final Pattern TEXT =
-      Pattern.compile("([!-~]{1,200}) (-|[0-9]{1,9}(?:\\.[0-9]{1,9})?) (0|1)");
+      Pattern.compile("([!-~]+) (-|[0-9]{1,9}(?:\\.[0-9]{1,9})?) (0|1)");
 
   /** Checks the process name. */
   public TargetNotice {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
@@ -94,6 +94,25 @@
     }
   }
 
+  /** Guards against a response with the most header lines that cannot be encoded. */
+  @Test
+  void noticeIsOmittedBesideTheMaximumOfHeaders() throws Exception {
+    Headers.Builder lines = new Headers.Builder();
+    for (int line = 0; line < Headers.MAX_LINES; line++) {
+      lines.add("X", "1");
+    }
+    TargetNotice notice =
+        new TargetNotice("i-1@17", new UpstreamNotice(OptionalDouble.empty(), true));
+    CallHead head = head(lines.build()).forAttempt(1, 0, Optional.of(notice));
+
+    CallMessage.Call call =
+        (CallMessage.Call)
+            codec.decode(codec.encode(new CallMessage.Call(1, head, 0, new byte[0])));
+
+    assertThat(call.head().headers().size()).isEqualTo(Headers.MAX_LINES);
+    assertThat(call.head().targetNotice()).isEmpty();
+  }
+
   private static CallHead head(Headers headers) {
     return new CallHead(
         new ServiceName("svc"),
