--- a/cornelspoke-core/src/main/java/org/cornelspoke/model/TrafficClass.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/model/TrafficClass.java
@@ -12,12 +12,12 @@
   /**
    * Returns the class of requests with a priority rank configured by operators.
    *
-   * @param rank priority rank, 0 for the most urgent requests
-   * @param repeatable true if the requests are idempotent
+   * @param rank priority rank, 0 for the most urgent requests; whether a request may be repeated
+   *     says nothing about its urgency
    * @param bulk true if the responses are large
    */
-  public static TrafficClass ofRank(int rank, boolean repeatable, boolean bulk) {
-    if (rank <= 0 || !repeatable) {
+  public static TrafficClass ofRank(int rank, boolean bulk) {
+    if (rank <= 0) {
       return CRITICAL;
     }
     return bulk ? BULK : INTERACTIVE;
