Carry metadata of calls and replies in typed header lines

Cause: learned capacities, the root of a nested call and the capacity left for a call chain must travel with calls and replies between daemons. Daemons of the previous build reject messages with further fields.

Change: CallMetadata and ReplyMetadata hold what travels beside a request and a response; MetadataHeaders maps them to header lines as was done for notices alone. TargetSelector receives estimates, and the reason evacuated is added. Nothing sends the new parts yet.

Result: CallCodecTest checks that each part arrives unchanged and that numbers out of range are rejected.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetSelector.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetSelector.java
@@ -38,6 +38,17 @@
   /** Records the load that a target reported with a reply. */
   void onLoad(TargetId target, GateLoad load, long nowNanos);
 
+  /**
+   * Records what the daemon beside a target has learned about its upstream. Selectors that don't
+   * use estimates ignore it.
+   *
+   * @param kind kind of the request to which the estimate was attached
+   * @param concurrency requests that the upstream serves at the same time without slowing down
+   * @param workNanos mean time for which the upstream works on a request of the kind
+   */
+  default void onEstimate(
+      TargetId target, RequestKind kind, int concurrency, long workNanos, long nowNanos) {}
+
   /** Result of an attempt as far as it matters for target selection. */
   enum AttemptResult {
     /** A complete response that is not a server error. */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/model/RefusalReason.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/model/RefusalReason.java
@@ -30,6 +30,8 @@
   NO_TARGET("no-target", 503),
   /** The target is draining or its daemon is stopping. */
   DRAINING("draining", 503),
+  /** The target lies in a data centre that operators have evacuated. */
+  EVACUATED("evacuated", 503),
   /** The claim for a request that is not repeatable could not be placed. */
   CLAIM_UNAVAILABLE("claim-unavailable", 503),
   /** The claim table of the account is full. */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallCodec.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.RefusalReason;
@@ -57,12 +56,6 @@
   private static final int PONG = 10;
   private static final int GO_AWAY = 11;
 
-  /**
-   * Header line that carries a notice. It is no field of its own, because daemons of earlier builds
-   * reject messages with further fields but ignore unknown headers.
-   */
-  private static final String NOTICE_HEADER = "cornelspoke-upstream-notice";
-
   /** Limits the memory that a peer can occupy by continually sending new names. */
   private static final int MAX_CACHED_NAMES = 10_000;
 
@@ -157,7 +150,7 @@
     packer.packLong(head.revision().number());
     packer.packLong(head.remainingMillis());
     packer.packInt(head.extraAttempts());
-    writeHeaders(head.headers(), head.targetNotice());
+    writeBinary(MetadataHeaders.add(head.headers(), head.metadata()).block());
     packer.packInt(call.bodyBytes());
     writeBinary(call.chunk());
   }
@@ -165,7 +158,7 @@
   private void writeReply(Reply reply) throws IOException {
     writeHeader(REPLY, reply.correlationId());
     packer.packInt(reply.status());
-    writeHeaders(reply.headers(), reply.targetNotice());
+    writeBinary(MetadataHeaders.add(reply.headers(), reply.metadata()).block());
     packer.packInt(reply.unusedAttempts());
     packer.packInt(reply.downstreamCalls());
     writeLoad(reply.load());
@@ -179,18 +172,6 @@
     packer.packLong(id);
   }
 
-  private void writeHeaders(Headers headers, Optional<TargetNotice> notice) throws IOException {
-    if (notice.isEmpty() || headers.size() >= Headers.MAX_LINES) {
-      writeBinary(headers.block());
-      return;
-    }
-    Headers.Builder lines = new Headers.Builder();
-    for (int line = 0; line < headers.size(); line++) {
-      lines.addLine(headers, line);
-    }
-    writeBinary(lines.add(NOTICE_HEADER, notice.get().format()).build().block());
-  }
-
   private void writeLoad(GateLoad load) throws IOException {
     packer.packInt(load.inFlight());
     packer.packInt(load.queued());
@@ -250,8 +231,8 @@
         revision,
         remainingMillis,
         extraAttempts,
-        withoutNotice(headers),
-        notice(headers));
+        MetadataHeaders.strip(headers),
+        MetadataHeaders.readCall(headers));
   }
 
   private static Reply readReply(MessageUnpacker in, long id) throws IOException {
@@ -260,33 +241,15 @@
     return new Reply(
         id,
         status,
-        withoutNotice(headers),
+        MetadataHeaders.strip(headers),
         in.unpackInt(),
         in.unpackInt(),
         readLoad(in),
-        notice(headers),
+        MetadataHeaders.readReply(headers),
         readBodyLength(in),
         readBinary(in));
   }
 
-  private static Optional<TargetNotice> notice(Headers headers) throws ProtocolException {
-    String text = headers.get(NOTICE_HEADER);
-    return text == null ? Optional.empty() : Optional.of(TargetNotice.parse(text));
-  }
-
-  private static Headers withoutNotice(Headers headers) {
-    if (headers.find(NOTICE_HEADER) < 0) {
-      return headers;
-    }
-    Headers.Builder lines = new Headers.Builder();
-    for (int line = 0; line < headers.size(); line++) {
-      if (!headers.nameIs(line, NOTICE_HEADER)) {
-        lines.addLine(headers, line);
-      }
-    }
-    return lines.build();
-  }
-
   /**
    * Checks a method or request target. Both are written into the HTTP request line, where a space
    * or control character would allow request injection.
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallHead.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallHead.java
@@ -1,6 +1,5 @@
 package org.cornelspoke.protocol.call;
 
-import java.util.Optional;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.ServiceName;
@@ -16,7 +15,7 @@
  * @param remainingMillis time that remained until the deadline when the call was sent
  * @param extraAttempts extra attempts granted to the call and its nested calls
  * @param headers end-to-end request headers without the client key
- * @param targetNotice latest notice that the sender received of the target's upstream, or empty
+ * @param metadata what the sender tells the target's daemon beside the request
  */
 public record CallHead(
     ServiceName service,
@@ -29,9 +28,9 @@
     long remainingMillis,
     int extraAttempts,
     Headers headers,
-    Optional<TargetNotice> targetNotice) {
+    CallMetadata metadata) {
 
-  /** Creates a head without a notice. */
+  /** Creates a head without metadata. */
   public CallHead(
       ServiceName service,
       String method,
@@ -54,7 +53,7 @@
         remainingMillis,
         extraAttempts,
         headers,
-        Optional.empty());
+        CallMetadata.NONE);
   }
 
   /** Checks that the components are present and in range. */
@@ -68,12 +67,12 @@
     Assert.notNull(revision, "revision");
     Assert.isTrue(extraAttempts >= 0, "extraAttempts must be 0 or more");
     Assert.notNull(headers, "headers");
-    Assert.notNull(targetNotice, "targetNotice");
+    Assert.notNull(metadata, "metadata");
   }
 
   /** Returns a copy with the values of a further attempt. */
   public CallHead forAttempt(
-      long newRemainingMillis, int newExtraAttempts, Optional<TargetNotice> newTargetNotice) {
+      long newRemainingMillis, int newExtraAttempts, CallMetadata newMetadata) {
     return new CallHead(
         service,
         method,
@@ -85,6 +84,6 @@
         newRemainingMillis,
         newExtraAttempts,
         headers,
-        newTargetNotice);
+        newMetadata);
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallMessage.java
@@ -1,6 +1,5 @@
 package org.cornelspoke.protocol.call;
 
-import java.util.Optional;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.Verdict;
@@ -48,7 +47,7 @@
   /**
    * Starts the response of the upstream.
    *
-   * @param targetNotice notice in force of the upstream process, or empty if there is none
+   * @param metadata what the target's daemon tells beside the response
    * @param bodyBytes length of the whole body
    * @param chunk first chunk of the body; the whole body if it is {@code bodyBytes} long
    */
@@ -60,7 +59,7 @@
       int unusedAttempts,
       int downstreamCalls,
       GateLoad load,
-      Optional<TargetNotice> targetNotice,
+      ReplyMetadata metadata,
       int bodyBytes,
       byte[] chunk)
       implements CallMessage {}
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallOutcome.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallOutcome.java
@@ -1,6 +1,5 @@
 package org.cornelspoke.protocol.call;
 
-import java.util.Optional;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.util.Assert;
 
@@ -11,19 +10,19 @@
  * @param downstreamCalls number of nested calls that the attempt caused, at every depth; a retry
  *     would cause about as many again
  * @param load load of the target's gate, or null if the target's daemon was not reached
- * @param targetNotice notice in force of the target's upstream, or empty if there is none; unknown
- *     unless the result is a response
+ * @param metadata what the target's daemon tells beside the result; unknown unless the result is a
+ *     response
  */
 public record CallOutcome(
     CallResult result,
     int unusedAttempts,
     int downstreamCalls,
     GateLoad load,
-    Optional<TargetNotice> targetNotice) {
+    ReplyMetadata metadata) {
 
-  /** Creates an outcome without a notice. */
+  /** Creates an outcome without metadata. */
   public CallOutcome(CallResult result, int unusedAttempts, int downstreamCalls, GateLoad load) {
-    this(result, unusedAttempts, downstreamCalls, load, Optional.empty());
+    this(result, unusedAttempts, downstreamCalls, load, ReplyMetadata.NONE);
   }
 
   /** Checks that the result is present and the counts are not negative. */
@@ -31,6 +30,6 @@
     Assert.notNull(result, "result");
     Assert.isTrue(unusedAttempts >= 0, "unusedAttempts must be 0 or more");
     Assert.isTrue(downstreamCalls >= 0, "downstreamCalls must be 0 or more");
-    Assert.notNull(targetNotice, "targetNotice");
+    Assert.notNull(metadata, "metadata");
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/PeerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/PeerLink.java
@@ -307,7 +307,7 @@
             Math.max(0, reply.unusedAttempts()),
             Math.max(0, reply.downstreamCalls()),
             reply.load(),
-            reply.targetNotice()));
+            reply.metadata()));
   }
 
   private void onRefusal(Refusal refusal) throws ProtocolException {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
@@ -106,7 +106,7 @@
                   ending.unusedAttempts(),
                   ending.downstreamCalls(),
                   ending.load(),
-                  ending.targetNotice(),
+                  ending.metadata(),
                   body.length,
                   BodySender.firstChunk(body))));
       BodySender.OutgoingBody replyBody = bodySender.sendRemaining(correlationId, body, false);
--- a/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
 import java.util.Optional;
@@ -69,11 +71,12 @@
     TargetNotice leaving =
         new TargetNotice("i-1@17", new UpstreamNotice(OptionalDouble.empty(), true));
     for (TargetNotice notice : List.of(limited, leaving)) {
-      CallHead head = head(headers).forAttempt(1, 0, Optional.of(notice));
+      CallHead head =
+          head(headers).forAttempt(1, 0, CallMetadata.NONE.withTargetNotice(Optional.of(notice)));
       CallMessage.Call call =
           (CallMessage.Call)
               codec.decode(codec.encode(new CallMessage.Call(1, head, 0, new byte[0])));
-      assertThat(call.head().targetNotice()).hasValue(notice);
+      assertThat(call.head().metadata().targetNotice()).hasValue(notice);
       assertThat(call.head().headers().block()).isEqualTo(headers.block());
       CallMessage.Reply reply =
           (CallMessage.Reply)
@@ -86,14 +89,69 @@
                           0,
                           0,
                           GateLoad.IDLE,
-                          Optional.of(notice),
+                          ReplyMetadata.NONE.withTargetNotice(Optional.of(notice)),
                           0,
                           new byte[0])));
-      assertThat(reply.targetNotice()).hasValue(notice);
+      assertThat(reply.metadata().targetNotice()).hasValue(notice);
       assertThat(reply.headers().block()).isEqualTo(headers.block());
     }
   }
 
+  /** Guards against metadata that one of the two directions of a link loses or alters. */
+  @Test
+  void metadataIsCarriedBesideTheHeaders() throws Exception {
+    Headers headers = new Headers.Builder().add("X", "1").build();
+    TargetEstimate estimate = new TargetEstimate("i-1@17", 70, 21_900);
+    CallMetadata ofCall =
+        CallMetadata.NONE
+            .withTargetEstimate(Optional.of(estimate))
+            .withRoot(Optional.of(new RootOrigin(new AccountId("farm"), TrafficClass.BULK)));
+    ReplyMetadata ofReply =
+        ReplyMetadata.NONE
+            .withTargetEstimate(Optional.of(estimate))
+            .withRoom(OptionalDouble.of(0.125));
+
+    CallHead head = head(headers).forAttempt(1, 0, ofCall);
+    CallMessage.Call call =
+        (CallMessage.Call)
+            codec.decode(codec.encode(new CallMessage.Call(1, head, 0, new byte[0])));
+    CallMessage.Reply reply =
+        (CallMessage.Reply)
+            codec.decode(
+                codec.encode(
+                    new CallMessage.Reply(
+                        1, 200, headers, 0, 0, GateLoad.IDLE, ofReply, 0, new byte[0])));
+
+    assertThat(call.head().metadata()).isEqualTo(ofCall);
+    assertThat(call.head().headers().block()).isEqualTo(headers.block());
+    assertThat(reply.metadata()).isEqualTo(ofReply);
+    assertThat(reply.headers().block()).isEqualTo(headers.block());
+  }
+
+  /** Guards against a peer that states numbers which would attract or repel all requests. */
+  @Test
+  void metadataOutOfRangeIsRejected() {
+    for (String line :
+        List.of(
+            "cornelspoke-target-estimate: i-1@17 0 5",
+            "cornelspoke-target-estimate: i-1@17 999999 5",
+            "cornelspoke-target-estimate: i-1@17 -5 5",
+            "cornelspoke-target-estimate: i-1@17 NaN 5",
+            "cornelspoke-room: 1.5",
+            "cornelspoke-room: -0.1",
+            "cornelspoke-room: NaN",
+            "cornelspoke-root: NOBLE farm")) {
+      byte[] block = (line + "\r\n").getBytes(US_ASCII);
+      assertThrows(
+          ProtocolException.class,
+          () -> {
+            Headers headers = Headers.parse(block, 0, block.length);
+            MetadataHeaders.readCall(headers);
+            MetadataHeaders.readReply(headers);
+          });
+    }
+  }
+
   /** Guards against a response with the most header lines that cannot be encoded. */
   @Test
   void noticeIsOmittedBesideTheMaximumOfHeaders() throws Exception {
@@ -103,14 +161,16 @@
     }
     TargetNotice notice =
         new TargetNotice("i-1@17", new UpstreamNotice(OptionalDouble.empty(), true));
-    CallHead head = head(lines.build()).forAttempt(1, 0, Optional.of(notice));
+    CallHead head =
+        head(lines.build())
+            .forAttempt(1, 0, CallMetadata.NONE.withTargetNotice(Optional.of(notice)));
 
     CallMessage.Call call =
         (CallMessage.Call)
             codec.decode(codec.encode(new CallMessage.Call(1, head, 0, new byte[0])));
 
     assertThat(call.head().headers().size()).isEqualTo(Headers.MAX_LINES);
-    assertThat(call.head().targetNotice()).isEmpty();
+    assertThat(call.head().metadata().targetNotice()).isEmpty();
   }
 
   private static CallHead head(Headers headers) {
@@ -136,7 +196,7 @@
         new CallMessage.Call(1, head, 5, new byte[] {1, 2, 3}),
         new CallMessage.CallChunk(1, new byte[] {4, 5}),
         new CallMessage.CallEnd(1),
-        new CallMessage.Reply(1, 200, headers, 1, 4, load, Optional.empty(), 0, new byte[0]),
+        new CallMessage.Reply(1, 200, headers, 1, 4, load, ReplyMetadata.NONE, 0, new byte[0]),
         new CallMessage.ReplyChunk(1, new byte[] {7}),
         new CallMessage.ReplyEnd(1),
         new CallMessage.Refusal(1, RefusalReason.RATE, Verdict.NOT_RUN, 20, 2, 3, load),
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -192,7 +192,10 @@
     lentAttempts = remainingAttempts - keptAttempts;
     remainingAttempts = keptAttempts;
     long remainingMillis = Math.max(0, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - now));
-    return head.forAttempt(remainingMillis, lentAttempts, dependencies.notices().of(target.id()));
+    return head.forAttempt(
+        remainingMillis,
+        lentAttempts,
+        head.metadata().withTargetNotice(dependencies.notices().of(target.id())));
   }
 
   private void onAttemptEnded(CallOutcome ending) {
@@ -215,7 +218,7 @@
       }
     }
     if (result instanceof CallResult.Responded) {
-      dependencies.notices().onResponse(id, ending.targetNotice());
+      dependencies.notices().onResponse(id, ending.metadata().targetNotice());
     }
     lastResult = result;
     lastDownstreamCalls = ending.downstreamCalls();
@@ -241,7 +244,7 @@
     }
     return result instanceof CallResult.Refused refused
         && switch (refused.reason()) {
-          case OVERLOAD, DRAINING, NO_TARGET -> true;
+          case OVERLOAD, DRAINING, EVACUATED, NO_TARGET -> true;
           default -> false;
         };
   }
@@ -249,7 +252,7 @@
   private boolean isRetryable(CallResult result) {
     if (result instanceof CallResult.Refused refused) {
       return switch (refused.reason()) {
-        case OVERLOAD, SHED, DRAINING, NO_TARGET -> true;
+        case OVERLOAD, SHED, DRAINING, EVACUATED, NO_TARGET -> true;
         default -> false;
       };
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -11,6 +11,7 @@
 import org.cornelspoke.protocol.call.CallOutcome;
 import org.cornelspoke.protocol.call.CallResult;
 import org.cornelspoke.protocol.call.Headers;
+import org.cornelspoke.protocol.call.ReplyMetadata;
 import org.cornelspoke.transport.http.UpstreamExchange;
 import org.cornelspoke.transport.http.UpstreamRequest;
 import org.cornelspoke.transport.link.LinkCall;
@@ -215,7 +216,7 @@
             unusedAttempts,
             downstreamCalls,
             upstream.load(System.nanoTime()),
-            upstream.targetNotice()));
+            ReplyMetadata.NONE.withTargetNotice(upstream.targetNotice())));
   }
 
   private int closeCall() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
@@ -62,7 +62,7 @@
       listener.onEnded(new CallOutcome(refusal, head.extraAttempts(), 0, load));
       return null;
     }
-    head.targetNotice().ifPresent(notice -> upstreams.onEarlierNotice(upstream, notice));
+    head.metadata().targetNotice().ifPresent(notice -> upstreams.onEarlierNotice(upstream, notice));
     LocalCall call = new LocalCall(this, upstream, head, body, listener);
     call.start();
     return call;
