Keep the rate of cold upstreams

Cause: heartbeats state how much longer an upstream is cold, and nothing read it: a cold upstream got the load of a warm one.

Change: a gate admits at the smallest rate that its upstream states (UpstreamNoticeTracker over ResponseLimit and ColdPeriod). The cold rate of a service comes with the configuration (ServicePolicy, from the columns cold_start and cold_per_s); the remaining time comes with heartbeats, with responses, and from callers after a restart of the daemon. While cold, the gate also counts the requests of the past second, so that the moment of turning cold keeps the bound. A reported drain is part of the notice, so that callers return it to a restarted daemon.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/NaiveGate.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/NaiveGate.java
@@ -2,10 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.OptionalDouble;
+import java.util.Optional;
 import org.cornelspoke.coordination.admission.Completion;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.GateRequest;
+import org.cornelspoke.coordination.admission.StatedRate;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.state.config.Preset;
@@ -66,7 +67,7 @@
   }
 
   @Override
-  public void setRateLimit(OptionalDouble requestsPerSecond, long nowNanos) {
+  public void setRateLimit(Optional<StatedRate> rate, long nowNanos) {
     // The naive gate ignores what its upstream states.
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/AdmissionRateLimit.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/AdmissionRateLimit.java
@@ -1,11 +1,12 @@
 package org.cornelspoke.coordination.admission;
 
-import java.util.OptionalDouble;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Spaces the admissions of a gate so that they stay within the request rate that its upstream
- * states. Without a stated rate, every admission is permitted.
+ * states. Without a stated rate, every admission is permitted. A rate that also counts the requests
+ * of the past second holds back further ones if the upstream got many before it stated the rate.
  *
  * <p>Not safe for use by several threads. Times are monotonic nanoseconds.
  */
@@ -22,14 +23,16 @@
 
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
+  private final RecentAdmissions recentAdmissions = new RecentAdmissions();
   private boolean active;
   private double permitsPerSecond;
+  private int maxPerSecond;
   private double permits;
   private long updatedAtNanos;
 
   /** Sets the stated rate; a new limit starts without permits. */
-  void set(OptionalDouble requestsPerSecond, long nowNanos) {
-    if (requestsPerSecond.isEmpty()) {
+  void set(Optional<StatedRate> rate, long nowNanos) {
+    if (rate.isEmpty()) {
       active = false;
       return;
     }
@@ -40,7 +43,8 @@
       permits = 0;
       updatedAtNanos = nowNanos;
     }
-    permitsPerSecond = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond.getAsDouble());
+    permitsPerSecond = Math.max(MIN_REQUESTS_PER_SECOND, rate.get().requestsPerSecond());
+    maxPerSecond = rate.get().maxPerSecond();
     permits = Math.min(permits, maxPermits());
   }
 
@@ -54,11 +58,12 @@
       return true;
     }
     accumulate(nowNanos);
-    return permits >= 1;
+    return permits >= 1 && recentAdmissions.waitNanos(maxPerSecond, nowNanos) == 0;
   }
 
-  /** Uses the permit of a request that is admitted. */
-  void usePermit() {
+  /** Uses the permit of a request that is admitted. Admissions count also without a limit. */
+  void usePermit(long nowNanos) {
+    recentAdmissions.add(nowNanos);
     if (active) {
       permits--;
     }
@@ -66,7 +71,10 @@
 
   /** Returns the time in which the given number of requests is admitted, or 0 without a limit. */
   double admissionNanos(double requests) {
-    return active ? requests / permitsPerSecond * NANOS_PER_SECOND : 0;
+    return active
+        ? recentAdmissions.waitNanos(maxPerSecond, updatedAtNanos)
+            + requests / permitsPerSecond * NANOS_PER_SECOND
+        : 0;
   }
 
   /**
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -4,7 +4,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
+import java.util.Optional;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.state.config.Preset;
@@ -169,8 +169,8 @@
   }
 
   @Override
-  public void setRateLimit(OptionalDouble requestsPerSecond, long nowNanos) {
-    rateLimit.set(requestsPerSecond, nowNanos);
+  public void setRateLimit(Optional<StatedRate> rate, long nowNanos) {
+    rateLimit.set(rate, nowNanos);
     dispatch(nowNanos);
   }
 
@@ -318,7 +318,7 @@
     entry.admit(expectedNanos, nowNanos);
     queue.onAdmitted(entry.request(), expectedNanos);
     inFlight++;
-    rateLimit.usePermit();
+    rateLimit.usePermit(nowNanos);
     entry.listener().onAdmitted();
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/UpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/UpstreamGate.java
@@ -1,6 +1,6 @@
 package org.cornelspoke.coordination.admission;
 
-import java.util.OptionalDouble;
+import java.util.Optional;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.state.config.Preset;
 
@@ -48,9 +48,9 @@
    * Sets the rate of requests that the upstream states to accept, or removes the limit. Requests
    * beyond it wait or are refused like those beyond the concurrency limit.
    *
-   * @param requestsPerSecond 0 or more, or empty for no limit
+   * @param rate the smallest rate that the upstream states, or empty for no limit
    */
-  void setRateLimit(OptionalDouble requestsPerSecond, long nowNanos);
+  void setRateLimit(Optional<StatedRate> rate, long nowNanos);
 
   /**
    * Stops or resumes admission. Admitted requests continue; queued requests are refused at the next
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/MetadataHeaders.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/MetadataHeaders.java
@@ -15,11 +15,12 @@
 final class MetadataHeaders {
 
   private static final String NOTICE = "cornelspoke-upstream-notice";
+  private static final String COLD_REMAINING = "cornelspoke-upstream-cold";
   private static final String ESTIMATE = "cornelspoke-target-estimate";
   private static final String ROOT = "cornelspoke-root";
   private static final String ROOM = "cornelspoke-room";
 
-  private static final String[] NAMES = {NOTICE, ESTIMATE, ROOT, ROOM};
+  private static final String[] NAMES = {NOTICE, COLD_REMAINING, ESTIMATE, ROOT, ROOM};
 
   /** Decimal places of a fraction in the text form. */
   private static final int ROOM_DECIMALS = 3;
@@ -31,7 +32,7 @@
   /** Returns the headers with the lines of the metadata, as far as they fit. */
   static Headers add(Headers headers, CallMetadata metadata) {
     Map<String, String> lines = new LinkedHashMap<>();
-    metadata.targetNotice().ifPresent(notice -> lines.put(NOTICE, notice.format()));
+    metadata.targetNotice().ifPresent(notice -> putNotice(lines, notice));
     metadata.targetEstimate().ifPresent(estimate -> lines.put(ESTIMATE, estimate.format()));
     metadata.root().ifPresent(root -> lines.put(ROOT, root.format()));
     return add(headers, lines);
@@ -40,7 +41,7 @@
   /** Returns the headers with the lines of the metadata, as far as they fit. */
   static Headers add(Headers headers, ReplyMetadata metadata) {
     Map<String, String> lines = new LinkedHashMap<>();
-    metadata.targetNotice().ifPresent(notice -> lines.put(NOTICE, notice.format()));
+    metadata.targetNotice().ifPresent(notice -> putNotice(lines, notice));
     metadata.targetEstimate().ifPresent(estimate -> lines.put(ESTIMATE, estimate.format()));
     metadata.room().ifPresent(room -> lines.put(ROOM, formatRoom(room)));
     return add(headers, lines);
@@ -105,7 +106,20 @@
 
   private static Optional<TargetNotice> notice(Headers headers) throws ProtocolException {
     String text = headers.get(NOTICE);
-    return text == null ? Optional.empty() : Optional.of(TargetNotice.parse(text));
+    if (text == null) {
+      return Optional.empty();
+    }
+    TargetNotice notice = TargetNotice.parse(text);
+    String coldRemaining = headers.get(COLD_REMAINING);
+    return Optional.of(coldRemaining == null ? notice : notice.withColdRemaining(coldRemaining));
+  }
+
+  private static void putNotice(Map<String, String> lines, TargetNotice notice) {
+    lines.put(NOTICE, notice.format());
+    notice
+        .notice()
+        .coldRemainingMillis()
+        .ifPresent(millis -> lines.put(COLD_REMAINING, Long.toString(millis)));
   }
 
   private static Optional<TargetEstimate> estimate(Headers headers) throws ProtocolException {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/ChangeCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/ChangeCodec.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.state.codec;
 
+import java.util.List;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.KeyId;
 import org.cornelspoke.model.OperatorId;
@@ -18,6 +19,7 @@
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.config.Route;
 import org.cornelspoke.state.config.RoutingDocument;
+import org.cornelspoke.state.config.ServicePolicy;
 
 /** Encodes and decodes change requests, their results and audit entries. Stateless. */
 public final class ChangeCodec {
@@ -36,6 +38,9 @@
   private static final int ROTATE_CONTEXT_SECRET = 12;
   private static final int REPLACE_ROUTING = 13;
 
+  /** Fields of a routing replacement that contains service policies. */
+  private static final int POLICIES_SIZE = 7;
+
   private static final int ACCEPTED = 1;
   private static final int CONFLICT = 2;
   private static final int REJECTED = 3;
@@ -140,19 +145,27 @@
     } else if (change instanceof ConfigChange.RotateContextSecret rotate) {
       writeTextChange(out, ROTATE_CONTEXT_SECRET, rotate.secretHex());
     } else if (change instanceof ConfigChange.ReplaceRouting replace) {
-      out.array(6).number(REPLACE_ROUTING).number(replace.baseVersion());
+      // Without policies the form is that of earlier builds, which reject a further field.
+      boolean hasPolicies = !replace.servicePolicies().isEmpty();
+      out.array(hasPolicies ? POLICIES_SIZE : POLICIES_SIZE - 1);
+      out.number(REPLACE_ROUTING).number(replace.baseVersion());
       EntityCodec.write(out, replace.document());
       out.list(replace.routes(), (Route route) -> EntityCodec.write(out, route));
       out.list(replace.accounts(), (Account account) -> EntityCodec.write(out, account));
       out.list(replace.keys(), (ClientKey key) -> EntityCodec.write(out, key));
+      if (hasPolicies) {
+        out.list(
+            replace.servicePolicies(), (ServicePolicy policy) -> EntityCodec.write(out, policy));
+      }
     }
   }
 
   private static ConfigChange readChange(MessageReader in) {
     int size = in.arraySize();
     int type = in.integer();
-    int expectedSize = type == REPLACE_ROUTING ? 6 : 2;
-    if (size != expectedSize) {
+    boolean hasPolicies = type == REPLACE_ROUTING && size == POLICIES_SIZE;
+    int expectedSize = type == REPLACE_ROUTING ? POLICIES_SIZE - 1 : 2;
+    if (!hasPolicies && size != expectedSize) {
       throw new MalformedMessageException("change must have " + expectedSize + " fields: " + size);
     }
     return switch (type) {
@@ -174,7 +187,8 @@
               readEntity(in, RoutingDocument.class),
               in.list(() -> readEntity(in, Route.class)),
               in.list(() -> readEntity(in, Account.class)),
-              in.list(() -> readEntity(in, ClientKey.class)));
+              in.list(() -> readEntity(in, ClientKey.class)),
+              hasPolicies ? in.list(() -> readEntity(in, ServicePolicy.class)) : List.of());
       default -> throw MessageReader.unknownType("change", type);
     };
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/EntityCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/EntityCodec.java
@@ -22,6 +22,7 @@
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.config.Route;
 import org.cornelspoke.state.config.RoutingDocument;
+import org.cornelspoke.state.config.ServicePolicy;
 import org.cornelspoke.state.config.WeightedService;
 
 /** Encodes and decodes configuration entities as {@code [kind code, fields...]}. Stateless. */
@@ -51,6 +52,9 @@
     } else if (entity instanceof RoutingDocument document) {
       out.array(3).number(code).number(document.version());
       out.bytes(document.text().getBytes(StandardCharsets.UTF_8));
+    } else if (entity instanceof ServicePolicy policy) {
+      out.array(4).number(code).text(policy.service().value());
+      out.number(policy.coldStartMillis()).real(policy.coldRequestsPerSecond());
     }
   }
 
@@ -70,6 +74,8 @@
           case OPERATOR -> new Operator(new OperatorId(in.text()), in.text());
           case ROUTING_DOCUMENT ->
               new RoutingDocument(in.number(), new String(in.bytes(), StandardCharsets.UTF_8));
+          case SERVICE_POLICY ->
+              new ServicePolicy(new ServiceName(in.text()), in.number(), in.real());
         };
     if (size != fieldCount(kind)) {
       throw new MalformedMessageException(kind + " must have " + fieldCount(kind) + " fields");
@@ -91,7 +97,7 @@
   private static int fieldCount(EntityKind kind) {
     return switch (kind) {
       case ACCOUNT -> 5;
-      case CLIENT_KEY -> 4;
+      case CLIENT_KEY, SERVICE_POLICY -> 4;
       case ROUTE -> 12;
       case PRESET -> 6;
       case ACTIVE_PRESET -> 2;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlanner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlanner.java
@@ -16,7 +16,8 @@
   private static final Pattern SHA256_HEX = Pattern.compile("[0-9a-f]{64}");
   private static final int MAX_CONTEXT_SECRETS = 2;
   private static final List<EntityKind> REPLACED_KINDS =
-      List.of(EntityKind.ACCOUNT, EntityKind.CLIENT_KEY, EntityKind.ROUTE);
+      List.of(
+          EntityKind.ACCOUNT, EntityKind.CLIENT_KEY, EntityKind.ROUTE, EntityKind.SERVICE_POLICY);
 
   private final EntityStore entities;
 
@@ -130,6 +131,7 @@
     replace.accounts().forEach(account -> desired.put(account.entityId(), account));
     replace.keys().forEach(key -> desired.put(key.entityId(), key));
     replace.routes().forEach(route -> desired.put(route.entityId(), route));
+    replace.servicePolicies().forEach(policy -> desired.put(policy.entityId(), policy));
     List<EntityId> removed = new ArrayList<>();
     for (EntityKind kind : REPLACED_KINDS) {
       for (ConfigEntity existing : entities.live(kind)) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigChange.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigChange.java
@@ -50,7 +50,7 @@
   record RotateContextSecret(String secretHex) implements ConfigChange {}
 
   /**
-   * Replaces all routes, accounts and keys atomically.
+   * Replaces all routes, accounts, keys and service policies atomically.
    *
    * @param baseVersion version of the document on which the change is based, 0 if there is none;
    *     the change conflicts if another version is current
@@ -61,7 +61,8 @@
       RoutingDocument document,
       List<Route> routes,
       List<Account> accounts,
-      List<ClientKey> keys)
+      List<ClientKey> keys,
+      List<ServicePolicy> servicePolicies)
       implements ConfigChange {
 
     /** Copies the lists. */
@@ -69,6 +70,17 @@
       routes = List.copyOf(routes);
       accounts = List.copyOf(accounts);
       keys = List.copyOf(keys);
+      servicePolicies = List.copyOf(servicePolicies);
+    }
+
+    /** Creates a change without service policies. */
+    public ReplaceRouting(
+        long baseVersion,
+        RoutingDocument document,
+        List<Route> routes,
+        List<Account> accounts,
+        List<ClientKey> keys) {
+      this(baseVersion, document, routes, accounts, keys, List.of());
     }
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityText.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityText.java
@@ -70,6 +70,10 @@
     if (entity instanceof RoutingDocument document) {
       return "version=" + document.version();
     }
+    if (entity instanceof ServicePolicy policy) {
+      return "coldStartMillis=%s coldRequestsPerSecond=%s"
+          .formatted(policy.coldStartMillis(), policy.coldRequestsPerSecond());
+    }
     return "present";
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
@@ -18,6 +18,7 @@
 import org.cornelspoke.state.config.ContextSecret;
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.config.Route;
+import org.cornelspoke.state.config.ServicePolicy;
 import org.cornelspoke.state.config.WeightedService;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.util.Assert;
@@ -40,6 +41,7 @@
   private final List<Route> routes = new ArrayList<>();
   private final Map<PresetName, Preset> presets = new HashMap<>();
   private final Map<Integer, ContextSecret> contextSecrets = new HashMap<>();
+  private final Map<ServiceName, ServicePolicy> servicePolicies = new HashMap<>();
   private final Map<ServiceName, List<Target>> targets;
   private PresetName activePreset;
 
@@ -120,6 +122,11 @@
     return Optional.ofNullable(contextSecrets.get(number));
   }
 
+  /** Returns the policy of a service, or empty if it has none. */
+  public Optional<ServicePolicy> servicePolicy(ServiceName service) {
+    return Optional.ofNullable(servicePolicies.get(service));
+  }
+
   /** Returns the known targets of a service, in no particular order. */
   public List<Target> targets(ServiceName service) {
     return targets.getOrDefault(service, List.of());
@@ -157,6 +164,8 @@
       activePreset = active.name();
     } else if (entity instanceof ContextSecret secret) {
       contextSecrets.put(secret.number(), secret);
+    } else if (entity instanceof ServicePolicy policy) {
+      servicePolicies.put(policy.service(), policy);
     }
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/DefaultResponsePolicy.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/DefaultResponsePolicy.java
@@ -13,7 +13,8 @@
   private static final String SHED_HEADER = "cornelspoke-shed";
   private static final String SHED_VALUE = "1";
   private static final UpstreamNoticeHeaders NOTICE_HEADERS =
-      new UpstreamNoticeHeaders("cornelspoke-rate-limit", "cornelspoke-leaving");
+      new UpstreamNoticeHeaders(
+          "cornelspoke-rate-limit", "cornelspoke-leaving", "cornelspoke-cold-remaining-millis");
 
   @Override
   public Kind classify(Headers request, int status, Headers response) {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/StatedRateTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/StatedRateTest.java
@@ -9,7 +9,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.apache.commons.math3.random.Well19937c;
@@ -68,7 +68,7 @@
   void admissionsStayWithinTheStatedRate() {
     for (double rate : new double[] {0, 0.3, 7, 70.1, 400}) {
       admissionsNanos.clear();
-      gate.setRateLimit(OptionalDouble.of(rate), nowNanos);
+      gate.setRateLimit(Optional.of(StatedRate.spaced(rate)), nowNanos);
       play(500, 12);
       for (int first = 0; first < admissionsNanos.size(); first++) {
         int last = first;
@@ -86,7 +86,7 @@
   /** Guards against a limit that wastes what the upstream accepts. */
   @Test
   void admissionsReachTheStatedRate() {
-    gate.setRateLimit(OptionalDouble.of(70.1), nowNanos);
+    gate.setRateLimit(Optional.of(StatedRate.spaced(70.1)), nowNanos);
     play(200, 20);
     assertThat(admissionsNanos.size()).isAtLeast((int) (0.95 * 70.1 * 20));
   }
@@ -94,7 +94,7 @@
   /** Guards against urgent requests that are refused while less urgent ones are admitted. */
   @Test
   void urgentRequestsComeFirstWithinTheStatedRate() {
-    gate.setRateLimit(OptionalDouble.of(70), nowNanos);
+    gate.setRateLimit(Optional.of(StatedRate.spaced(70)), nowNanos);
     play(200, 20);
     assertThat(ratio(TrafficClass.CRITICAL)).isAtLeast(0.99);
     assertThat(ratio(TrafficClass.CRITICAL)).isAtLeast(ratio(TrafficClass.INTERACTIVE));
@@ -104,9 +104,9 @@
   /** Guards against a limit that outlasts its statement. */
   @Test
   void admissionsAreUnlimitedAfterTheEnd() {
-    gate.setRateLimit(OptionalDouble.of(7), nowNanos);
+    gate.setRateLimit(Optional.of(StatedRate.spaced(7)), nowNanos);
     play(200, 5);
-    gate.setRateLimit(OptionalDouble.empty(), nowNanos);
+    gate.setRateLimit(Optional.empty(), nowNanos);
     int before = admissionsNanos.size();
     int submittedBefore = submittedTotal();
     play(200, 5);
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/routing/LimitedTargetTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/routing/LimitedTargetTest.java
@@ -5,7 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import org.apache.commons.math3.random.Well19937c;
@@ -13,6 +13,7 @@
 import org.cornelspoke.coordination.admission.DefaultUpstreamGate;
 import org.cornelspoke.coordination.admission.FixedLimit;
 import org.cornelspoke.coordination.admission.GateRequest;
+import org.cornelspoke.coordination.admission.StatedRate;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.routing.TargetSelector.AttemptResult;
 import org.cornelspoke.model.AccountId;
@@ -99,7 +100,7 @@
       gates.put(target.id(), new DefaultUpstreamGate(preset(), new FixedLimit(SLOTS)));
     }
     selector.setTargets(Map.of(SERVICE, List.of(local, remote)), nowNanos);
-    gates.get(local.id()).setRateLimit(OptionalDouble.of(STATED_RATE), nowNanos);
+    gates.get(local.id()).setRateLimit(Optional.of(StatedRate.spaced(STATED_RATE)), nowNanos);
 
     play(20);
 
--- a/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Random;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.UpstreamNotice;
@@ -70,7 +71,10 @@
         new TargetNotice("i-1@17", new UpstreamNotice(OptionalDouble.of(70.125), false));
     TargetNotice leaving =
         new TargetNotice("i-1@17", new UpstreamNotice(OptionalDouble.empty(), true));
-    for (TargetNotice notice : List.of(limited, leaving)) {
+    TargetNotice cold =
+        new TargetNotice(
+            "i-1@17", new UpstreamNotice(OptionalDouble.empty(), false, OptionalLong.of(2_500)));
+    for (TargetNotice notice : List.of(limited, leaving, cold)) {
       CallHead head =
           head(headers).forAttempt(1, 0, CallMetadata.NONE.withTargetNotice(Optional.of(notice)));
       CallMessage.Call call =
@@ -97,6 +101,30 @@
     }
   }
 
+  /** Guards against a text that the previous build rejects, with the message that contains it. */
+  @Test
+  void noticeOfAColdUpstreamIsReadableForThePreviousBuild() {
+    TargetNotice notice =
+        new TargetNotice(
+            "i-1@17", new UpstreamNotice(OptionalDouble.of(2), true, OptionalLong.of(2_500)));
+
+    assertThat(notice.format()).matches("([!-~]+) (-|[0-9]{1,9}(?:\\.[0-9]{1,9})?) (0|1)");
+  }
+
+  /** Guards against a caller that returns a remaining time as it was when it received it. */
+  @Test
+  void remainingTimeOfANoticePasses() {
+    UpstreamNotice cold = new UpstreamNotice(OptionalDouble.empty(), false, OptionalLong.of(2_500));
+    TargetNotice notice = new TargetNotice("i-1@17", cold);
+
+    assertThat(notice.after(2_000).orElseThrow().notice().coldRemainingMillis()).hasValue(500);
+    assertThat(notice.after(2_500)).isEmpty();
+    UpstreamNotice leaving =
+        new UpstreamNotice(OptionalDouble.empty(), true, OptionalLong.of(2_500));
+    assertThat(new TargetNotice("i-1@17", leaving).after(2_500).orElseThrow().notice())
+        .isEqualTo(new UpstreamNotice(OptionalDouble.empty(), true));
+  }
+
   /** Guards against metadata that one of the two directions of a link loses or alters. */
   @Test
   void metadataIsCarriedBesideTheHeaders() throws Exception {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamNoticeHeadersTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamNoticeHeadersTest.java
@@ -3,13 +3,15 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.protocol.call.Headers;
 import org.junit.jupiter.api.Test;
 
 class UpstreamNoticeHeadersTest {
 
-  private final UpstreamNoticeHeaders headers = new UpstreamNoticeHeaders("limit", "leaving");
+  private final UpstreamNoticeHeaders headers =
+      new UpstreamNoticeHeaders("limit", "leaving", "cold");
 
   @Test
   void readsLimitAndDeparture() {
@@ -31,6 +33,22 @@
         .hasValue(new UpstreamNotice(OptionalDouble.empty(), true));
   }
 
+  @Test
+  void readsRemainingColdTime() {
+    assertThat(headers.parse(response("Cold", "2500")))
+        .hasValue(new UpstreamNotice(OptionalDouble.empty(), false, OptionalLong.of(2_500)));
+    assertThat(headers.parse(response("Cold", "0", "Limit", "7")))
+        .hasValue(new UpstreamNotice(OptionalDouble.of(7), false, OptionalLong.of(0)));
+  }
+
+  /** Guards against a malformed remaining time that counts as warm. */
+  @Test
+  void malformedRemainingColdTimeStatesNothing() {
+    for (String millis : new String[] {"", "-1", "2.5", "3s", "1234567890123"}) {
+      assertThat(headers.parse(response("Cold", millis))).hasValue(UpstreamNotice.NONE);
+    }
+  }
+
   private static Headers response(String... namesAndValues) {
     Headers.Builder builder = new Headers.Builder();
     for (int i = 0; i < namesAndValues.length; i += 2) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CurrentView.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CurrentView.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cornelspoke.coordination.routing.TargetSelector;
+import org.cornelspoke.model.Revision;
 import org.cornelspoke.state.config.ContextSecret;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.view.FleetView;
@@ -53,6 +54,9 @@
     TargetSelector selector = collaborators.selector();
     selector.setTargets(view.targets(), System.nanoTime());
     links.applyView(view);
+    if (view.revision().isAfter(Revision.NONE)) {
+      upstreams.applyServicePolicies(view);
+    }
     collaborators.throttles().setDaemonCount(daemonCount(view));
     view.activePreset()
         .ifPresent(
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -195,7 +195,7 @@
     return head.forAttempt(
         remainingMillis,
         lentAttempts,
-        head.metadata().withTargetNotice(dependencies.notices().of(target.id())));
+        head.metadata().withTargetNotice(dependencies.notices().of(target.id(), now)));
   }
 
   private void onAttemptEnded(CallOutcome ending) {
@@ -218,7 +218,7 @@
       }
     }
     if (result instanceof CallResult.Responded) {
-      dependencies.notices().onResponse(id, ending.metadata().targetNotice());
+      dependencies.notices().onResponse(id, ending.metadata().targetNotice(), now);
     }
     lastResult = result;
     lastDownstreamCalls = ending.downstreamCalls();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalApi.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalApi.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.Iterator;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
@@ -74,7 +75,8 @@
     long leaseMillis =
         parseNumber(body, "leaseMillis", DEFAULT_LEASE_MILLIS, MIN_LEASE_MILLIS, MAX_LEASE_MILLIS);
     if (!registration.announce(
-        new Announcement(service, endpoint, (int) slots, leaseMillis, Optional.empty()))) {
+        new Announcement(
+            service, endpoint, (int) slots, leaseMillis, Optional.empty(), OptionalLong.empty()))) {
       return HttpResponse.ofText(503, "the daemon is stopping\n");
     }
     return HttpResponse.ofStatus(204);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -73,7 +73,7 @@
   }
 
   void start() {
-    calls.upstreams().onCallStarted(upstream);
+    calls.upstreams().onCallStarted(upstream, startNanos);
     if (isRoot() && !upstream.admitsRoot(head.trafficClass(), startNanos)) {
       complete(
           new CallResult.Refused(RefusalReason.DOWNSTREAM, DOWNSTREAM_RETRY_MILLIS),
@@ -216,7 +216,7 @@
             unusedAttempts,
             downstreamCalls,
             upstream.load(System.nanoTime()),
-            ReplyMetadata.NONE.withTargetNotice(upstream.targetNotice())));
+            ReplyMetadata.NONE.withTargetNotice(upstream.targetNotice(System.nanoTime()))));
   }
 
   private int closeCall() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -2,9 +2,11 @@
 
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.PressureEstimator;
 import org.cornelspoke.coordination.admission.RootRequestThrottle;
+import org.cornelspoke.coordination.admission.StatedRate;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.coordination.admission.UpstreamNoticeTracker;
@@ -12,6 +14,7 @@
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.protocol.call.TargetNotice;
+import org.cornelspoke.state.config.ServicePolicy;
 import org.cornelspoke.transport.http.UpstreamPool;
 
 /** An upstream that has announced itself to this daemon. */
@@ -27,9 +30,11 @@
   final UpstreamPool pool;
   private final RootRequestThrottle rootThrottle;
   private final PressureEstimator downstreamPressure = new PressureEstimator();
-  private final UpstreamNoticeTracker noticeTracker = new UpstreamNoticeTracker();
+  private final UpstreamNoticeTracker noticeTracker = new UpstreamNoticeTracker(System.nanoTime());
   private final UpstreamNoticeLog noticeLog;
   final NestedCallStatistics nestedCallStatistics = new NestedCallStatistics();
+  private UpstreamNotice loggedNotice = UpstreamNotice.NONE;
+  private Optional<StatedRate> rate = Optional.empty();
   int slots;
   boolean draining;
   int inFlight;
@@ -69,9 +74,8 @@
 
   /** Processes what the upstream states about itself in the response to a request. */
   void onNotice(UpstreamNotice notice, long sentAtNanos, long nowNanos) {
-    if (noticeTracker.onResponse(notice, sentAtNanos, nowNanos)) {
-      applyNotice(nowNanos);
-    }
+    noticeTracker.onResponse(notice, sentAtNanos, nowNanos);
+    applyStatements(nowNanos);
   }
 
   /**
@@ -80,17 +84,48 @@
    */
   void onEarlierNotice(TargetNotice notice, long nowNanos) {
     boolean sameProcess = process.isPresent() && process.get().toString().equals(notice.process());
-    if (sameProcess && noticeTracker.onEarlierNotice(notice.notice(), nowNanos)) {
-      applyNotice(nowNanos);
+    if (sameProcess) {
+      noticeTracker.onEarlierNotice(notice.notice(), nowNanos);
+      applyStatements(nowNanos);
     }
   }
 
+  /**
+   * Processes a report of the upstream.
+   *
+   * @param coldRemainingMillis remaining cold time, 0 if warm, or empty if it is not stated
+   */
+  void onReport(OptionalLong coldRemainingMillis, long nowNanos) {
+    noticeTracker.onReport(coldRemainingMillis, nowNanos);
+    applyStatements(nowNanos);
+  }
+
+  /** Records that the upstream has reported that it drains, so that callers learn it. */
+  void onDrainReported() {
+    noticeTracker.onLeaving();
+  }
+
+  /** Applies the policy of the upstream's service, or its absence. */
+  void setServicePolicy(Optional<ServicePolicy> policy, long nowNanos) {
+    noticeTracker.setPolicy(policy);
+    applyStatements(nowNanos);
+  }
+
+  /**
+   * Admits at the cold rate of the service until the next report, since the upstream may have been
+   * restarted while its data centre was evacuated.
+   */
+  void onEvacuationEnded(long nowNanos) {
+    noticeTracker.onEvacuationEnded(nowNanos);
+    applyStatements(nowNanos);
+  }
+
   /**
    * Returns the notice in force, for the daemons that call the upstream, or empty if there is none
    * or the process is not named.
    */
-  Optional<TargetNotice> targetNotice() {
-    UpstreamNotice current = noticeTracker.current();
+  Optional<TargetNotice> targetNotice(long nowNanos) {
+    UpstreamNotice current = noticeTracker.current(nowNanos);
     return current.equals(UpstreamNotice.NONE)
         ? Optional.empty()
         : process.map(id -> new TargetNotice(id.toString(), current));
@@ -98,13 +133,14 @@
 
   /** Returns true if the upstream has stated that it is leaving. */
   boolean isLeaving() {
-    return noticeTracker.current().leaving();
+    return noticeTracker.isLeaving();
   }
 
   /** Updates the gate; called every few milliseconds while requests are pending. */
   void onTick(long nowNanos) {
+    applyStatements(nowNanos);
     gate.onTick(nowNanos);
-    noticeLog.onTick(noticeTracker.current(), gate.load(), nowNanos);
+    noticeLog.onTick(loggedNotice, gate.load(), nowNanos);
   }
 
   /** Records the load reported at the end of a call that this upstream made. */
@@ -117,9 +153,25 @@
     return gate.load().withDownstreamPressure(downstreamPressure.percent(nowNanos));
   }
 
-  private void applyNotice(long nowNanos) {
-    UpstreamNotice current = noticeTracker.current();
-    noticeLog.onChanged(current);
-    gate.setRateLimit(current.requestsPerSecond(), nowNanos);
+  /** Sets the rate of the gate to the one that the statements lead to at this time. */
+  void applyStatements(long nowNanos) {
+    UpstreamNotice current = noticeTracker.current(nowNanos);
+    if (isLogged(current)) {
+      noticeLog.onChanged(current);
+    }
+    loggedNotice = current;
+    Optional<StatedRate> newRate = noticeTracker.rate(nowNanos);
+    if (!newRate.equals(rate)) {
+      rate = newRate;
+      gate.setRateLimit(rate, nowNanos);
+    }
+  }
+
+  /** Returns true if the notice differs from the last one by more than the passing of time. */
+  private boolean isLogged(UpstreamNotice notice) {
+    return !notice.requestsPerSecond().equals(loggedNotice.requestsPerSecond())
+        || notice.leaving() != loggedNotice.leaving()
+        || notice.coldRemainingMillis().isPresent()
+            != loggedNotice.coldRemainingMillis().isPresent();
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -16,6 +16,7 @@
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.registry.TargetState;
+import org.cornelspoke.state.view.FleetView;
 import org.cornelspoke.transport.http.UpstreamPool;
 
 /** Manages the local upstreams of this daemon, their leases and their registrations. */
@@ -29,6 +30,10 @@
 
   private Endpoint linkEndpoint;
   private Optional<Preset> preset = Optional.empty();
+
+  /** The configuration, or empty before the first one has been received. */
+  private Optional<FleetView> configuration = Optional.empty();
+
   private boolean stopping;
 
   LocalUpstreams(Collaborators collaborators) {
@@ -69,8 +74,13 @@
     if (upstream == null) {
       upstream = create(announcement);
       upstreams.put(service, upstream);
+      upstream.onReport(announcement.coldRemainingMillis(), System.nanoTime());
       publish(upstream);
-    } else if (upstream.slots != announcement.slots()) {
+      renewLease(upstream, announcement.leaseMillis());
+      return true;
+    }
+    upstream.onReport(announcement.coldRemainingMillis(), System.nanoTime());
+    if (upstream.slots != announcement.slots()) {
       upstream.slots = announcement.slots();
       upstream.gate.setAnnouncedSlots(announcement.slots());
       upstream.pool.setMaxConnections(announcement.slots());
@@ -86,6 +96,7 @@
     if (upstream == null) {
       return false;
     }
+    upstream.onDrainReported();
     startDraining(upstream);
     return true;
   }
@@ -128,6 +139,16 @@
     upstreams.values().forEach(upstream -> upstream.gate.applyPreset(newPreset));
   }
 
+  /** Applies the policies of the services in a configuration. */
+  void applyServicePolicies(FleetView view) {
+    configuration = Optional.of(view);
+    long nowNanos = System.nanoTime();
+    upstreams
+        .values()
+        .forEach(
+            upstream -> upstream.setServicePolicy(view.servicePolicy(upstream.service), nowNanos));
+  }
+
   void onTick(long nowNanos) {
     for (LocalUpstream upstream : new ArrayList<>(upstreams.values())) {
       upstream.onTick(nowNanos);
@@ -149,8 +170,10 @@
     drainIfLeaving(upstream);
   }
 
-  void onCallStarted(LocalUpstream upstream) {
+  void onCallStarted(LocalUpstream upstream, long nowNanos) {
     upstream.inFlight++;
+    // Without pending requests there are no ticks, and the rate may have changed since the last.
+    upstream.applyStatements(nowNanos);
   }
 
   void onCallEnded(LocalUpstream upstream) {
@@ -224,6 +247,8 @@
             collaborators.rootThrottles().get(),
             pool);
     upstream.slots = announcement.slots();
+    configuration.ifPresent(
+        view -> upstream.setServicePolicy(view.servicePolicy(upstream.service), System.nanoTime()));
     return upstream;
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/UpstreamNoticeLog.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/UpstreamNoticeLog.java
@@ -44,7 +44,9 @@
                 ? notice.requestsPerSecond().getAsDouble()
                 : "unlimited")
             + " leaving="
-            + notice.leaving());
+            + notice.leaving()
+            + " coldRemainingMillis="
+            + notice.coldRemainingMillis().orElse(0));
   }
 
   /** Logs the requests of the past interval if it has ended and a rate limit is in force. */
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import org.cornelspoke.coordination.admission.Completion;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.GateRequest;
+import org.cornelspoke.coordination.admission.StatedRate;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.dedup.ClaimClient;
 import org.cornelspoke.coordination.retry.RetryBudgets;
@@ -107,7 +107,7 @@
     }
 
     @Override
-    public void setRateLimit(OptionalDouble requestsPerSecond, long nowNanos) {}
+    public void setRateLimit(Optional<StatedRate> rate, long nowNanos) {}
 
     @Override
     public void setDraining(boolean newDraining) {
