--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -33,7 +33,6 @@
   private final UpstreamNoticeTracker noticeTracker = new UpstreamNoticeTracker(System.nanoTime());
   private final UpstreamNoticeLog noticeLog;
   final NestedCallStatistics nestedCallStatistics = new NestedCallStatistics();
-  private UpstreamNotice loggedNotice = UpstreamNotice.NONE;
   private Optional<StatedRate> rate = Optional.empty();
   int slots;
   boolean draining;
@@ -46,14 +45,15 @@
       Optional<ProcessId> process,
       UpstreamGate gate,
       RootRequestThrottle rootThrottle,
-      UpstreamPool pool) {
+      UpstreamPool pool,
+      TrafficMetrics metrics) {
     this.rootThrottle = rootThrottle;
     this.process = process;
     this.service = service;
     this.address = address;
     this.gate = gate;
     this.pool = pool;
-    this.noticeLog = new UpstreamNoticeLog(service, instance());
+    this.noticeLog = new UpstreamNoticeLog(service, instance(), metrics);
   }
 
   /** Returns true if a root request of the class may be submitted to the gate. */
@@ -140,7 +140,7 @@
   void onTick(long nowNanos) {
     applyStatements(nowNanos);
     gate.onTick(nowNanos);
-    noticeLog.onTick(loggedNotice, gate.load(), nowNanos);
+    noticeLog.onTick(gate.load(), nowNanos);
   }
 
   /** Records the load reported at the end of a call that this upstream made. */
@@ -155,23 +155,11 @@
 
   /** Sets the rate of the gate to the one that the statements lead to at this time. */
   void applyStatements(long nowNanos) {
-    UpstreamNotice current = noticeTracker.current(nowNanos);
-    if (isLogged(current)) {
-      noticeLog.onChanged(current);
-    }
-    loggedNotice = current;
+    noticeLog.onNotice(noticeTracker.current(nowNanos));
     Optional<StatedRate> newRate = noticeTracker.rate(nowNanos);
     if (!newRate.equals(rate)) {
       rate = newRate;
       gate.setRateLimit(rate, nowNanos);
     }
   }
-
-  /** Returns true if the notice differs from the last one by more than the passing of time. */
-  private boolean isLogged(UpstreamNotice notice) {
-    return !notice.requestsPerSecond().equals(loggedNotice.requestsPerSecond())
-        || notice.leaving() != loggedNotice.leaving()
-        || notice.coldRemainingMillis().isPresent()
-            != loggedNotice.coldRemainingMillis().isPresent();
-  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -245,7 +245,8 @@
             announcement.process(),
             gate,
             collaborators.rootThrottles().get(),
-            pool);
+            pool,
+            collaborators.metrics());
     upstream.slots = announcement.slots();
     configuration.ifPresent(
         view -> upstream.setServicePolicy(view.servicePolicy(upstream.service), System.nanoTime()));
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
@@ -23,6 +23,8 @@
   final Counter retriesThrottled;
   final Counter abandoned;
   final Counter leasesEnded;
+  final Counter coldPeriods;
+  final Counter sentWhileCold;
   final Counter forgedContexts;
 
   TrafficMetrics(MetricRegistry registry) {
@@ -39,6 +41,8 @@
     this.retriesThrottled = registry.counter("edge.retries-throttled");
     this.abandoned = registry.counter("edge.abandoned");
     this.leasesEnded = registry.counter("local.leases-ended");
+    this.coldPeriods = registry.counter("local.cold-periods");
+    this.sentWhileCold = registry.counter("local.sent-while-cold");
     this.forgedContexts = registry.counter("edge.forged-contexts");
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/UpstreamNoticeLog.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/UpstreamNoticeLog.java
@@ -7,7 +7,7 @@
 
 /**
  * Logs changes of the notice of one upstream process, and once per second how many requests it was
- * sent while a rate limit is in force.
+ * sent while a rate limit is in force. Counts its cold periods.
  *
  * <p>Not thread-safe.
  */
@@ -18,10 +18,13 @@
 
   private final ServiceName service;
   private final String instance;
+  private final TrafficMetrics metrics;
+  private UpstreamNotice notice = UpstreamNotice.NONE;
   private long intervalStartNanos = System.nanoTime();
   private int sentRequests;
 
-  UpstreamNoticeLog(ServiceName service, String instance) {
+  UpstreamNoticeLog(ServiceName service, String instance, TrafficMetrics metrics) {
+    this.metrics = metrics;
     this.service = service;
     this.instance = instance;
   }
@@ -29,10 +32,31 @@
   /** Counts a request that is sent to the process. */
   void onSent() {
     sentRequests++;
+    if (isCold(notice)) {
+      metrics.sentWhileCold.inc();
+    }
+  }
+
+  /** Logs a notice that differs from the last one by more than the passing of time. */
+  void onNotice(UpstreamNotice newNotice) {
+    boolean changed =
+        !newNotice.requestsPerSecond().equals(notice.requestsPerSecond())
+            || newNotice.leaving() != notice.leaving()
+            || isCold(newNotice) != isCold(notice);
+    if (isCold(newNotice) && !isCold(notice)) {
+      metrics.coldPeriods.inc();
+    }
+    notice = newNotice;
+    if (changed) {
+      log();
+    }
+  }
+
+  private static boolean isCold(UpstreamNotice notice) {
+    return notice.coldRemainingMillis().isPresent();
   }
 
-  /** Logs a changed notice. */
-  void onChanged(UpstreamNotice notice) {
+  private void log() {
     LOGGER.log(
         System.Logger.Level.INFO,
         "event=upstream-notice service="
@@ -50,7 +74,7 @@
   }
 
   /** Logs the requests of the past interval if it has ended and a rate limit is in force. */
-  void onTick(UpstreamNotice notice, GateLoad load, long nowNanos) {
+  void onTick(GateLoad load, long nowNanos) {
     long elapsedNanos = nowNanos - intervalStartNanos;
     if (elapsedNanos < INTERVAL_NANOS) {
       return;
