Add the evacuation of a data centre

Cause: operators can't keep requests away from the upstreams of a data centre; an order on the platform was answered 404.

Change: the entity DataCentreEvacuation with two changes in the replicated log, left out targets at selectors, closed gates beside upstreams, the administration API, the tool and the two calls of the platform. GateClosure takes over draining from DefaultUpstreamGate.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/NaiveGate.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/scenario/NaiveGate.java
@@ -75,6 +75,11 @@
     // No scenario drains a target.
   }
 
+  @Override
+  public void setEvacuated(boolean evacuated) {
+    // No scenario evacuates a data centre.
+  }
+
   @Override
   public GateLoad load() {
     return new GateLoad(inFlight, queue.size(), limit);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -31,7 +31,6 @@
   private static final int PERCENT = 100;
   private static final long MIN_RETRY_AFTER_MILLIS = 50;
   private static final long MAX_RETRY_AFTER_MILLIS = 30_000;
-  private static final long DRAINING_RETRY_AFTER_MILLIS = 1_000;
 
   /**
    * Fraction of the mean service time that must remain until the deadline of a request. Service
@@ -42,10 +41,10 @@
   private final double interactiveFraction;
   private final ConcurrencyLimit limit;
   private final AdmissionRateLimit rateLimit = new AdmissionRateLimit();
+  private final GateClosure closure = new GateClosure();
   private final Map<TrafficClass, ClassQueue> queues = new EnumMap<>(TrafficClass.class);
   private double meanServiceNanos;
   private long newestFirstAfterNanos;
-  private boolean draining;
   private int inFlight;
 
   /**
@@ -85,8 +84,8 @@
     GateEntry entry =
         new GateEntry(
             request, listener, nowNanos + queue.policy().queueTimeoutMillis() * NANOS_PER_MILLI);
-    if (draining) {
-      refuse(entry, RefusalReason.DRAINING, DRAINING_RETRY_AFTER_MILLIS);
+    if (closure.isClosed()) {
+      closure.refuse(entry);
     } else if (queue.policy().refused()) {
       refuse(entry, RefusalReason.PRESET, MAX_RETRY_AFTER_MILLIS);
     } else if (entry.remainingNanos(nowNanos) <= 0) {
@@ -138,8 +137,8 @@
 
   @Override
   public void onTick(long nowNanos) {
-    if (draining) {
-      refuseWaiting();
+    if (closure.isClosed()) {
+      closure.refuseWaiting(queues.values());
     }
     List<GateEntry> expired = new ArrayList<>();
     for (ClassQueue queue : queues.values()) {
@@ -176,7 +175,12 @@
 
   @Override
   public void setDraining(boolean draining) {
-    this.draining = draining;
+    closure.setDraining(draining);
+  }
+
+  @Override
+  public void setEvacuated(boolean evacuated) {
+    closure.setEvacuated(evacuated);
   }
 
   @Override
@@ -190,17 +194,6 @@
         usedSlots, waiting(), slots, PERCENT * criticalWaiting / Math.max(1, slots));
   }
 
-  /** Refuses all queued requests, so that callers can retry them at other targets. */
-  private void refuseWaiting() {
-    for (ClassQueue queue : queues.values()) {
-      GateEntry entry = queue.pollNext(false);
-      while (entry != null) {
-        refuse(entry, RefusalReason.DRAINING, DRAINING_RETRY_AFTER_MILLIS);
-        entry = queue.pollNext(false);
-      }
-    }
-  }
-
   /** Returns true if a rate limit lets the next request in and no waiting one comes before it. */
   private boolean isNextAdmission(long nowNanos) {
     return !rateLimit.isActive() || (waiting() == 0 && rateLimit.hasPermit(nowNanos));
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/UpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/UpstreamGate.java
@@ -58,6 +58,12 @@
    */
   void setDraining(boolean draining);
 
+  /**
+   * Stops admission while the data centre of the upstream is evacuated, or resumes it unless the
+   * upstream drains. Admitted requests continue; queued requests are refused at the next tick.
+   */
+  void setEvacuated(boolean evacuated);
+
   /** Returns the current load. */
   GateLoad load();
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/ChangeCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/ChangeCodec.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.state.codec;
 
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.KeyId;
 import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.model.PresetName;
@@ -35,6 +36,8 @@
   private static final int DELETE_OPERATOR = 11;
   private static final int ROTATE_CONTEXT_SECRET = 12;
   private static final int REPLACE_ROUTING = 13;
+  private static final int EVACUATE_DATA_CENTRE = 14;
+  private static final int RESTORE_DATA_CENTRE = 15;
 
   private static final int ACCEPTED = 1;
   private static final int CONFLICT = 2;
@@ -139,6 +142,10 @@
       writeTextChange(out, DELETE_OPERATOR, delete.operator().value());
     } else if (change instanceof ConfigChange.RotateContextSecret rotate) {
       writeTextChange(out, ROTATE_CONTEXT_SECRET, rotate.secretHex());
+    } else if (change instanceof ConfigChange.EvacuateDataCentre evacuate) {
+      writeTextChange(out, EVACUATE_DATA_CENTRE, evacuate.dataCentre().value());
+    } else if (change instanceof ConfigChange.RestoreDataCentre restore) {
+      writeTextChange(out, RESTORE_DATA_CENTRE, restore.dataCentre().value());
     } else if (change instanceof ConfigChange.ReplaceRouting replace) {
       out.array(6).number(REPLACE_ROUTING).number(replace.baseVersion());
       EntityCodec.write(out, replace.document());
@@ -175,6 +182,8 @@
               in.list(() -> readEntity(in, Route.class)),
               in.list(() -> readEntity(in, Account.class)),
               in.list(() -> readEntity(in, ClientKey.class)));
+      case EVACUATE_DATA_CENTRE -> new ConfigChange.EvacuateDataCentre(new DataCentreId(in.text()));
+      case RESTORE_DATA_CENTRE -> new ConfigChange.RestoreDataCentre(new DataCentreId(in.text()));
       default -> throw MessageReader.unknownType("change", type);
     };
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/EntityCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/EntityCodec.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.KeyId;
 import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.model.PresetName;
@@ -16,6 +17,7 @@
 import org.cornelspoke.state.config.ClientKey;
 import org.cornelspoke.state.config.ConfigEntity;
 import org.cornelspoke.state.config.ContextSecret;
+import org.cornelspoke.state.config.DataCentreEvacuation;
 import org.cornelspoke.state.config.EntityId;
 import org.cornelspoke.state.config.EntityKind;
 import org.cornelspoke.state.config.Operator;
@@ -51,6 +53,9 @@
     } else if (entity instanceof RoutingDocument document) {
       out.array(3).number(code).number(document.version());
       out.bytes(document.text().getBytes(StandardCharsets.UTF_8));
+    } else if (entity instanceof DataCentreEvacuation evacuation) {
+      out.array(3).number(code).text(evacuation.dataCentre().value());
+      out.number(evacuation.startedAtMillis());
     }
   }
 
@@ -70,6 +75,8 @@
           case OPERATOR -> new Operator(new OperatorId(in.text()), in.text());
           case ROUTING_DOCUMENT ->
               new RoutingDocument(in.number(), new String(in.bytes(), StandardCharsets.UTF_8));
+          case DATA_CENTRE_EVACUATION ->
+              new DataCentreEvacuation(new DataCentreId(in.text()), in.number());
         };
     if (size != fieldCount(kind)) {
       throw new MalformedMessageException(kind + " must have " + fieldCount(kind) + " fields");
@@ -95,7 +102,7 @@
       case ROUTE -> 12;
       case PRESET -> 6;
       case ACTIVE_PRESET -> 2;
-      case CONTEXT_SECRET, OPERATOR, ROUTING_DOCUMENT -> 3;
+      case CONTEXT_SECRET, OPERATOR, ROUTING_DOCUMENT, DATA_CENTRE_EVACUATION -> 3;
     };
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlan.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlan.java
@@ -32,6 +32,11 @@
     return new ChangePlan(entity, List.of(), removed, Optional.empty());
   }
 
+  /** Returns the plan of a change that is accepted but finds the entity as it should be. */
+  static ChangePlan unchanged(EntityId entity) {
+    return new ChangePlan(entity, List.of(), List.of(), Optional.empty());
+  }
+
   static ChangePlan rejected(EntityId entity, String rule) {
     return new ChangePlan(entity, List.of(), List.of(), Optional.of(rule));
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlanner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ChangePlanner.java
@@ -24,8 +24,9 @@
     this.entities = entities;
   }
 
-  ChangePlan plan(OperatorId operator, ConfigChange change) {
-    ChangePlan plan = plan(change);
+  ChangePlan plan(ChangeRequest request) {
+    OperatorId operator = request.operator();
+    ChangePlan plan = plan(request.change(), request.timestampMillis());
     EntityId operatorEntity = new EntityId(EntityKind.OPERATOR, operator.value());
     // While no operator exists, any operator id is accepted, so that the first operator can be
     // created. Afterwards, a change in flight when its operator was deleted must be rejected.
@@ -35,7 +36,7 @@
     return plan;
   }
 
-  private ChangePlan plan(ConfigChange change) {
+  private ChangePlan plan(ConfigChange change, long timestampMillis) {
     if (change instanceof ConfigChange.CreateAccount create) {
       EntityId id = create.account().entityId();
       return exists(id)
@@ -79,6 +80,16 @@
     if (change instanceof ConfigChange.ReplaceRouting replace) {
       return replaceRouting(replace);
     }
+    if (change instanceof ConfigChange.EvacuateDataCentre evacuate) {
+      EntityId id = DataCentreEvacuation.idOf(evacuate.dataCentre());
+      return exists(id)
+          ? ChangePlan.unchanged(id)
+          : ChangePlan.put(new DataCentreEvacuation(evacuate.dataCentre(), timestampMillis));
+    }
+    if (change instanceof ConfigChange.RestoreDataCentre restore) {
+      EntityId id = DataCentreEvacuation.idOf(restore.dataCentre());
+      return exists(id) ? ChangePlan.remove(id, List.of(id)) : ChangePlan.unchanged(id);
+    }
     return rotateSecret(((ConfigChange.RotateContextSecret) change).secretHex());
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigChange.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigChange.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.KeyId;
 import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.model.PresetName;
@@ -49,6 +50,18 @@
   /** Adds a context secret with the next number and removes all but the two newest. */
   record RotateContextSecret(String secretHex) implements ConfigChange {}
 
+  /**
+   * Evacuates a data centre. Accepted without an effect on the entities if it is evacuated already,
+   * so that an order can be resent.
+   */
+  record EvacuateDataCentre(DataCentreId dataCentre) implements ConfigChange {}
+
+  /**
+   * Ends the evacuation of a data centre. Accepted without an effect on the entities if it isn't
+   * evacuated.
+   */
+  record RestoreDataCentre(DataCentreId dataCentre) implements ConfigChange {}
+
   /**
    * Replaces all routes, accounts and keys atomically.
    *
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigEntity.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigEntity.java
@@ -9,7 +9,8 @@
         ActivePreset,
         ContextSecret,
         Operator,
-        RoutingDocument {
+        RoutingDocument,
+        DataCentreEvacuation {
 
   /** Returns the id under which the entity is stored. */
   EntityId entityId();
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigState.java
@@ -87,6 +87,13 @@
     return entities.get(RoutingDocument.ID).map(RoutingDocument.class::cast);
   }
 
+  /** Returns the evacuations in force, in the order in which they were ordered. */
+  public List<DataCentreEvacuation> evacuations() {
+    return entities.live(EntityKind.DATA_CENTRE_EVACUATION).stream()
+        .map(DataCentreEvacuation.class::cast)
+        .toList();
+  }
+
   /** Returns the name of the active preset. */
   public PresetName activePreset() {
     return ((ActivePreset) entities.get(ActivePreset.ID).orElseThrow()).name();
@@ -144,7 +151,7 @@
   }
 
   private ChangeResult evaluate(ChangeRequest request) {
-    ChangePlan plan = planner.plan(request.operator(), request.change());
+    ChangePlan plan = planner.plan(request);
     Optional<Revision> expected = request.expectedRevision();
     if (plan.conflict() || (expected.isPresent() && !expected.get().equals(revision))) {
       Optional<AuditEntry> conflictingChange = audit.lastAccepted();
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityKind.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityKind.java
@@ -9,7 +9,8 @@
   ACTIVE_PRESET(5),
   CONTEXT_SECRET(6),
   OPERATOR(7),
-  ROUTING_DOCUMENT(8);
+  ROUTING_DOCUMENT(8),
+  DATA_CENTRE_EVACUATION(9);
 
   private final int code;
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityText.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityText.java
@@ -70,6 +70,9 @@
     if (entity instanceof RoutingDocument document) {
       return "version=" + document.version();
     }
+    if (entity instanceof DataCentreEvacuation evacuation) {
+      return "startedAtMillis=" + evacuation.startedAtMillis();
+    }
     return "present";
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/view/FleetView.java
@@ -4,10 +4,13 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.PresetName;
 import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.ServiceName;
@@ -16,6 +19,7 @@
 import org.cornelspoke.state.config.ClientKey;
 import org.cornelspoke.state.config.ConfigEntity;
 import org.cornelspoke.state.config.ContextSecret;
+import org.cornelspoke.state.config.DataCentreEvacuation;
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.config.Route;
 import org.cornelspoke.state.config.WeightedService;
@@ -40,6 +44,7 @@
   private final List<Route> routes = new ArrayList<>();
   private final Map<PresetName, Preset> presets = new HashMap<>();
   private final Map<Integer, ContextSecret> contextSecrets = new HashMap<>();
+  private final Set<DataCentreId> evacuatedDataCentres = new HashSet<>();
   private final Map<ServiceName, List<Target>> targets;
   private PresetName activePreset;
 
@@ -130,6 +135,28 @@
     return targets;
   }
 
+  /** Returns true if no requests may be sent to the upstreams in the data centre. */
+  public boolean isEvacuated(DataCentreId dataCentre) {
+    return evacuatedDataCentres.contains(dataCentre);
+  }
+
+  /**
+   * Returns the targets to which requests may be sent: those outside evacuated data centres. A
+   * service without any such target has an empty list.
+   */
+  public Map<ServiceName, List<Target>> usableTargets() {
+    if (evacuatedDataCentres.isEmpty()) {
+      return targets;
+    }
+    Map<ServiceName, List<Target>> usable = new HashMap<>();
+    targets.forEach(
+        (service, known) ->
+            usable.put(
+                service,
+                known.stream().filter(target -> !isEvacuated(target.dataCentre())).toList()));
+    return usable;
+  }
+
   /** Returns true if any route exists; without routes no request can be served or refused. */
   public boolean hasRoutes() {
     return !routes.isEmpty();
@@ -157,6 +184,8 @@
       activePreset = active.name();
     } else if (entity instanceof ContextSecret secret) {
       contextSecrets.put(secret.number(), secret);
+    } else if (entity instanceof DataCentreEvacuation evacuation) {
+      evacuatedDataCentres.add(evacuation.dataCentre());
     }
   }
 }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/state/config/RandomChanges.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/state/config/RandomChanges.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.KeyId;
 import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.model.PresetName;
@@ -64,7 +65,7 @@
     String account = "a" + random.nextInt(8);
     String key = "k" + random.nextInt(20);
     int number = 1 + random.nextInt(1_000);
-    return switch (random.nextInt(12)) {
+    return switch (random.nextInt(14)) {
       case 0 -> new ConfigChange.CreateAccount(account(account, number));
       case 1 -> new ConfigChange.SetAccount(account(account, number));
       case 2 -> new ConfigChange.DeleteAccount(new AccountId(account));
@@ -75,6 +76,8 @@
       case 8 -> new ConfigChange.SetPreset(preset("p" + random.nextInt(4), number));
       case 9 -> new ConfigChange.UsePreset(new PresetName("p" + random.nextInt(4)));
       case 10 -> new ConfigChange.SetOperator(new Operator(OPERATOR, hex(number)));
+      case 11 -> new ConfigChange.EvacuateDataCentre(new DataCentreId("dc" + number % 3));
+      case 12 -> new ConfigChange.RestoreDataCentre(new DataCentreId("dc" + number % 3));
       default -> new ConfigChange.RotateContextSecret(hex(random.nextLong()));
     };
   }
--- a/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/CommandLine.java
+++ b/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/CommandLine.java
@@ -133,6 +133,10 @@
         .addCommand("list", new RouteCommands.ListAll(options))
         .addCommand("set", new RouteCommands.Set(options))
         .addCommand("delete", new RouteCommands.Delete(options));
+    CommandGroup.addTo(root, options, "data-centre")
+        .addCommand("evacuate", new DataCentreCommands.Evacuate(options))
+        .addCommand("restore", new DataCentreCommands.Restore(options))
+        .addCommand("list", new DataCentreCommands.ListAll(options));
     CommandGroup.addTo(root, options, "upstream")
         .addCommand("list", new StatusCommands.UpstreamList(options));
     CommandGroup.addTo(root, options, "member")
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/AdminBackend.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/AdminBackend.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.state.config.AuditEntry;
 import org.cornelspoke.state.config.ChangeRequest;
@@ -49,6 +50,12 @@
   /** Returns the registered targets in the locally applied state of this control VM. */
   Promise<List<Target>> targets();
 
+  /**
+   * Returns whether the data centre has a registered target, an attached daemon or this VM, or was
+   * evacuated before. The answer is negative only if a quorum confirms that the state is current.
+   */
+  Promise<Boolean> isKnownDataCentre(DataCentreId dataCentre);
+
   /** Returns the daemons that are connected to the relay of any control VM. */
   Promise<AttachedDaemons> attachedDaemons();
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/AdminServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/AdminServer.java
@@ -81,7 +81,9 @@
   private static AsyncServlet createRootServlet(
       Builder builder, AdminBackend backend, AsyncServlet publicRoutes) {
     RoutingServlet.Builder api = RoutingServlet.builder(builder.reactor);
-    new ConfigServlet(backend, builder.clock, builder.metrics).addTo(api);
+    ConfigServlet config = new ConfigServlet(backend, builder.clock, builder.metrics);
+    config.addTo(api);
+    new EvacuationServlet(backend, config).addTo(api);
     new GroupServlet(backend).addTo(api);
     Authenticator authenticator = new Authenticator(backend, api.build(), builder.metrics);
     return request ->
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/ConfigServlet.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/ConfigServlet.java
@@ -152,7 +152,7 @@
             delete(request -> new ConfigChange.DeleteOperator(request.pathId(OperatorId::new))));
   }
 
-  private AsyncServlet list(String field, EntityKind kind) {
+  AsyncServlet list(String field, EntityKind kind) {
     return request ->
         backend
             .readConfig()
@@ -203,6 +203,7 @@
               addList(node, listing, "presetInForce", EntityKind.ACTIVE_PRESET);
               addList(node, listing, "contextSecrets", EntityKind.CONTEXT_SECRET);
               addList(node, listing, "operators", EntityKind.OPERATOR);
+              addList(node, listing, "evacuations", EntityKind.DATA_CENTRE_EVACUATION);
               return Answers.json(OK, node);
             });
   }
@@ -225,15 +226,15 @@
   private AsyncServlet delete(DeletionParser parser) {
     return http -> {
       ApiRequest request = new ApiRequest(http);
-      return submit(
-          request.operator(),
-          request.requestId(),
-          request.expectedRevision(),
-          parser.parse(request),
-          OK);
+      return submit(request, parser.parse(request));
     };
   }
 
+  /** Submits a change that an operator has requested without a body. */
+  Promise<HttpResponse> submit(ApiRequest request, ConfigChange change) throws ApiException {
+    return submit(request.operator(), request.requestId(), request.expectedRevision(), change, OK);
+  }
+
   private static ConfigChange parse(ChangeParser parser, ApiRequest request, JsonBody body)
       throws ApiException {
     try {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/JsonConverter.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/JsonConverter.java
@@ -17,6 +17,7 @@
 import org.cornelspoke.state.config.ClientKey;
 import org.cornelspoke.state.config.ConfigEntity;
 import org.cornelspoke.state.config.ContextSecret;
+import org.cornelspoke.state.config.DataCentreEvacuation;
 import org.cornelspoke.state.config.Operator;
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.config.Route;
@@ -128,6 +129,10 @@
       return object().put("number", secret.number());
     } else if (entity instanceof Operator operator) {
       return object().put("id", operator.id().value());
+    } else if (entity instanceof DataCentreEvacuation evacuation) {
+      return object()
+          .put("dataCentre", evacuation.dataCentre().value())
+          .put("startedAtMillis", evacuation.startedAtMillis());
     }
     throw new IllegalStateException("no JSON conversion for " + entity.entityId());
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/ControlBackend.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/ControlBackend.java
@@ -40,10 +40,13 @@
 public final class ControlBackend {
 
   private static final int SECRET_BYTES = 32;
+  private static final int BOOTSTRAP_ID_BYTES = 8;
+  private static final int ORDER_ID_BYTES = 16;
 
   private final RetryingLog retryingLog;
   private final ControlStateMachine machine;
   private final RelayServer relay;
+  private final LongSupplier nanoClock;
   private final LongSupplier wallClockMillis;
   private final SecureRandom random = new SecureRandom();
 
@@ -64,6 +67,7 @@
     this.retryingLog = new RetryingLog(reactor, log, nanoClock);
     this.machine = Assert.notNull(machine, "machine");
     this.relay = Assert.notNull(relay, "relay");
+    this.nanoClock = nanoClock;
     this.wallClockMillis = wallClockMillis;
   }
 
@@ -80,6 +84,37 @@
         .map(result -> ((ControlResult.Changed) CommandCodec.decodeResult(result)).result());
   }
 
+  /**
+   * Submits an order that has no request id and no further effect if it is accepted again. Each
+   * attempt depends on the revision on which it is based: an attempt that is delayed, for example
+   * in the queue of a frozen leader, can't override a later change.
+   *
+   * @param deadlineNanos monotonic time after which the promise fails with {@link
+   *     ProposalFailedException}, or completes with a conflict if changes kept overtaking it
+   */
+  public Promise<ChangeResult> submitOrder(
+      OperatorId operator, ConfigChange order, long deadlineNanos) {
+    return submitOrder(operator, order, machine.config().revision(), deadlineNanos);
+  }
+
+  private Promise<ChangeResult> submitOrder(
+      OperatorId operator, ConfigChange order, Revision base, long deadlineNanos) {
+    ChangeRequest request =
+        new ChangeRequest(
+            new RequestId("order-" + randomHex(ORDER_ID_BYTES)),
+            operator,
+            Optional.of(base),
+            wallClockMillis.getAsLong(),
+            order);
+    return submit(request, deadlineNanos)
+        .then(
+            result ->
+                result instanceof ChangeResult.Conflict conflict
+                        && deadlineNanos - nanoClock.getAsLong() > 0
+                    ? submitOrder(operator, order, conflict.current(), deadlineNanos)
+                    : Promise.of(result));
+  }
+
   /** Reads the current configuration. May fail with {@link ReadNotConfirmedException}. */
   public Promise<ConfigReadResult> readConfig(long deadlineNanos) {
     return retryingLog
@@ -163,9 +198,13 @@
     if (hasSecret) {
       return Optional.empty();
     }
-    byte[] secret = new byte[SECRET_BYTES];
-    random.nextBytes(secret);
-    return Optional.of(new ConfigChange.RotateContextSecret(HexFormat.of().formatHex(secret)));
+    return Optional.of(new ConfigChange.RotateContextSecret(randomHex(SECRET_BYTES)));
+  }
+
+  private String randomHex(int sizeBytes) {
+    byte[] bytes = new byte[sizeBytes];
+    random.nextBytes(bytes);
+    return HexFormat.of().formatHex(bytes);
   }
 
   private ChangeRequest createRequest(OperatorId firstOperatorId, ConfigChange change) {
@@ -178,10 +217,8 @@
             .findAny()
             .or(() -> operators().map(Operator::id).findFirst())
             .orElse(firstOperatorId);
-    byte[] suffix = new byte[8];
-    random.nextBytes(suffix);
     return new ChangeRequest(
-        new RequestId("bootstrap-" + HexFormat.of().formatHex(suffix)),
+        new RequestId("bootstrap-" + randomHex(BOOTSTRAP_ID_BYTES)),
         operator,
         Optional.of(revision),
         wallClockMillis.getAsLong(),
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -20,9 +20,11 @@
 import org.cornelspoke.daemon.settings.GroupFormation;
 import org.cornelspoke.daemon.settings.PeerSettings;
 import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.state.config.ChangeRequest;
 import org.cornelspoke.state.config.ChangeResult;
+import org.cornelspoke.state.config.ConfigChange;
 import org.cornelspoke.state.config.Operator;
 import org.cornelspoke.state.config.RoutingDocument;
 import org.cornelspoke.state.machine.ControlStateMachine;
@@ -43,6 +45,8 @@
 
   private static final long PEER_POLL_INTERVAL_MILLIS = 1_000;
 
+  private static final long EVACUATION_POLL_INTERVAL_MILLIS = 1_000;
+
   private final ControlSettings settings;
   private final ControlProfile profile;
   private final ControlStateMachine stateMachine = new ControlStateMachine();
@@ -52,6 +56,7 @@
   private final ControlBackend backend;
   private final AdminServer admin;
   private final Optional<HttpServer> operatorServer;
+  private final EvacuationMonitor evacuations;
   private boolean stopping;
 
   ControlRuntime(ControlSettings settings, ControlProfile profile) {
@@ -93,6 +98,8 @@
             .withHealth(this::health)
             .withBackend(new GroupAdminBackend(settings, consensus, stateMachine, backend))
             .build();
+    this.evacuations =
+        new EvacuationMonitor(stateMachine.config(), metrics(), System::currentTimeMillis);
     this.operatorServer =
         profile.operatorAddress.map(
             address ->
@@ -116,6 +123,7 @@
       sweepOperatorServer();
     }
     pollPeers();
+    pollEvacuations();
     settings.bootstrapOperator().ifPresent(this::bootstrap);
     LOGGER.log(
         Level.INFO,
@@ -158,6 +166,11 @@
     control().delayBackground(PEER_POLL_INTERVAL_MILLIS, this::pollPeers);
   }
 
+  private void pollEvacuations() {
+    evacuations.onTick();
+    control().delayBackground(EVACUATION_POLL_INTERVAL_MILLIS, this::pollEvacuations);
+  }
+
   private void sweepOperatorServer() {
     operatorServer.orElseThrow().closeTimedOutConnections(System.nanoTime());
     control().delayBackground(OPERATOR_SWEEP_INTERVAL_MILLIS, this::sweepOperatorServer);
@@ -195,6 +208,12 @@
       return backend.submit(request, deadlineNanos(timeoutMillis));
     }
 
+    @Override
+    public Promise<ChangeResult> submitOrder(
+        OperatorId operator, ConfigChange order, long timeoutMillis) {
+      return backend.submitOrder(operator, order, deadlineNanos(timeoutMillis));
+    }
+
     @Override
     public Promise<Optional<RoutingDocument>> read(long timeoutMillis) {
       return backend
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/GroupAdminBackend.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/GroupAdminBackend.java
@@ -24,12 +24,15 @@
 import org.cornelspoke.daemon.relay.DaemonListing;
 import org.cornelspoke.daemon.relay.ProposalFailedException;
 import org.cornelspoke.daemon.settings.ControlSettings;
+import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.state.config.AuditEntry;
 import org.cornelspoke.state.config.ChangeRequest;
 import org.cornelspoke.state.config.ChangeResult;
 import org.cornelspoke.state.config.ConfigState;
+import org.cornelspoke.state.config.DataCentreEvacuation;
+import org.cornelspoke.state.config.EntityId;
 import org.cornelspoke.state.config.Operator;
 import org.cornelspoke.state.machine.ControlStateMachine;
 import org.cornelspoke.state.registry.Target;
@@ -119,6 +122,20 @@
     return Promise.of(backend.targets());
   }
 
+  @Override
+  public Promise<Boolean> isKnownDataCentre(DataCentreId dataCentre) {
+    if (isInAppliedState(dataCentre)) {
+      return Promise.of(true);
+    }
+    return backend
+        .daemons(LISTING_TIMEOUT_MILLIS)
+        .then(
+            listing ->
+                listing.daemons().stream().anyMatch(d -> d.dataCentre().equals(dataCentre))
+                    ? Promise.of(true)
+                    : confirmCurrent().map(ok -> isInAppliedState(dataCentre)));
+  }
+
   @Override
   public Promise<AttachedDaemons> attachedDaemons() {
     return backend.daemons(LISTING_TIMEOUT_MILLIS).map(GroupAdminBackend::toAttachedDaemons);
@@ -155,6 +172,14 @@
     return promise;
   }
 
+  private boolean isInAppliedState(DataCentreId dataCentre) {
+    EntityId evacuation = DataCentreEvacuation.idOf(dataCentre);
+    return settings.dataCentre().equals(dataCentre)
+        || backend.targets().stream().anyMatch(t -> t.dataCentre().equals(dataCentre))
+        || stateMachine.config().versionedEntities().stream()
+            .anyMatch(entity -> entity.id().equals(evacuation));
+  }
+
   private Promise<?> confirmCurrent() {
     return backend
         .readConfig(System.nanoTime() + READ_TIMEOUT_NANOS)
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RoutingAdministration.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RoutingAdministration.java
@@ -2,8 +2,10 @@
 
 import io.activej.promise.Promise;
 import java.util.Optional;
+import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.state.config.ChangeRequest;
 import org.cornelspoke.state.config.ChangeResult;
+import org.cornelspoke.state.config.ConfigChange;
 import org.cornelspoke.state.config.RoutingDocument;
 
 /**
@@ -19,6 +21,15 @@
    */
   Promise<ChangeResult> submit(ChangeRequest request, long timeoutMillis);
 
+  /**
+   * Submits an order without a request id: a change that has no further effect if it is accepted
+   * again. An order whose outcome was not known in time takes no effect after a later change has
+   * been accepted.
+   *
+   * @return fails if the outcome is not known within the timeout; the order may still be accepted
+   */
+  Promise<ChangeResult> submitOrder(OperatorId operator, ConfigChange order, long timeoutMillis);
+
   /**
    * Reads the routing document that is in effect.
    *
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CurrentView.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CurrentView.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cornelspoke.coordination.routing.TargetSelector;
+import org.cornelspoke.model.Revision;
 import org.cornelspoke.state.config.ContextSecret;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.view.FleetView;
@@ -34,6 +35,11 @@
     return view;
   }
 
+  /** Returns true once a configuration has been received, which states what is evacuated. */
+  boolean isKnown() {
+    return !get().revision().equals(Revision.NONE);
+  }
+
   Optional<ContextSecret> signingSecret() {
     return signingSecret;
   }
@@ -51,7 +57,10 @@
     applied = view;
     signingSecret = view.signingSecret();
     TargetSelector selector = collaborators.selector();
-    selector.setTargets(view.targets(), System.nanoTime());
+    selector.setTargets(view.usableTargets(), System.nanoTime());
+    upstreams.setEvacuated(
+        view.isEvacuated(collaborators.settings().dataCentre()), System.nanoTime());
+    // Links to evacuated data centres stay open for the requests that run there.
     links.applyView(view);
     collaborators.throttles().setDaemonCount(daemonCount(view));
     view.activePreset()
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -8,6 +8,7 @@
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.routing.RequestKind;
 import org.cornelspoke.coordination.routing.TargetSelector.AttemptResult;
+import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.TargetId;
 import org.cornelspoke.protocol.call.CallHead;
@@ -45,6 +46,10 @@
   private final long deadlineNanos;
   private final Consumer<CallResult> listener;
   private final Set<TargetId> triedTargets = new HashSet<>();
+
+  /** Targets that this request must not try, including the tried ones. */
+  private final Set<TargetId> excludedTargets = new HashSet<>();
+
   private TimerWheel.Timer deadlineTimer;
   private TimerWheel.Timer backoffTimer;
   private Runnable cancelAttempt;
@@ -133,13 +138,14 @@
     while (true) {
       long now = System.nanoTime();
       Optional<Target> selected =
-          collaborators.selector().select(head.service(), triedTargets, now);
+          collaborators.selector().select(head.service(), excludedTargets, now);
       if (selected.isEmpty()) {
-        complete(lastResult);
+        complete(resultWithoutTarget());
         return;
       }
       target = selected.get();
       triedTargets.add(target.id());
+      excludedTargets.add(target.id());
       if (dependencies.upstreams().isLocal(target)) {
         LocalUpstream local = dependencies.upstreams().find(head.service());
         if (local != null && !local.draining) {
@@ -206,7 +212,8 @@
     long now = System.nanoTime();
     remainingAttempts = keptAttempts + Math.min(lentAttempts, ending.unusedAttempts());
     CallResult result = ending.result();
-    TargetId id = target.id();
+    Target endedTarget = target;
+    TargetId id = endedTarget.id();
     target = null;
     report(id, attemptResultOf(result), now - attemptStartNanos, now);
     lastTarget = id;
@@ -224,6 +231,9 @@
     lastDownstreamCalls = ending.downstreamCalls();
     callsMade += 1 + lastDownstreamCalls;
     mayHaveRun |= result instanceof CallResult.Failed;
+    if (isRefusedAsEvacuated(result)) {
+      excludeDataCentre(endedTarget.dataCentre());
+    }
     if (isReroutable(result, now)) {
       rerouteCount++;
       tryNextTarget();
@@ -298,6 +308,30 @@
             .schedule(now + dependencies.random().nextLong(maxDelayNanos), this::tryNextTarget);
   }
 
+  /** Returns the result if no target is left; an evacuated service has none. */
+  private CallResult resultWithoutTarget() {
+    return isRefusedAsEvacuated(lastResult)
+        ? new CallResult.Refused(RefusalReason.NO_TARGET, 0)
+        : lastResult;
+  }
+
+  private static boolean isRefusedAsEvacuated(CallResult result) {
+    return result instanceof CallResult.Refused refused
+        && refused.reason() == RefusalReason.EVACUATED;
+  }
+
+  /**
+   * Excludes all targets in a data centre from this request, because the view of this daemon is
+   * older than the evacuation and the few permitted reroutes would end there.
+   */
+  private void excludeDataCentre(DataCentreId dataCentre) {
+    for (Target known : collaborators.views().current().targets(head.service())) {
+      if (known.dataCentre().equals(dataCentre)) {
+        excludedTargets.add(known.id());
+      }
+    }
+  }
+
   private void onDeadline() {
     if (backoffTimer != null) {
       complete(new CallResult.Refused(RefusalReason.DEADLINE, 0));
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
@@ -46,13 +46,14 @@
   }
 
   /**
-   * Returns the started call, or null if it was refused immediately because there is no upstream or
-   * no time remaining.
+   * Returns the started call, or null if it was refused immediately because there is no upstream,
+   * no time remaining, or no configuration yet: a daemon that has just started doesn't know whether
+   * its data centre is evacuated.
    */
   LocalCall start(CallHead head, byte[] body, LinkCall.Listener listener) {
     LocalUpstream upstream = upstreams.find(head.service());
     CallResult refusal = null;
-    if (upstream == null) {
+    if (upstream == null || !view.isKnown()) {
       refusal = new CallResult.Refused(RefusalReason.NO_TARGET, 0);
     } else if (head.remainingMillis() <= 0) {
       refusal = new CallResult.Refused(RefusalReason.DEADLINE, 0);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -101,6 +101,17 @@
     return noticeTracker.current().leaving();
   }
 
+  /** Opens the gate again after the evacuation of the data centre. */
+  void onEvacuationEnded(long nowNanos) {
+    gate.setEvacuated(false);
+  }
+
+  /** Closes the gate and refuses the queued requests; running ones complete. */
+  void onEvacuated(long nowNanos) {
+    gate.setEvacuated(true);
+    gate.onTick(nowNanos);
+  }
+
   /** Updates the gate; called every few milliseconds while requests are pending. */
   void onTick(long nowNanos) {
     gate.onTick(nowNanos);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -21,6 +21,8 @@
 /** Manages the local upstreams of this daemon, their leases and their registrations. */
 final class LocalUpstreams implements UpstreamRegistration {
 
+  private static final System.Logger LOGGER = System.getLogger(LocalUpstreams.class.getName());
+
   private final Collaborators collaborators;
   private final Map<ServiceName, LocalUpstream> upstreams = new HashMap<>();
 
@@ -29,6 +31,7 @@
 
   private Endpoint linkEndpoint;
   private Optional<Preset> preset = Optional.empty();
+  private boolean evacuated;
   private boolean stopping;
 
   LocalUpstreams(Collaborators collaborators) {
@@ -128,6 +131,28 @@
     upstreams.values().forEach(upstream -> upstream.gate.applyPreset(newPreset));
   }
 
+  /** Applies whether the data centre of this daemon is evacuated. */
+  void setEvacuated(boolean newEvacuated, long nowNanos) {
+    if (evacuated == newEvacuated) {
+      return;
+    }
+    evacuated = newEvacuated;
+    collaborators.metrics().evacuated.inc(evacuated ? 1 : -1);
+    LOGGER.log(
+        System.Logger.Level.INFO,
+        "event={0} dataCentre={1} upstreams={2}",
+        evacuated ? "gates-evacuated" : "gates-restored",
+        collaborators.settings().dataCentre(),
+        upstreams.size());
+    for (LocalUpstream upstream : upstreams.values()) {
+      if (evacuated) {
+        upstream.onEvacuated(nowNanos);
+      } else {
+        upstream.onEvacuationEnded(nowNanos);
+      }
+    }
+  }
+
   void onTick(long nowNanos) {
     for (LocalUpstream upstream : new ArrayList<>(upstreams.values())) {
       upstream.onTick(nowNanos);
@@ -206,6 +231,7 @@
             .gates()
             .create(announcement.service(), announcement.slots(), System.nanoTime());
     preset.ifPresent(gate::applyPreset);
+    gate.setEvacuated(evacuated);
     UpstreamPool pool =
         new UpstreamPool(
             collaborators.reactor(),
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
@@ -25,6 +25,9 @@
   final Counter leasesEnded;
   final Counter forgedContexts;
 
+  /** 1 while the data centre of this daemon is evacuated, otherwise 0. */
+  final Counter evacuated;
+
   TrafficMetrics(MetricRegistry registry) {
     this.registry = registry;
     for (RefusalReason reason : RefusalReason.values()) {
@@ -39,6 +42,7 @@
     this.retriesThrottled = registry.counter("edge.retries-throttled");
     this.abandoned = registry.counter("edge.abandoned");
     this.leasesEnded = registry.counter("local.leases-ended");
+    this.evacuated = registry.counter("local.evacuated");
     this.forgedContexts = registry.counter("edge.forged-contexts");
   }
 
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/FakeAdminBackend.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/FakeAdminBackend.java
@@ -12,6 +12,7 @@
 import org.cornelspoke.daemon.admin.ConfigListing.VersionedEntity;
 import org.cornelspoke.daemon.admin.GroupStatus.Member;
 import org.cornelspoke.daemon.admin.GroupStatus.MemberRole;
+import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.model.PresetName;
@@ -27,6 +28,7 @@
 import org.cornelspoke.state.config.ClientKey;
 import org.cornelspoke.state.config.ConfigChange;
 import org.cornelspoke.state.config.ConfigEntity;
+import org.cornelspoke.state.config.DataCentreEvacuation;
 import org.cornelspoke.state.config.EntityId;
 import org.cornelspoke.state.config.EntityKind;
 import org.cornelspoke.state.config.Operator;
@@ -137,6 +139,17 @@
     return Promise.of(targets);
   }
 
+  @Override
+  public Promise<Boolean> isKnownDataCentre(DataCentreId dataCentre) {
+    boolean known =
+        targets.stream().anyMatch(target -> target.dataCentre().equals(dataCentre))
+            || daemons.stream().anyMatch(daemon -> daemon.dataCentre().equals(dataCentre))
+            || find(DataCentreEvacuation.idOf(dataCentre)).isPresent();
+    return !known && unavailable.isPresent()
+        ? Promise.ofException(unavailable.get())
+        : Promise.of(known);
+  }
+
   @Override
   public Promise<AttachedDaemons> attachedDaemons() {
     return daemonsUnavailable.isPresent()
@@ -234,6 +247,22 @@
           entities.values().stream().filter(item -> item.entity() instanceof Operator).count() > 1,
           "the last operator can't be deleted");
       remove(request, new EntityId(EntityKind.OPERATOR, delete.operator().value()));
+    } else if (change instanceof ConfigChange.EvacuateDataCentre evacuate) {
+      EntityId id = DataCentreEvacuation.idOf(evacuate.dataCentre());
+      replace(
+          request,
+          find(id)
+              .orElseGet(
+                  () ->
+                      new DataCentreEvacuation(evacuate.dataCentre(), request.timestampMillis())));
+    } else if (change instanceof ConfigChange.RestoreDataCentre restore) {
+      EntityId id = DataCentreEvacuation.idOf(restore.dataCentre());
+      if (find(id).isPresent()) {
+        remove(request, id);
+      } else {
+        revision = revision.next();
+        record(request, "accepted", "", "");
+      }
     }
   }
 
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
@@ -114,6 +114,9 @@
       draining = newDraining;
     }
 
+    @Override
+    public void setEvacuated(boolean newEvacuated) {}
+
     @Override
     public GateLoad load() {
       return new GateLoad(inFlight, queue.size(), slots);
