--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/DefaultUpstreamGateTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/DefaultUpstreamGateTest.java
@@ -157,6 +157,34 @@
     assertThat(waiting.reason).isEqualTo(RefusalReason.DRAINING);
   }
 
+  /**
+   * Guards against requests to an evacuated upstream, and against running ones that are aborted.
+   */
+  @Test
+  void evacuatedGateRefusesNewAndQueuedRequestsAndCompletesRunningOnes() {
+    UpstreamGate gate = gate(1, 50);
+    Decision running = submit(gate, A, TrafficClass.CRITICAL);
+    Decision waiting = submit(gate, A, TrafficClass.CRITICAL);
+    gate.setEvacuated(true);
+    assertThat(submit(gate, A, TrafficClass.CRITICAL).reason).isEqualTo(RefusalReason.EVACUATED);
+    gate.onTick(1);
+    assertThat(waiting.reason).isEqualTo(RefusalReason.EVACUATED);
+    gate.complete(running.ticket, Completion.SUCCESS, 2);
+    assertThat(running.admitted).isEqualTo(1);
+    gate.setEvacuated(false);
+    assertThat(submit(gate, A, TrafficClass.CRITICAL).admitted).isEqualTo(1);
+  }
+
+  /** Guards against a restoration that sends requests to an upstream that is leaving. */
+  @Test
+  void gateOfADrainingUpstreamStaysClosedAfterTheEvacuation() {
+    UpstreamGate gate = gate(1, 50);
+    gate.setEvacuated(true);
+    gate.setDraining(true);
+    gate.setEvacuated(false);
+    assertThat(submit(gate, A, TrafficClass.CRITICAL).reason).isEqualTo(RefusalReason.DRAINING);
+  }
+
   /** Guards against interactive requests that are starved by nested calls of the class CRITICAL. */
   @Test
   void interactiveRequestsKeepTheirFractionOfTheSlots() {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/routing/DefaultTargetSelectorTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/routing/DefaultTargetSelectorTest.java
@@ -15,11 +15,14 @@
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
 import org.cornelspoke.model.TrafficClass;
+import org.cornelspoke.state.config.DataCentreEvacuation;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.registry.TargetState;
+import org.cornelspoke.state.view.FleetView;
 import org.junit.jupiter.api.Test;
 
 /** Guards against requests to draining, failing or overloaded targets. */
@@ -212,6 +215,41 @@
     assertThat(remote).isGreaterThan(150);
   }
 
+  /** Guards against a restored data centre whose upstreams get their full load at once. */
+  @Test
+  void targetsOfARestoredDataCentreStartSlowly() {
+    DefaultTargetSelector selector =
+        new DefaultTargetSelector(
+            new DaemonId("self"), new DataCentreId("without-targets"), 20, new Well19937c(9));
+    FleetView usual = new FleetView(new Revision(1), List.of(), Map.of(SERVICE, targets(2)));
+    FleetView evacuated =
+        new FleetView(
+            new Revision(2),
+            List.of(new DataCentreEvacuation(new DataCentreId("b"), 0)),
+            usual.targets());
+    selector.setTargets(usual.usableTargets(), 0);
+    selector.setTargets(evacuated.usableTargets(), 100 * SECOND);
+    for (int i = 0; i < 20; i++) {
+      assertThat(selectAndEnd(selector, 101 * SECOND)).isEqualTo("t-0");
+    }
+    selector.setTargets(usual.usableTargets(), 200 * SECOND);
+
+    int early = 0;
+    int late = 0;
+    for (int i = 0; i < 100; i++) {
+      early += selectAndEnd(selector, 200 * SECOND).equals("t-1") ? 1 : 0;
+      late += selectAndEnd(selector, 300 * SECOND).equals("t-1") ? 1 : 0;
+    }
+    assertThat(early).isAtMost(10);
+    assertThat(late).isAtLeast(30);
+  }
+
+  private static String selectAndEnd(DefaultTargetSelector selector, long nowNanos) {
+    Target target = selector.select(SERVICE, Set.of(), nowNanos).orElseThrow();
+    selector.onResult(target.id(), KIND, AttemptResult.SUCCESS, SECOND / 10, nowNanos);
+    return target.id().value();
+  }
+
   @Test
   void newTargetStartsSlowly() {
     List<Target> targets = targets(1);
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -37,15 +37,17 @@
 import org.cornelspoke.state.config.ClientKey;
 import org.cornelspoke.state.config.ConfigEntity;
 import org.cornelspoke.state.config.ContextSecret;
+import org.cornelspoke.state.config.EntityId;
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.config.Route;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.view.FleetView;
 
 /** Daemons on free ports that share one fleet view; announced targets appear in it immediately. */
-final class TestFleet implements AutoCloseable, FleetViewSource, TargetPublisher {
+final class TestFleet implements AutoCloseable, TargetPublisher {
 
   static final String KEY = "Authorization: Bearer secret-key";
+  static final DataCentreId HERE = new DataCentreId("here");
   static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
 
   private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(20);
@@ -58,6 +60,9 @@
   private final Map<TargetId, Target> targets = new TreeMap<>((a, b) -> compare(a, b));
   private final List<TrafficDaemon> daemons = new ArrayList<>();
   private final List<ConfigEntity> entities = new ArrayList<>(defaultEntities());
+  private final Map<String, DataCentreId> dataCentres = new ConcurrentHashMap<>();
+  private final Map<String, FleetView> frozenViews = new ConcurrentHashMap<>();
+  private GateFactory gates = (service, slots, now) -> new Fakes.SlotGate(slots);
   private volatile FleetView view;
 
   TestFleet() {
@@ -81,7 +86,7 @@
       String name, TargetSelector selector, long drainMillis, long stopTimeoutMillis)
       throws IOException {
     TrafficSettings settings =
-        TrafficSettings.builder(new DaemonId(name), new DataCentreId("here"))
+        TrafficSettings.builder(new DaemonId(name), dataCentres.getOrDefault(name, HERE))
             .withAddresses(ANY_PORT, ANY_PORT, ANY_PORT)
             .withMaxBodyBytes(1 << 20)
             .withStopTimes(drainMillis, stopTimeoutMillis)
@@ -108,8 +113,8 @@
           }
         };
     return TrafficDaemon.builder(settings, Eventloop.create())
-        .withFleet(this, this)
-        .withAdmission(limiter, claims, (service, slots, now) -> new Fakes.SlotGate(slots))
+        .withFleet(viewsOf(settings.daemonId().value()), this)
+        .withAdmission(limiter, claims, gates)
         .withSelector(selector)
         .withRetries(
             new Fakes.HalvingRetryBudgets(),
@@ -118,6 +123,45 @@
         .build();
   }
 
+  /** Sets the data centre of a daemon that is started later; without it, it is in {@link #HERE}. */
+  void place(String name, String dataCentre) {
+    dataCentres.put(name, new DataCentreId(dataCentre));
+  }
+
+  /** Sets the gates of the daemons that are started later. */
+  void setGates(GateFactory newGates) {
+    gates = newGates;
+  }
+
+  /** Leaves a daemon with its present view, as if it were cut off from the control group. */
+  void freezeView(String name) {
+    frozenViews.put(name, view);
+  }
+
+  /** Gives a daemon a view of its own. */
+  void setView(String name, FleetView ownView) {
+    frozenViews.put(name, ownView);
+  }
+
+  /** Ends the effect of {@link #freezeView} and {@link #setView}. */
+  void releaseView(String name) {
+    frozenViews.remove(name);
+  }
+
+  private FleetViewSource viewsOf(String name) {
+    return new FleetViewSource() {
+      @Override
+      public FleetView current() {
+        return frozenViews.getOrDefault(name, view);
+      }
+
+      @Override
+      public boolean isFresh(long nowNanos) {
+        return viewIsFresh.get();
+      }
+    };
+  }
+
   /** Starts a daemon and announces the upstream to it. */
   TrafficDaemon startWith(String name, String service, StandInUpstream upstream)
       throws IOException {
@@ -177,6 +221,11 @@
     rebuild();
   }
 
+  synchronized void remove(EntityId id) {
+    entities.removeIf(entity -> entity.entityId().equals(id));
+    rebuild();
+  }
+
   synchronized void withdrawKeys() {
     entities.removeIf(entity -> entity instanceof ClientKey);
     rebuild();
@@ -190,16 +239,6 @@
     return targets.get(new TargetId(target));
   }
 
-  @Override
-  public FleetView current() {
-    return view;
-  }
-
-  @Override
-  public boolean isFresh(long nowNanos) {
-    return viewIsFresh.get();
-  }
-
   @Override
   public synchronized void publish(Target target) {
     targets.put(target.id(), target);
