--- a/cornelspoke-ctl/src/test/java/org/cornelspoke/ctl/CommandsTest.java
+++ b/cornelspoke-ctl/src/test/java/org/cornelspoke/ctl/CommandsTest.java
@@ -104,6 +104,34 @@
     assertThat(tool.run("preset set fair").exitCode()).isEqualTo(2);
   }
 
+  /**
+   * Guards against an order that is refused when repeated, or that names an unknown data centre.
+   */
+  @Test
+  void evacuatesAndRestoresDataCentres() throws Exception {
+    server.onBackend(
+        backend ->
+            backend.daemons =
+                List.of(
+                    new DaemonStatus(
+                        new DaemonId("d1"),
+                        new DataCentreId("pampanga"),
+                        new Revision(1),
+                        10,
+                        new VmId("control-1"))));
+    assertThat(tool.run("data-centre list").out()).doesNotContain("pampanga");
+    Result evacuated = tool.run("data-centre evacuate pampanga");
+    assertThat(evacuated.out()).isEqualTo("data centre pampanga evacuated (revision 5)\n");
+    assertThat(tool.run("data-centre evacuate pampanga").exitCode()).isEqualTo(0);
+    assertThat(tool.run("data-centre list").out()).containsMatch("pampanga +[0-9-]+T[0-9:.]+Z");
+    assertThat(tool.run("data-centre list --json").json().path("evacuations")).hasSize(1);
+    assertThat(tool.run("data-centre restore pampanga").exitCode()).isEqualTo(0);
+    assertThat(tool.run("data-centre restore pampanga").exitCode()).isEqualTo(0);
+    assertThat(tool.run("data-centre list").out()).doesNotContain("pampanga");
+    assertThat(tool.run("data-centre evacuate nowhere").exitCode()).isEqualTo(1);
+    assertThat(tool.run("data-centre evacuate").exitCode()).isEqualTo(2);
+  }
+
   /** Guards against a wait that ends early or does not report the daemons that are behind. */
   @Test
   void waitsUntilPresetIsInForceEverywhere() throws Exception {
@@ -201,7 +229,7 @@
     Result all = unconfigured.run("--help");
     List<String> commands =
         all.out().lines().filter(line -> line.startsWith("  cornelspokectl ")).toList();
-    assertThat(commands).hasSize(26);
+    assertThat(commands).hasSize(29);
     for (String command : commands) {
       String words = command.strip().substring("cornelspokectl ".length());
       Result help = unconfigured.run(words + " --help");
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/AdminServerTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/AdminServerTest.java
@@ -20,6 +20,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.cornelspoke.model.DaemonId;
+import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Revision;
+import org.cornelspoke.model.VmId;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -78,6 +82,9 @@
     "DELETE, operators/o1",
     "GET, audit",
     "GET, config",
+    "GET, evacuations",
+    "PUT, evacuations/here",
+    "DELETE, evacuations/here",
     "GET, routes/r1",
     "GET, presets/p1",
     "GET, status",
@@ -280,6 +287,48 @@
     assertThat(json(change).path("error").textValue()).isEqualTo("unavailable");
   }
 
+  /**
+   * Guards against orders that are refused when repeated, and against those that can't be meant.
+   */
+  @Test
+  void acceptsRepeatedOrdersAndRefusesInvalidOnes() throws Exception {
+    server.onBackend(
+        backend ->
+            backend.daemons =
+                List.of(
+                    new AttachedDaemons.DaemonStatus(
+                        new DaemonId("d1"),
+                        new DataCentreId("here"),
+                        new Revision(1),
+                        10,
+                        new VmId("control-1"))));
+    HttpResponse<String> first = send("PUT", "evacuations/here", "", "r1");
+    assertThat(first.statusCode()).isEqualTo(200);
+    assertThat(send("PUT", "evacuations/here", "", "r1").body()).isEqualTo(first.body());
+    assertThat(send("PUT", "evacuations/here", "", "r2").statusCode()).isEqualTo(200);
+    JsonNode list = json(send("GET", "evacuations", "", null)).path("evacuations");
+    assertThat(list).hasSize(1);
+    assertThat(list.get(0).path("dataCentre").textValue()).isEqualTo("here");
+    assertThat(list.get(0).path("startedAtMillis").longValue()).isGreaterThan(0);
+    assertThat(json(send("GET", "config", "", null)).path("evacuations")).hasSize(1);
+
+    assertThat(send("PUT", "evacuations/nowhere", "", "r3").statusCode()).isEqualTo(404);
+    assertThat(send("DELETE", "evacuations/nowhere", "", "r4").statusCode()).isEqualTo(404);
+    assertThat(send("PUT", "evacuations/here", "{}", "r5").statusCode()).isEqualTo(400);
+    assertThat(send("PUT", "evacuations/here", "", null).statusCode()).isEqualTo(400);
+
+    assertThat(send("DELETE", "evacuations/here", "", "r6").statusCode()).isEqualTo(200);
+    assertThat(send("DELETE", "evacuations/here", "", "r7").statusCode()).isEqualTo(200);
+    assertThat(json(send("GET", "evacuations", "", null)).path("evacuations")).isEmpty();
+
+    server.onBackend(
+        backend ->
+            backend.unavailable =
+                Optional.of(new BackendUnavailableException("no quorum", false, 2)));
+    assertThat(send("PUT", "evacuations/here", "", "r8").statusCode()).isEqualTo(503);
+    assertThat(send("PUT", "evacuations/nowhere", "", "r9").statusCode()).isEqualTo(503);
+  }
+
   /** Guards against metrics that need a token or that a scraper cannot parse. */
   @Test
   void servesMetricsAndHealthWithoutToken() throws Exception {
