Check that selectors leave out evacuated targets

Cause: with selectors that get all targets, no test of EvacuationTest failed, because the gates refuse and the requests are rerouted.

Change: the test counts attempts.

--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/EvacuationTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/EvacuationTest.java
@@ -52,9 +52,12 @@
       awaitEffect("there-1");
       int received = there.requestHeads.size();
       TestFleet.await(() -> bodyOf(edge).equals("elsewhere"));
+      long attempts = attemptsOf("there-1");
       for (int i = 0; i < 20; i++) {
         assertThat(bodyOf(edge)).isEqualTo("elsewhere");
       }
+      // Nothing is sent to the evacuated target first, to be refused by its gate.
+      assertThat(attemptsOf("there-1")).isEqualTo(attempts + 20);
       assertThat(there.requestHeads).hasSize(received);
       restore();
       TestFleet.await(() -> bodyOf(edge).equals("there"));
@@ -185,6 +188,10 @@
     }
   }
 
+  private long attemptsOf(String name) {
+    return fleet.metrics.get(name).counter("edge.attempts").getCount();
+  }
+
   private static String bodyOf(TrafficDaemon edge) {
     return send(edge).body();
   }
