--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/EntityCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/EntityCodec.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.KeyId;
 import org.cornelspoke.model.OperatorId;
 import org.cornelspoke.model.PresetName;
@@ -16,6 +17,7 @@
 import org.cornelspoke.state.config.ClientKey;
 import org.cornelspoke.state.config.ConfigEntity;
 import org.cornelspoke.state.config.ContextSecret;
+import org.cornelspoke.state.config.DataCentreEvacuation;
 import org.cornelspoke.state.config.EntityId;
 import org.cornelspoke.state.config.EntityKind;
 import org.cornelspoke.state.config.Operator;
@@ -55,6 +57,9 @@
     } else if (entity instanceof ServicePolicy policy) {
       out.array(4).number(code).text(policy.service().value());
       out.number(policy.coldStartMillis()).real(policy.coldRequestsPerSecond());
+    } else if (entity instanceof DataCentreEvacuation evacuation) {
+      out.array(3).number(code).text(evacuation.dataCentre().value());
+      out.number(evacuation.startedAtMillis());
     }
   }
 
@@ -76,6 +81,8 @@
               new RoutingDocument(in.number(), new String(in.bytes(), StandardCharsets.UTF_8));
           case SERVICE_POLICY ->
               new ServicePolicy(new ServiceName(in.text()), in.number(), in.real());
+          case DATA_CENTRE_EVACUATION ->
+              new DataCentreEvacuation(new DataCentreId(in.text()), in.number());
         };
     if (size != fieldCount(kind)) {
       throw new MalformedMessageException(kind + " must have " + fieldCount(kind) + " fields");
@@ -101,7 +108,7 @@
       case ROUTE -> 12;
       case PRESET -> 6;
       case ACTIVE_PRESET -> 2;
-      case CONTEXT_SECRET, OPERATOR, ROUTING_DOCUMENT -> 3;
+      case CONTEXT_SECRET, OPERATOR, ROUTING_DOCUMENT, DATA_CENTRE_EVACUATION -> 3;
     };
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigEntity.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/ConfigEntity.java
@@ -10,7 +10,8 @@
         ContextSecret,
         Operator,
         RoutingDocument,
-        ServicePolicy {
+        ServicePolicy,
+        DataCentreEvacuation {
 
   /** Returns the id under which the entity is stored. */
   EntityId entityId();
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityKind.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityKind.java
@@ -10,6 +10,7 @@
   CONTEXT_SECRET(6),
   OPERATOR(7),
   ROUTING_DOCUMENT(8),
+  DATA_CENTRE_EVACUATION(9),
   SERVICE_POLICY(10);
 
   private final int code;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityText.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/config/EntityText.java
@@ -74,6 +74,9 @@
       return "coldStartMillis=%s coldRequestsPerSecond=%s"
           .formatted(policy.coldStartMillis(), policy.coldRequestsPerSecond());
     }
+    if (entity instanceof DataCentreEvacuation evacuation) {
+      return "startedAtMillis=" + evacuation.startedAtMillis();
+    }
     return "present";
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CurrentView.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CurrentView.java
@@ -35,6 +35,11 @@
     return view;
   }
 
+  /** Returns true once a configuration has been received, which states what is evacuated. */
+  boolean isKnown() {
+    return !get().revision().equals(Revision.NONE);
+  }
+
   Optional<ContextSecret> signingSecret() {
     return signingSecret;
   }
@@ -52,11 +57,14 @@
     applied = view;
     signingSecret = view.signingSecret();
     TargetSelector selector = collaborators.selector();
-    selector.setTargets(view.targets(), System.nanoTime());
-    links.applyView(view);
+    selector.setTargets(view.usableTargets(), System.nanoTime());
     if (view.revision().isAfter(Revision.NONE)) {
       upstreams.applyServicePolicies(view);
     }
+    upstreams.setEvacuated(
+        view.isEvacuated(collaborators.settings().dataCentre()), System.nanoTime());
+    // Links to evacuated data centres stay open for the requests that run there.
+    links.applyView(view);
     collaborators.throttles().setDaemonCount(daemonCount(view));
     view.activePreset()
         .ifPresent(
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -112,12 +112,13 @@
   }
 
   /**
-   * Admits at the cold rate of the service until the next report, since the upstream may have been
-   * restarted while its data centre was evacuated.
+   * Opens the gate again. It admits at the cold rate of the service until the next report, since
+   * the upstream may have been restarted while its data centre was evacuated.
    */
   void onEvacuationEnded(long nowNanos) {
     noticeTracker.onEvacuationEnded(nowNanos);
     applyStatements(nowNanos);
+    gate.setEvacuated(false);
   }
 
   /**
@@ -136,6 +137,12 @@
     return noticeTracker.isLeaving();
   }
 
+  /** Closes the gate and refuses the queued requests; running ones complete. */
+  void onEvacuated(long nowNanos) {
+    gate.setEvacuated(true);
+    gate.onTick(nowNanos);
+  }
+
   /** Updates the gate; called every few milliseconds while requests are pending. */
   void onTick(long nowNanos) {
     applyStatements(nowNanos);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -22,6 +22,8 @@
 /** Manages the local upstreams of this daemon, their leases and their registrations. */
 final class LocalUpstreams implements UpstreamRegistration {
 
+  private static final System.Logger LOGGER = System.getLogger(LocalUpstreams.class.getName());
+
   private final Collaborators collaborators;
   private final Map<ServiceName, LocalUpstream> upstreams = new HashMap<>();
 
@@ -34,6 +36,7 @@
   /** The configuration, or empty before the first one has been received. */
   private Optional<FleetView> configuration = Optional.empty();
 
+  private boolean evacuated;
   private boolean stopping;
 
   LocalUpstreams(Collaborators collaborators) {
@@ -149,6 +152,28 @@
             upstream -> upstream.setServicePolicy(view.servicePolicy(upstream.service), nowNanos));
   }
 
+  /** Applies whether the data centre of this daemon is evacuated. */
+  void setEvacuated(boolean newEvacuated, long nowNanos) {
+    if (evacuated == newEvacuated) {
+      return;
+    }
+    evacuated = newEvacuated;
+    collaborators.metrics().evacuated.inc(evacuated ? 1 : -1);
+    LOGGER.log(
+        System.Logger.Level.INFO,
+        "event={0} dataCentre={1} upstreams={2}",
+        evacuated ? "gates-evacuated" : "gates-restored",
+        collaborators.settings().dataCentre(),
+        upstreams.size());
+    for (LocalUpstream upstream : upstreams.values()) {
+      if (evacuated) {
+        upstream.onEvacuated(nowNanos);
+      } else {
+        upstream.onEvacuationEnded(nowNanos);
+      }
+    }
+  }
+
   void onTick(long nowNanos) {
     for (LocalUpstream upstream : new ArrayList<>(upstreams.values())) {
       upstream.onTick(nowNanos);
@@ -229,6 +254,7 @@
             .gates()
             .create(announcement.service(), announcement.slots(), System.nanoTime());
     preset.ifPresent(gate::applyPreset);
+    gate.setEvacuated(evacuated);
     UpstreamPool pool =
         new UpstreamPool(
             collaborators.reactor(),
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
@@ -27,6 +27,9 @@
   final Counter sentWhileCold;
   final Counter forgedContexts;
 
+  /** 1 while the data centre of this daemon is evacuated, otherwise 0. */
+  final Counter evacuated;
+
   TrafficMetrics(MetricRegistry registry) {
     this.registry = registry;
     for (RefusalReason reason : RefusalReason.values()) {
@@ -43,6 +46,7 @@
     this.leasesEnded = registry.counter("local.leases-ended");
     this.coldPeriods = registry.counter("local.cold-periods");
     this.sentWhileCold = registry.counter("local.sent-while-cold");
+    this.evacuated = registry.counter("local.evacuated");
     this.forgedContexts = registry.counter("edge.forged-contexts");
   }
 
