Test an order that is held up in the control group

Cause: no test showed that an order of the platform depends on the revision on which it is based.

Change: FakeGroup can delay proposals; EvacuationOrderTest commits a delayed order after a later one.

--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/relay/EvacuationOrderTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/relay/EvacuationOrderTest.java
@@ -131,6 +131,20 @@
     assertThat(evacuations(1)).isEqualTo(evacuations(0));
   }
 
+  /** Guards against an order that was held up in the group and overrides a later one. */
+  @Test
+  void orderThatWasHeldUpDoesNotOverrideALaterOne() throws Exception {
+    onControl(run(group::delayProposals));
+    assertThrows(
+        ProposalFailedException.class, () -> order(0, EVACUATE, System.nanoTime() + SHORT_NANOS));
+    onControl(run(group::stopDelaying));
+    assertThat(order(1, RESTORE, deadlineNanos())).isInstanceOf(ChangeResult.Accepted.class);
+
+    onControl(run(group::commitDelayedProposals));
+    assertThat(evacuations(0)).isEmpty();
+    assertThat(evacuations(1)).isEmpty();
+  }
+
   /** Guards against two operators of whom one sees an order that the other has revoked. */
   @Test
   void lastOrderOfTwoOperatorsIsInForceEverywhere() throws Exception {
@@ -187,11 +201,7 @@
   }
 
   private void isolate(int member) throws Exception {
-    onControl(
-        () -> {
-          group.members.get(member).isolated = true;
-          return null;
-        });
+    onControl(run(() -> group.members.get(member).isolated = true));
   }
 
   private List<DataCentreEvacuation> evacuations(int member) throws Exception {
@@ -214,6 +224,13 @@
     return future;
   }
 
+  private static Callable<Void> run(Runnable action) {
+    return () -> {
+      action.run();
+      return null;
+    };
+  }
+
   private static long deadlineNanos() {
     return System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
   }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/relay/FakeGroup.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/relay/FakeGroup.java
@@ -18,6 +18,8 @@
   final List<Member> members = new ArrayList<>();
   private final Reactor reactor;
   private final List<byte[]> log = new ArrayList<>();
+  private final List<Runnable> delayedProposals = new ArrayList<>();
+  private boolean delaying;
   private int repliesToLose;
   private long term = 1;
 
@@ -33,6 +35,22 @@
     repliesToLose = count;
   }
 
+  /** Delays the proposals from now on until {@link #commitDelayedProposals}. */
+  void delayProposals() {
+    delaying = true;
+  }
+
+  /** Lets later proposals pass; those that were delayed stay so. */
+  void stopDelaying() {
+    delaying = false;
+  }
+
+  /** Commits the delayed proposals now. */
+  void commitDelayedProposals() {
+    delayedProposals.forEach(Runnable::run);
+    delayedProposals.clear();
+  }
+
   int logSize() {
     return log.size();
   }
@@ -51,21 +69,26 @@
 
     @Override
     public void propose(byte[] command, ProposalListener listener) {
-      reactor.postLast(
-          () -> {
-            if (isolated) {
-              listener.onNotAppended("no leader");
-              return;
-            }
-            log.add(command);
-            members.forEach(Member::catchUp);
-            if (repliesToLose > 0) {
-              repliesToLose--;
-              listener.onUnknown("answer lost");
-            } else {
-              listener.onCommitted(appliedIndex, lastResult);
-            }
-          });
+      if (delaying) {
+        delayedProposals.add(() -> commit(command, listener));
+      } else {
+        reactor.postLast(() -> commit(command, listener));
+      }
+    }
+
+    private void commit(byte[] command, ProposalListener listener) {
+      if (isolated) {
+        listener.onNotAppended("no leader");
+        return;
+      }
+      log.add(command);
+      members.forEach(Member::catchUp);
+      if (repliesToLose > 0) {
+        repliesToLose--;
+        listener.onUnknown("answer lost");
+      } else {
+        listener.onCommitted(appliedIndex, lastResult);
+      }
     }
 
     @Override
