Separate calls of admitted chains from new requests in the queues of a gate

Cause: all nested calls on open routes counted as new requests of the highest class under one account, so that calls of the least urgent chains came before the most urgent requests of the called service. Change: GateRequest says whether a request continues admitted work; GateQueues holds a queue for each class and kind of work and decides the order, moved out of DefaultUpstreamGate. Nothing sets the flag yet, so the order is unchanged. Result: DefaultUpstreamGateTest, PressureThrottleTest and StatedRateTest pass unchanged (19 tests).

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/ClassQueue.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/ClassQueue.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.state.config.ClassPolicy;
 
 /**
- * Queue of one traffic class of a gate with weighted fair queueing over accounts by slot time used.
+ * Queue of one traffic class and kind of work of a gate with weighted fair queueing over accounts
+ * by slot time used.
  *
  * <p>An account that becomes active starts at the virtual time of the class, so idle time earns no
  * credit. Admission charges the expected slot time and completion corrects it to the time actually
@@ -30,6 +32,8 @@
   private static final long NEVER = Long.MIN_VALUE;
 
   private final Map<AccountId, AccountQueue> accounts = new HashMap<>();
+  private final TrafficClass trafficClass;
+  private final boolean begun;
   private ClassPolicy policy;
   private int waiting;
   private int inFlight;
@@ -37,10 +41,25 @@
   private double meanServiceNanos;
   private long queueingSinceNanos = NEVER;
 
-  ClassQueue(ClassPolicy policy) {
+  /**
+   * Creates an empty queue.
+   *
+   * @param begun true for calls on behalf of admitted root requests, false for new requests
+   */
+  ClassQueue(TrafficClass trafficClass, boolean begun, ClassPolicy policy) {
+    this.trafficClass = trafficClass;
+    this.begun = begun;
     this.policy = policy;
   }
 
+  TrafficClass trafficClass() {
+    return trafficClass;
+  }
+
+  boolean isBegun() {
+    return begun;
+  }
+
   ClassPolicy policy() {
     return policy;
   }
@@ -73,9 +92,12 @@
     }
   }
 
-  /** Returns true if requests have been queued without interruption for the given duration. */
+  /**
+   * Returns true if new requests have been queued without interruption for the given duration.
+   * Calls of admitted chains are always served oldest first.
+   */
   boolean isNewestFirst(long durationNanos, long nowNanos) {
-    return queueingSinceNanos != NEVER && nowNanos - queueingSinceNanos >= durationNanos;
+    return !begun && queueingSinceNanos != NEVER && nowNanos - queueingSinceNanos >= durationNanos;
   }
 
   /** Removes and returns the entry to serve next, or returns null if none waits. */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/DefaultUpstreamGate.java
@@ -1,9 +1,7 @@
 package org.cornelspoke.coordination.admission;
 
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalDouble;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.TrafficClass;
@@ -26,7 +24,6 @@
  */
 public final class DefaultUpstreamGate implements UpstreamGate {
 
-  private static final TrafficClass[] CLASSES = TrafficClass.values();
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final int PERCENT = 100;
   private static final long MIN_RETRY_AFTER_MILLIS = 50;
@@ -39,10 +36,9 @@
    */
   private static final double REQUIRED_SERVICE_FRACTION = 0.6;
 
-  private final double interactiveFraction;
   private final ConcurrencyLimit limit;
   private final AdmissionRateLimit rateLimit = new AdmissionRateLimit();
-  private final Map<TrafficClass, ClassQueue> queues = new EnumMap<>(TrafficClass.class);
+  private final GateQueues queues;
   private double meanServiceNanos;
   private long newestFirstAfterNanos;
   private boolean draining;
@@ -69,11 +65,8 @@
     Assert.notNull(preset, "preset");
     Assert.isTrue(
         interactiveFraction >= 0 && interactiveFraction < 1, "interactiveFraction must be below 1");
-    this.interactiveFraction = interactiveFraction;
     this.limit = Assert.notNull(limit, "limit");
-    for (TrafficClass trafficClass : CLASSES) {
-      queues.put(trafficClass, new ClassQueue(preset.policyOf(trafficClass)));
-    }
+    this.queues = new GateQueues(preset, interactiveFraction);
     applyPreset(preset);
   }
 
@@ -81,7 +74,7 @@
   public Ticket submit(GateRequest request, Listener listener, long nowNanos) {
     Assert.notNull(request, "request");
     Assert.notNull(listener, "listener");
-    ClassQueue queue = queues.get(request.trafficClass());
+    ClassQueue queue = queues.of(request);
     GateEntry entry =
         new GateEntry(
             request, listener, nowNanos + queue.policy().queueTimeoutMillis() * NANOS_PER_MILLI);
@@ -91,7 +84,7 @@
       refuse(entry, RefusalReason.PRESET, MAX_RETRY_AFTER_MILLIS);
     } else if (entry.remainingNanos(nowNanos) <= 0) {
       refuse(entry, RefusalReason.DEADLINE, retryAfterMillis());
-    } else if (hasFreeSlot(request.trafficClass())
+    } else if (queues.hasFreeSlot(queue, inFlight, limit.limit())
         && queue.waiting() == 0
         && isNextAdmission(nowNanos)) {
       admitNew(queue, entry, nowNanos);
@@ -110,7 +103,7 @@
     entry.end();
     // If requests wait for a slot, the limit counts as used up: their class may hold only a
     // fraction of it.
-    boolean limitUsedUp = waiting() > 0 && !rateLimit.isActive();
+    boolean limitUsedUp = queues.waiting() > 0 && !rateLimit.isActive();
     int usedSlots = limitUsedUp ? Math.max(inFlight, limit.limit()) : inFlight;
     long heldNanos = entry.heldNanos(nowNanos);
     limit.onCompleted(heldNanos, usedSlots, completion, nowNanos);
@@ -120,7 +113,7 @@
               ? heldNanos
               : meanServiceNanos + ClassQueue.SERVICE_TIME_WEIGHT * (heldNanos - meanServiceNanos);
     }
-    queues.get(entry.request().trafficClass()).onCompleted(entry, completion, nowNanos);
+    queues.of(entry.request()).onCompleted(entry, completion, nowNanos);
     inFlight--;
     dispatch(nowNanos);
   }
@@ -132,7 +125,7 @@
       return false;
     }
     entry.end();
-    queues.get(entry.request().trafficClass()).onCancelled(entry);
+    queues.of(entry.request()).onCancelled(entry);
     return true;
   }
 
@@ -142,7 +135,7 @@
       refuseWaiting();
     }
     List<GateEntry> expired = new ArrayList<>();
-    for (ClassQueue queue : queues.values()) {
+    for (ClassQueue queue : queues.inOrder()) {
       if (queue.waiting() > 0) {
         expired.addAll(queue.removeExpired(nowNanos, requiredServiceNanos(queue)));
       }
@@ -160,7 +153,7 @@
   public void applyPreset(Preset preset) {
     Assert.notNull(preset, "preset");
     newestFirstAfterNanos = preset.newestFirstAfterMillis() * NANOS_PER_MILLI;
-    queues.forEach((trafficClass, queue) -> queue.setPolicy(preset.policyOf(trafficClass)));
+    queues.applyPreset(preset);
   }
 
   @Override
@@ -181,18 +174,18 @@
 
   @Override
   public GateLoad load() {
-    int criticalWaiting = queues.get(TrafficClass.CRITICAL).waiting();
     int slots = usableSlots();
     // While requests wait for a rate limit, the slots that it can fill count as in use, also in the
     // moments between two admissions.
-    int usedSlots = rateLimit.isActive() && waiting() > 0 ? Math.max(inFlight, slots) : inFlight;
+    int usedSlots =
+        rateLimit.isActive() && queues.waiting() > 0 ? Math.max(inFlight, slots) : inFlight;
     return new GateLoad(
-        usedSlots, waiting(), slots, PERCENT * criticalWaiting / Math.max(1, slots));
+        usedSlots, queues.waiting(), slots, PERCENT * queues.urgentWaiting() / Math.max(1, slots));
   }
 
   /** Refuses all queued requests, so that callers can retry them at other targets. */
   private void refuseWaiting() {
-    for (ClassQueue queue : queues.values()) {
+    for (ClassQueue queue : queues.inOrder()) {
       GateEntry entry = queue.pollNext(false);
       while (entry != null) {
         refuse(entry, RefusalReason.DRAINING, DRAINING_RETRY_AFTER_MILLIS);
@@ -203,7 +196,7 @@
 
   /** Returns true if a rate limit lets the next request in and no waiting one comes before it. */
   private boolean isNextAdmission(long nowNanos) {
-    return !rateLimit.isActive() || (waiting() == 0 && rateLimit.hasPermit(nowNanos));
+    return !rateLimit.isActive() || (queues.waiting() == 0 && rateLimit.hasPermit(nowNanos));
   }
 
   /** Returns the slots that can be in use at the same time under both limits. */
@@ -232,8 +225,8 @@
       refuse(entry, RefusalReason.OVERLOAD, retryAfterMillis());
       return;
     }
-    if (queueIsFull(entry.request().trafficClass())) {
-      GateEntry evicted = evictFor(entry.request(), nowNanos);
+    if (queues.isFull(entry.request().trafficClass())) {
+      GateEntry evicted = queues.evictFor(entry.request(), newestFirstAfterNanos, nowNanos);
       if (evicted == null) {
         refuse(entry, RefusalReason.OVERLOAD, retryAfterMillis());
         return;
@@ -246,58 +239,16 @@
     dispatch(nowNanos);
   }
 
-  /**
-   * Returns true if the queue capacity of the class or of a class above it is used up, each counted
-   * together with the classes below it.
-   */
-  private boolean queueIsFull(TrafficClass trafficClass) {
-    int waiting = 0;
-    int capacity = 0;
-    for (int i = CLASSES.length - 1; i >= 0; i--) {
-      ClassQueue queue = queues.get(CLASSES[i]);
-      waiting += queue.waiting();
-      capacity += queue.policy().queueLimit();
-      if (!trafficClass.outranks(CLASSES[i]) && waiting >= capacity) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /** Evicts and returns a waiting request of lower priority than the new one, or null. */
-  private GateEntry evictFor(GateRequest request, long nowNanos) {
-    for (int i = CLASSES.length - 1; i >= 0; i--) {
-      if (CLASSES[i].outranks(request.trafficClass())) {
-        break;
-      }
-      ClassQueue queue = queues.get(CLASSES[i]);
-      if (queue.waiting() == 0) {
-        continue;
-      }
-      boolean newestFirst = queue.isNewestFirst(newestFirstAfterNanos, nowNanos);
-      boolean sameClass = CLASSES[i] == request.trafficClass();
-      if (sameClass && !newestFirst && queue.isLongest(request)) {
-        return null;
-      }
-      return queue.pollLeastValuable(newestFirst);
+  private void dispatch(long nowNanos) {
+    ClassQueue queue = nextToServe();
+    while (queue != null && rateLimit.hasPermit(nowNanos)) {
+      admitNext(queue, nowNanos);
+      queue = nextToServe();
     }
-    return null;
   }
 
-  private void dispatch(long nowNanos) {
-    ClassQueue interactive = queues.get(TrafficClass.INTERACTIVE);
-    while (interactive.waiting() > 0
-        && inFlight < limit.limit()
-        && rateLimit.hasPermit(nowNanos)
-        && interactive.inFlight() < interactiveFraction * usableSlots()) {
-      admitNext(interactive, nowNanos);
-    }
-    for (TrafficClass trafficClass : CLASSES) {
-      ClassQueue queue = queues.get(trafficClass);
-      while (queue.waiting() > 0 && hasFreeSlot(trafficClass) && rateLimit.hasPermit(nowNanos)) {
-        admitNext(queue, nowNanos);
-      }
-    }
+  private ClassQueue nextToServe() {
+    return queues.nextToServe(inFlight, limit.limit(), usableSlots());
   }
 
   private void admitNext(ClassQueue queue, long nowNanos) {
@@ -327,62 +278,28 @@
     entry.listener().onRefused(reason, retryAfterMillis);
   }
 
-  private boolean hasFreeSlot(TrafficClass trafficClass) {
-    int total = limit.limit();
-    if (inFlight >= total) {
-      return false;
-    }
-    int held = 0;
-    for (TrafficClass otherClass : CLASSES) {
-      if (!otherClass.outranks(trafficClass)) {
-        held += queues.get(otherClass).inFlight();
-      }
-    }
-    double share = queues.get(trafficClass).policy().slotShare();
-    return held < Math.max(1, Math.floor(share * total));
-  }
-
   private double requiredServiceNanos(ClassQueue queue) {
     return queue.meanServiceNanos() * REQUIRED_SERVICE_FRACTION;
   }
 
   private double expectedWaitNanos(ClassQueue queue, GateRequest request, long nowNanos) {
-    double higherWorkNanos = 0;
-    int higherRequests = 0;
-    for (TrafficClass otherClass : CLASSES) {
-      if (!otherClass.outranks(request.trafficClass())) {
-        continue;
-      }
-      ClassQueue higher = queues.get(otherClass);
-      higherWorkNanos += higher.waiting() * higher.meanServiceNanos();
-      higherRequests += higher.waiting();
-    }
     boolean newestFirst = queue.isNewestFirst(newestFirstAfterNanos, nowNanos);
     double requestsAhead = newestFirst ? 0 : queue.expectedRequestsAhead(request);
-    double slots = Math.max(1, queue.policy().slotShare() * limit.limit());
     return Math.max(
-        (higherWorkNanos + (requestsAhead + 1) * queue.meanServiceNanos()) / slots,
-        rateLimit.admissionNanos(higherRequests + requestsAhead + 1));
+        queues.waitNanos(queue, requestsAhead + 1, limit.limit()),
+        rateLimit.admissionNanos(queues.waitingBefore(queue) + requestsAhead + 1));
   }
 
   private long retryAfterMillis() {
     double workNanos = 0;
     double serviceNanos = 0;
-    for (ClassQueue queue : queues.values()) {
+    for (ClassQueue queue : queues.inOrder()) {
       workNanos += queue.waiting() * queue.meanServiceNanos();
       serviceNanos = Math.max(serviceNanos, queue.meanServiceNanos());
     }
     double queueNanos =
-        Math.max(workNanos / limit.limit(), rateLimit.admissionNanos(waiting() + 1.0));
+        Math.max(workNanos / limit.limit(), rateLimit.admissionNanos(queues.waiting() + 1.0));
     double millis = (queueNanos + serviceNanos) / NANOS_PER_MILLI;
     return (long) Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(MIN_RETRY_AFTER_MILLIS, millis));
   }
-
-  private int waiting() {
-    int waiting = 0;
-    for (ClassQueue queue : queues.values()) {
-      waiting += queue.waiting();
-    }
-    return waiting;
-  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/PressureThrottle.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/PressureThrottle.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.TrafficClass;
 
 /**
@@ -53,7 +54,8 @@
   private boolean started;
 
   @Override
-  public boolean tryAdmit(TrafficClass trafficClass, int pressurePercent, long nowNanos) {
+  public boolean tryAdmit(
+      TrafficClass trafficClass, AccountId account, int pressurePercent, long nowNanos) {
     step(pressurePercent, nowNanos);
     double fraction = Math.min(1, Math.max(MIN_ADMITTED_FRACTION, admittedFraction(trafficClass)));
     double credit = Math.min(1, credits.getOrDefault(trafficClass, 0.0) + fraction);
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/PressureThrottleTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/PressureThrottleTest.java
@@ -23,6 +23,7 @@
  */
 final class PressureThrottleTest {
 
+  private static final AccountId OPEN_ACCOUNT = new AccountId("open");
   private static final int SLOTS = 19;
   private static final int CALLS = 5;
   private static final int ROOT_DAEMONS = 3;
@@ -127,7 +128,9 @@
     RootDaemon daemon = daemons.get(random.nextInt(ROOT_DAEMONS));
     long now = upstream.nowNanos();
     criticalOffered += trafficClass == TrafficClass.CRITICAL ? 1 : 0;
-    if (daemon.throttle().tryAdmit(trafficClass, daemon.estimator().percent(now), now)) {
+    if (daemon
+        .throttle()
+        .tryAdmit(trafficClass, OPEN_ACCOUNT, daemon.estimator().percent(now), now)) {
       new Chain(trafficClass, daemon, now + CHAIN_TIMEOUT_NANOS).startNextCall();
     } else {
       refused++;
@@ -186,10 +189,7 @@
       long now = upstream.nowNanos();
       long deadline = Math.min(chain.deadlineNanos, now + CALL_TIMEOUT_NANOS);
       ticket =
-          gate.submit(
-              new GateRequest(new AccountId("open"), 1, TrafficClass.CRITICAL, deadline),
-              this,
-              now);
+          gate.submit(new GateRequest(OPEN_ACCOUNT, 1, TrafficClass.CRITICAL, deadline), this, now);
       if (admitted) {
         serve();
       }
