Queue nested calls by the class and account of their root

Cause: a called service couldn't tell on whose behalf a call is made. Change: the daemon beside the calling upstream finds the root by the id of the running request, or by the signed context, and sends it as RootOrigin; the gate queues the call by it, before new requests of its class. Accounts that a daemon doesn't know share the open account. Switched by the settings block chainAdmission, off by default. RootOrigin also carries the admitted fraction, in a header line of its own that is left out for 1.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/ChainAdmissionSettings.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/ChainAdmissionSettings.java
@@ -12,6 +12,11 @@
   /** Utilisation up to which the queue of a gate stays short. */
   public static final double DEFAULT_TARGET_UTILISATION = 0.9;
 
+  /** A gate with less than this has no use for its slots. */
+  public static final double MIN_TARGET_UTILISATION = 0.1;
+
+  public static final double MAX_TARGET_UTILISATION = 1;
+
   /** Settings that leave chain admission off. */
   public static final ChainAdmissionSettings OFF =
       new ChainAdmissionSettings(false, DEFAULT_TARGET_UTILISATION);
@@ -19,7 +24,7 @@
   /** Checks the range. */
   public ChainAdmissionSettings {
     Assert.isTrue(
-        targetUtilisation >= 0.1 && targetUtilisation <= 1,
+        targetUtilisation >= MIN_TARGET_UTILISATION && targetUtilisation <= MAX_TARGET_UTILISATION,
         "targetUtilisation must be between 0.1 and 1");
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallHead.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/CallHead.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.protocol.call;
 
+import java.util.Optional;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.Revision;
 import org.cornelspoke.model.ServiceName;
@@ -86,4 +87,9 @@
         headers,
         newMetadata);
   }
+
+  /** Returns a copy with another root. */
+  public CallHead withRoot(Optional<RootOrigin> newRoot) {
+    return forAttempt(remainingMillis, extraAttempts, metadata.withRoot(newRoot));
+  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/MetadataHeaders.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/MetadataHeaders.java
@@ -19,12 +19,15 @@
   private static final String ROOT = "cornelspoke-root";
   private static final String ROOM = "cornelspoke-room";
 
-  private static final String[] NAMES = {NOTICE, ESTIMATE, ROOT, ROOM};
+  /** A line of its own, left out for a fraction of 1. */
+  private static final String ROOT_ADMITTED = "cornelspoke-root-admitted";
+
+  private static final String[] NAMES = {NOTICE, ESTIMATE, ROOT, ROOT_ADMITTED, ROOM};
 
   /** Decimal places of a fraction in the text form. */
-  private static final int ROOM_DECIMALS = 3;
+  private static final int FRACTION_DECIMALS = 3;
 
-  private static final Pattern ROOM_TEXT = Pattern.compile("[01](?:\\.[0-9]{1,6})?");
+  private static final Pattern FRACTION_TEXT = Pattern.compile("[01](?:\\.[0-9]{1,6})?");
 
   private MetadataHeaders() {}
 
@@ -33,7 +36,7 @@
     Map<String, String> lines = new LinkedHashMap<>();
     metadata.targetNotice().ifPresent(notice -> lines.put(NOTICE, notice.format()));
     metadata.targetEstimate().ifPresent(estimate -> lines.put(ESTIMATE, estimate.format()));
-    metadata.root().ifPresent(root -> lines.put(ROOT, root.format()));
+    metadata.root().ifPresent(root -> addRoot(lines, root));
     return add(headers, lines);
   }
 
@@ -42,7 +45,7 @@
     Map<String, String> lines = new LinkedHashMap<>();
     metadata.targetNotice().ifPresent(notice -> lines.put(NOTICE, notice.format()));
     metadata.targetEstimate().ifPresent(estimate -> lines.put(ESTIMATE, estimate.format()));
-    metadata.room().ifPresent(room -> lines.put(ROOM, formatRoom(room)));
+    metadata.room().ifPresent(room -> lines.put(ROOM, formatFraction(room)));
     return add(headers, lines);
   }
 
@@ -61,7 +64,7 @@
    * @throws ProtocolException if a line is malformed
    */
   static ReplyMetadata readReply(Headers headers) throws ProtocolException {
-    return new ReplyMetadata(notice(headers), estimate(headers), room(headers));
+    return new ReplyMetadata(notice(headers), estimate(headers), fraction(headers, ROOM));
   }
 
   /** Returns the headers without the lines that carry metadata. */
@@ -115,22 +118,33 @@
 
   private static Optional<RootOrigin> root(Headers headers) throws ProtocolException {
     String text = headers.get(ROOT);
-    return text == null ? Optional.empty() : Optional.of(RootOrigin.parse(text));
+    return text == null
+        ? Optional.empty()
+        : Optional.of(RootOrigin.parse(text, fraction(headers, ROOT_ADMITTED).orElse(1)));
+  }
+
+  private static void addRoot(Map<String, String> lines, RootOrigin root) {
+    lines.put(ROOT, root.format());
+    if (root.admittedFraction() < 1) {
+      lines.put(ROOT_ADMITTED, formatFraction(root.admittedFraction()));
+    }
   }
 
-  private static OptionalDouble room(Headers headers) throws ProtocolException {
-    String text = headers.get(ROOM);
+  private static OptionalDouble fraction(Headers headers, String name) throws ProtocolException {
+    String text = headers.get(name);
     if (text == null) {
       return OptionalDouble.empty();
     }
-    double room = ROOM_TEXT.matcher(text).matches() ? Double.parseDouble(text) : Double.NaN;
-    if (!(room >= 0 && room <= 1)) {
-      throw new ProtocolException("malformed room");
+    double fraction = FRACTION_TEXT.matcher(text).matches() ? Double.parseDouble(text) : Double.NaN;
+    if (!(fraction >= 0 && fraction <= 1)) {
+      throw new ProtocolException("malformed " + name);
     }
-    return OptionalDouble.of(room);
+    return OptionalDouble.of(fraction);
   }
 
-  private static String formatRoom(double room) {
-    return BigDecimal.valueOf(room).setScale(ROOM_DECIMALS, RoundingMode.DOWN).toPlainString();
+  private static String formatFraction(double fraction) {
+    return BigDecimal.valueOf(fraction)
+        .setScale(FRACTION_DECIMALS, RoundingMode.DOWN)
+        .toPlainString();
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import java.util.function.IntFunction;
 import java.util.function.Supplier;
+import org.cornelspoke.coordination.admission.ChainAdmissionSettings;
 import org.cornelspoke.coordination.admission.ConcurrencyLimit;
 import org.cornelspoke.coordination.admission.LimitAlgorithm;
 import org.cornelspoke.coordination.admission.RootRequestThrottle;
@@ -38,6 +39,7 @@
   IntFunction<ConcurrencyLimit> concurrencyLimits = LimitAlgorithm.DEFAULT::create;
   ShareTimes shareTimes = ShareTimes.DEFAULT;
   Supplier<RootRequestThrottle> rootThrottles = RootRequestThrottle::none;
+  Optional<ChainAdmissionSettings> chainAdmission = Optional.empty();
   double reservedInteractiveFraction;
   double rateFloorFraction;
   long drainMillis = DEFAULT_DRAIN_MILLIS;
@@ -113,6 +115,12 @@
     return this;
   }
 
+  /** Replaces the block {@code chainAdmission} of the settings. */
+  public TrafficProfile withChainAdmission(ChainAdmissionSettings settings) {
+    this.chainAdmission = Optional.of(settings);
+    return this;
+  }
+
   /** Replaces the drain time and the timeout of a graceful stop. */
   public TrafficProfile withStopTimes(long newDrainMillis, long newStopTimeoutMillis) {
     this.drainMillis = newDrainMillis;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -168,6 +168,7 @@
         .withShareWaitMillis(settings.shareWaitMillis())
         .withMaxBodyBytes(settings.maxBodyBytes())
         .withStopTimes(profile.drainMillis, profile.stopTimeoutMillis)
+        .withChainAdmission(profile.chainAdmission.orElse(settings.chainAdmission()))
         .build();
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.cornelspoke.coordination.admission.ChainAdmissionSettings;
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.Endpoint;
@@ -129,6 +130,7 @@
             object.enumConstant("staleKeys", StaleKeys.class, StaleKeys.REFUSE),
             object.intValue("shareWaitMillis", DEFAULT_SHARE_WAIT_MILLIS, 0, MAX_SHARE_WAIT_MILLIS),
             object.intValue("maxBodyBytes", DEFAULT_MAX_BODY_BYTES, 1, MAX_MAX_BODY_BYTES),
+            chainAdmission(object),
             log(object));
     if (!settings.localAddress().toSocketAddress().getAddress().isLoopbackAddress()) {
       throw object.invalid("localAddress", "must be a loopback address");
@@ -137,6 +139,26 @@
     return settings;
   }
 
+  private static ChainAdmissionSettings chainAdmission(SettingsObject object)
+      throws SettingsException {
+    Optional<SettingsObject> block = object.object("chainAdmission");
+    if (block.isEmpty()) {
+      return ChainAdmissionSettings.OFF;
+    }
+    ChainAdmissionSettings settings =
+        new ChainAdmissionSettings(
+            block.get().booleanValue("enabled", false),
+            block
+                .get()
+                .decimalValue(
+                    "targetUtilisation",
+                    ChainAdmissionSettings.DEFAULT_TARGET_UTILISATION,
+                    ChainAdmissionSettings.MIN_TARGET_UTILISATION,
+                    ChainAdmissionSettings.MAX_TARGET_UTILISATION));
+    block.get().rejectUnknownFields();
+    return settings;
+  }
+
   private static ControlSettings control(SettingsObject object) throws SettingsException {
     VmId vmId = object.textAs("vmId", VmId::new);
     ControlSettings settings =
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/TrafficSettings.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/TrafficSettings.java
@@ -1,9 +1,11 @@
 package org.cornelspoke.daemon.settings;
 
 import java.util.List;
+import org.cornelspoke.coordination.admission.ChainAdmissionSettings;
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.util.Assert;
 
 /**
  * Settings of a traffic daemon.
@@ -16,6 +18,7 @@
  * @param staleKeys how requests with a client key are treated after that time
  * @param shareWaitMillis maximum time that a request waits for spare rate capacity
  * @param maxBodyBytes maximum size of a request body that the edge accepts
+ * @param chainAdmission admission of call chains by the capacity of the called services
  */
 public record TrafficSettings(
     DaemonId daemonId,
@@ -29,11 +32,43 @@
     StaleKeys staleKeys,
     long shareWaitMillis,
     int maxBodyBytes,
+    ChainAdmissionSettings chainAdmission,
     LogSettings log)
     implements DaemonSettings {
 
   /** Makes an unmodifiable copy of the list. */
   public TrafficSettings {
     controlEndpoints = List.copyOf(controlEndpoints);
+    Assert.notNull(chainAdmission, "chainAdmission");
+  }
+
+  /** Creates settings without the optional blocks. */
+  public TrafficSettings(
+      DaemonId daemonId,
+      DataCentreId dataCentre,
+      Endpoint edgeAddress,
+      Endpoint linkAddress,
+      Endpoint localAddress,
+      Endpoint adminAddress,
+      List<Endpoint> controlEndpoints,
+      long freshnessBoundMillis,
+      StaleKeys staleKeys,
+      long shareWaitMillis,
+      int maxBodyBytes,
+      LogSettings log) {
+    this(
+        daemonId,
+        dataCentre,
+        edgeAddress,
+        linkAddress,
+        localAddress,
+        adminAddress,
+        controlEndpoints,
+        freshnessBoundMillis,
+        staleKeys,
+        shareWaitMillis,
+        maxBodyBytes,
+        ChainAdmissionSettings.OFF,
+        log);
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
@@ -11,6 +11,7 @@
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.protocol.call.CallHead;
 import org.cornelspoke.protocol.call.Headers;
+import org.cornelspoke.protocol.call.RootOrigin;
 import org.cornelspoke.protocol.context.CallContext;
 import org.cornelspoke.protocol.context.ContextSigner;
 import org.cornelspoke.state.config.Account;
@@ -170,13 +171,14 @@
     int retryBudget = parent == null ? 0 : collaborators.ledger().borrow(parentCallId);
     CallHead head =
         callHead(
-            exchange,
-            route,
-            Optional.of(context.account()),
-            context.weight(),
-            context.trafficClass(),
-            context.revision(),
-            retryBudget);
+                exchange,
+                route,
+                Optional.of(context.account()),
+                context.weight(),
+                context.trafficClass(),
+                context.revision(),
+                retryBudget)
+            .withRoot(rootOf(context, parent));
     request.setParentCallId(parentCallId);
     request.start(
         head,
@@ -187,6 +189,19 @@
         headers.idempotencyKey());
   }
 
+  /**
+   * Returns the root of a nested call. If the parent is unknown, also after a restart of this
+   * daemon, the signed context identifies the root.
+   */
+  private Optional<RootOrigin> rootOf(CallContext context, ParentCalls.Parent parent) {
+    if (!collaborators.settings().chainAdmission().enabled()) {
+      return Optional.empty();
+    }
+    return parent != null
+        ? parent.origin()
+        : Optional.of(new RootOrigin(context.account(), context.trafficClass()));
+  }
+
   private CallHead callHead(
       HttpExchange exchange,
       Route route,
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -209,10 +209,7 @@
   private void forward() {
     boolean nested = parentCallId != null || head.account().equals(EdgeHandler.OPEN_ACCOUNT);
     if (nested && requestId != null) {
-      collaborators
-          .dialect()
-          .parentRequestId(requestId)
-          .ifPresent(id -> dependencies.forwarding().upstreams().onNestedCall(id));
+      collaborators.dialect().parentRequestId(requestId).ifPresent(this::onParentKnown);
     }
     forwarding =
         new Forwarding(
@@ -226,6 +223,14 @@
     forwarding.start();
   }
 
+  private void onParentKnown(String parentRequestId) {
+    LocalUpstreams upstreams = dependencies.forwarding().upstreams();
+    upstreams.onNestedCall(parentRequestId);
+    if (head.metadata().root().isEmpty()) {
+      head = head.withRoot(upstreams.rootOf(parentRequestId));
+    }
+  }
+
   private void onResult(CallResult result) {
     settleClaim(result);
     if (result instanceof CallResult.Responded answered) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.traffic;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cornelspoke.coordination.admission.Completion;
 import org.cornelspoke.coordination.admission.GateRequest;
@@ -12,6 +13,7 @@
 import org.cornelspoke.protocol.call.CallResult;
 import org.cornelspoke.protocol.call.Headers;
 import org.cornelspoke.protocol.call.ReplyMetadata;
+import org.cornelspoke.protocol.call.RootOrigin;
 import org.cornelspoke.transport.http.UpstreamExchange;
 import org.cornelspoke.transport.http.UpstreamRequest;
 import org.cornelspoke.transport.link.LinkCall;
@@ -33,9 +35,6 @@
   /** Upper bound for the remaining time sent by a peer, so that the deadline cannot overflow. */
   private static final long MAX_REMAINING_MILLIS = TimeUnit.DAYS.toMillis(30);
 
-  /** Downstream queues shrink within this time once fewer root requests are started. */
-  private static final long DOWNSTREAM_RETRY_MILLIS = 1_000;
-
   private final LocalCalls calls;
   private final Collaborators collaborators;
   private final LocalUpstream upstream;
@@ -74,14 +73,14 @@
 
   void start() {
     calls.upstreams().onCallStarted(upstream);
-    if (isRoot() && !upstream.admitsRoot(head.trafficClass(), startNanos)) {
+    if (isRoot() && !upstream.admitsRoot(head, startNanos)) {
       complete(
-          new CallResult.Refused(RefusalReason.DOWNSTREAM, DOWNSTREAM_RETRY_MILLIS),
+          new CallResult.Refused(
+              RefusalReason.DOWNSTREAM, upstream.chains.retryAfterMillis(head, startNanos)),
           head.extraAttempts());
       return;
     }
-    GateRequest request =
-        new GateRequest(head.account(), head.weight(), head.trafficClass(), deadlineNanos);
+    GateRequest request = upstream.chains.gateRequest(head, deadlineNanos);
     ticket = upstream.gate.submit(request, this, startNanos);
     submitted = true;
     applyDecision();
@@ -138,11 +137,13 @@
 
   private void sendToUpstream() {
     state = State.RUNNING;
+    sentAtNanos = System.nanoTime();
+    Optional<RootOrigin> origin = upstream.chains.originOf(head, sentAtNanos);
     requestId = collaborators.dialect().requestId(head.headers()).orElse(null);
     if (requestId != null) {
-      upstream.nestedCallStatistics.onStarted(requestId, isRoot() ? head.trafficClass() : null);
+      upstream.nestedCallStatistics.onStarted(
+          requestId, isRoot() ? head.trafficClass() : null, origin);
     }
-    sentAtNanos = System.nanoTime();
     collaborators.metrics().gateWaitTime.update(sentAtNanos - startNanos, TimeUnit.NANOSECONDS);
     long remainingNanos = deadlineNanos - sentAtNanos;
     if (remainingNanos <= 0) {
@@ -151,7 +152,7 @@
       return;
     }
     callId = calls.parents().newId();
-    calls.parents().put(callId, new ParentCalls.Parent(deadlineNanos));
+    calls.parents().put(callId, new ParentCalls.Parent(deadlineNanos, origin));
     collaborators.ledger().open(callId, head.extraAttempts());
     Headers addedHeaders =
         calls.upstreamHeaders(
@@ -183,9 +184,8 @@
     complete(result, closeCall());
   }
 
-  /** Requests under the shared open account are treated as calls made by other upstreams. */
   private boolean isRoot() {
-    return !head.account().equals(EdgeHandler.OPEN_ACCOUNT);
+    return upstream.chains.isRoot(head);
   }
 
   private void onDeadline() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -3,14 +3,12 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.util.Optional;
 import org.cornelspoke.coordination.admission.GateLoad;
-import org.cornelspoke.coordination.admission.PressureEstimator;
-import org.cornelspoke.coordination.admission.RootRequestThrottle;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.coordination.admission.UpstreamNoticeTracker;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
-import org.cornelspoke.model.TrafficClass;
+import org.cornelspoke.protocol.call.CallHead;
 import org.cornelspoke.protocol.call.TargetNotice;
 import org.cornelspoke.transport.http.UpstreamPool;
 
@@ -25,8 +23,7 @@
 
   final UpstreamGate gate;
   final UpstreamPool pool;
-  private final RootRequestThrottle rootThrottle;
-  private final PressureEstimator downstreamPressure = new PressureEstimator();
+  final ChainAdmission chains;
   private final UpstreamNoticeTracker noticeTracker = new UpstreamNoticeTracker();
   private final UpstreamNoticeLog noticeLog;
   final NestedCallStatistics nestedCallStatistics = new NestedCallStatistics();
@@ -40,9 +37,9 @@
       Endpoint address,
       Optional<ProcessId> process,
       UpstreamGate gate,
-      RootRequestThrottle rootThrottle,
+      ChainAdmission chains,
       UpstreamPool pool) {
-    this.rootThrottle = rootThrottle;
+    this.chains = chains;
     this.process = process;
     this.service = service;
     this.address = address;
@@ -51,10 +48,9 @@
     this.noticeLog = new UpstreamNoticeLog(service, instance());
   }
 
-  /** Returns true if a root request of the class may be submitted to the gate. */
-  boolean admitsRoot(TrafficClass trafficClass, long nowNanos) {
-    return !nestedCallStatistics.makesCalls(trafficClass)
-        || rootThrottle.tryAdmit(trafficClass, downstreamPressure.percent(nowNanos), nowNanos);
+  /** Returns true if a root request may be submitted to the gate. */
+  boolean admitsRoot(CallHead head, long nowNanos) {
+    return !nestedCallStatistics.makesCalls(head.trafficClass()) || chains.admits(head, nowNanos);
   }
 
   /** Returns the name of the upstream process, or null if unknown. */
@@ -109,12 +105,12 @@
 
   /** Records the load reported at the end of a call that this upstream made. */
   void onCallEnded(GateLoad load, long nowNanos) {
-    downstreamPressure.record(load.pressurePercent(), nowNanos);
+    chains.onCallEnded(load.pressurePercent(), nowNanos);
   }
 
   /** Returns the load of the gate, including the pressure of downstream gates. */
   GateLoad load(long nowNanos) {
-    return gate.load().withDownstreamPressure(downstreamPressure.percent(nowNanos));
+    return gate.load().withDownstreamPressure(chains.downstreamPressurePercent(nowNanos));
   }
 
   private void applyNotice(long nowNanos) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -12,6 +12,7 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
+import org.cornelspoke.protocol.call.RootOrigin;
 import org.cornelspoke.protocol.call.TargetNotice;
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.registry.Target;
@@ -165,6 +166,17 @@
     upstreams.values().forEach(upstream -> upstream.nestedCallStatistics.onCall(parentRequestId));
   }
 
+  /** Returns the origin of a running request, or empty if the request is unknown. */
+  Optional<RootOrigin> rootOf(String requestId) {
+    for (LocalUpstream upstream : upstreams.values()) {
+      Optional<RootOrigin> root = upstream.nestedCallStatistics.rootOf(requestId);
+      if (root.isPresent()) {
+        return root;
+      }
+    }
+    return Optional.empty();
+  }
+
   /**
    * Records the load that a nested call encountered. If the daemon has several local upstreams, it
    * is unknown which of them made the call, so the load is applied to all of them.
@@ -221,7 +233,7 @@
             announcement.address(),
             announcement.process(),
             gate,
-            collaborators.rootThrottles().get(),
+            new ChainAdmission(collaborators),
             pool);
     upstream.slots = announcement.slots();
     return upstream;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/NestedCallStatistics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/NestedCallStatistics.java
@@ -3,12 +3,14 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.cornelspoke.model.TrafficClass;
+import org.cornelspoke.protocol.call.RootOrigin;
 
 /**
- * Tracks which classes of root requests at an upstream make nested calls, so that downstream
- * pressure throttles only those classes. If request ids do not identify the request that makes a
- * call, every class is assumed to make calls.
+ * Tracks the running requests of an upstream: on behalf of which root they run, and which classes
+ * of root requests make nested calls, so that overload downstream throttles only those classes. If
+ * request ids do not identify the request that makes a call, every class is assumed to make calls.
  *
  * <p>Not thread-safe.
  */
@@ -23,12 +25,17 @@
   /** A class counts as making calls if at least this fraction of its requests makes any. */
   private static final double MIN_CALLING_FRACTION = 0.1;
 
+  /** Bounds the memory; calls of requests beyond it count as calls with an unknown root. */
+  private static final int MAX_RUNNING = 10_000;
+
   private static final class RunningRequest {
     private final TrafficClass rootClass;
+    private final Optional<RootOrigin> origin;
     private boolean madeCalls;
 
-    RunningRequest(TrafficClass rootClass) {
+    RunningRequest(TrafficClass rootClass, Optional<RootOrigin> origin) {
       this.rootClass = rootClass;
+      this.origin = origin;
     }
   }
 
@@ -40,9 +47,22 @@
    * Records that a request has been sent to the upstream.
    *
    * @param rootClass class of a root request, or null for a nested call made by another upstream
+   * @param origin origin that the request's calls inherit, or empty if unknown
    */
-  void onStarted(String requestId, TrafficClass rootClass) {
-    running.put(requestId, new RunningRequest(rootClass));
+  void onStarted(String requestId, TrafficClass rootClass, Optional<RootOrigin> origin) {
+    RunningRequest previous = running.get(requestId);
+    if (previous == null && running.size() >= MAX_RUNNING) {
+      return;
+    }
+    // Request ids come from callers. If two requests share one, the maker of a call is unknown.
+    boolean ambiguous = previous != null && !isSameRoot(previous.origin, origin);
+    running.put(requestId, new RunningRequest(rootClass, ambiguous ? Optional.empty() : origin));
+  }
+
+  /** Returns the origin of a running request, or empty if it is unknown. */
+  Optional<RootOrigin> rootOf(String requestId) {
+    RunningRequest request = running.get(requestId);
+    return request == null ? Optional.empty() : request.origin;
   }
 
   /** Records a nested call made on behalf of the given request. */
@@ -64,6 +84,13 @@
     }
   }
 
+  private static boolean isSameRoot(Optional<RootOrigin> first, Optional<RootOrigin> second) {
+    return first.isPresent()
+        && second.isPresent()
+        && first.get().account().equals(second.get().account())
+        && first.get().trafficClass() == second.get().trafficClass();
+  }
+
   /** Returns false if it is known that requests of the class make no calls. */
   boolean makesCalls(TrafficClass trafficClass) {
     return !parentsKnown
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/ParentCalls.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/ParentCalls.java
@@ -2,8 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.cornelspoke.model.CallId;
+import org.cornelspoke.protocol.call.RootOrigin;
 
 /** Calls that this daemon has sent to a local upstream and that may make nested calls. */
 final class ParentCalls {
@@ -12,10 +14,17 @@
   static final class Parent {
 
     private final long deadlineNanos;
+    private final Optional<RootOrigin> origin;
     private int downstreamCalls;
 
-    Parent(long deadlineNanos) {
+    Parent(long deadlineNanos, Optional<RootOrigin> origin) {
       this.deadlineNanos = deadlineNanos;
+      this.origin = origin;
+    }
+
+    /** Returns the origin that nested calls inherit, or empty if chain admission is off. */
+    Optional<RootOrigin> origin() {
+      return origin;
     }
 
     long deadlineNanos() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficSettings.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficSettings.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.traffic;
 
+import org.cornelspoke.coordination.admission.ChainAdmissionSettings;
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.model.DataCentreId;
 import org.cornelspoke.model.Endpoint;
@@ -17,6 +18,7 @@
  *     and other daemons learn of the stop from responses rather than from closed connections
  * @param stopTimeoutMillis maximum duration of a graceful stop; requests still running then are
  *     aborted
+ * @param chainAdmission admission of call chains by the capacity of the called services
  */
 public record TrafficSettings(
     DaemonId daemonId,
@@ -28,7 +30,8 @@
     long shareWaitMillis,
     int maxBodyBytes,
     long drainMillis,
-    long stopTimeoutMillis) {
+    long stopTimeoutMillis,
+    ChainAdmissionSettings chainAdmission) {
 
   /** Validates the settings. */
   public TrafficSettings {
@@ -42,6 +45,7 @@
     Assert.isTrue(
         maxBodyBytes > 0 && maxBodyBytes <= 64 << 20,
         "maxBodyBytes must be between 1 and 67108864");
+    Assert.notNull(chainAdmission, "chainAdmission");
     Assert.isTrue(drainMillis >= 0, "drainMillis must be 0 or more");
     Assert.isTrue(stopTimeoutMillis >= drainMillis, "stopTimeoutMillis must be >= drainMillis");
   }
@@ -64,6 +68,7 @@
     private int maxBodyBytes = 8 << 20;
     private long drainMillis = 2_000;
     private long stopTimeoutMillis = 60_000;
+    private ChainAdmissionSettings chainAdmission = ChainAdmissionSettings.OFF;
 
     private Builder(DaemonId daemonId, DataCentreId dataCentre) {
       this.daemonId = daemonId;
@@ -103,6 +108,12 @@
       return this;
     }
 
+    /** Sets the admission of call chains. */
+    public Builder withChainAdmission(ChainAdmissionSettings newChainAdmission) {
+      this.chainAdmission = newChainAdmission;
+      return this;
+    }
+
     /** Returns the settings. */
     public TrafficSettings build() {
       return new TrafficSettings(
@@ -115,7 +126,8 @@
           shareWaitMillis,
           maxBodyBytes,
           drainMillis,
-          stopTimeoutMillis);
+          stopTimeoutMillis,
+          chainAdmission);
     }
   }
 }
