Report the capacity of a called service and admit chains by it

Cause: the pressure of a queue tells neither which class nor which account takes the capacity of a service below. Change: RoomEstimator measures the slot time that each root class and account asks for, before refusals at the root, and divides the capacity by class and max-min fair by account; each reply reports the fraction; RoomThrottle admits it where the root enters. ChainAdmission joins them to an upstream. Off by default.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/ChainAdmissionSettings.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/ChainAdmissionSettings.java
@@ -15,6 +15,7 @@
   /** A gate with less than this has no use for its slots. */
   public static final double MIN_TARGET_UTILISATION = 0.1;
 
+  /** At full use, the queue of a gate never empties. */
   public static final double MAX_TARGET_UTILISATION = 1;
 
   /** Settings that leave chain admission off. */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/RootOrigin.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/call/RootOrigin.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.protocol.call;
 
+import org.cornelspoke.coordination.admission.RoomReports;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.util.Assert;
@@ -15,7 +16,7 @@
 public record RootOrigin(AccountId account, TrafficClass trafficClass, double admittedFraction) {
 
   /** Lower bound of the admitted fraction, which keeps probes going. */
-  public static final double MIN_ADMITTED_FRACTION = 0.02;
+  public static final double MIN_ADMITTED_FRACTION = RoomReports.MIN_FRACTION;
 
   /** Checks that the components are present and bounds the fraction. */
   public RootOrigin {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -3,8 +3,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.admission.CallRooms;
 import org.cornelspoke.coordination.admission.RetryAfterPolicy;
 import org.cornelspoke.coordination.quota.RateLimiter;
 import org.cornelspoke.coordination.quota.TokenShare;
@@ -14,6 +16,7 @@
 import org.cornelspoke.protocol.call.CallHead;
 import org.cornelspoke.protocol.call.CallResult;
 import org.cornelspoke.protocol.call.Headers;
+import org.cornelspoke.protocol.call.RootOrigin;
 import org.cornelspoke.state.claim.ClaimKey;
 import org.cornelspoke.state.claim.ClaimOutcome;
 import org.cornelspoke.state.claim.StoredResponse;
@@ -49,6 +52,7 @@
   private long latencyObjectiveMillis;
   private OptionalLong tokenAcquiredAtNanos = OptionalLong.empty();
   private CallId parentCallId;
+  private Optional<CallRooms> parentCallRooms = Optional.empty();
   private String idempotencyKey;
   private ClaimKey claimKey;
   private CallId claimAttempt;
@@ -207,6 +211,11 @@
   }
 
   private void forward() {
+    ParentCalls.Parent parent =
+        parentCallId == null ? null : dependencies.parents().get(parentCallId);
+    if (parent != null) {
+      parentCallRooms = parent.callRooms();
+    }
     boolean nested = parentCallId != null || head.account().equals(EdgeHandler.OPEN_ACCOUNT);
     if (nested && requestId != null) {
       collaborators.dialect().parentRequestId(requestId).ifPresent(this::onParentKnown);
@@ -228,11 +237,26 @@
     upstreams.onNestedCall(parentRequestId);
     if (head.metadata().root().isEmpty()) {
       head = head.withRoot(upstreams.rootOf(parentRequestId));
+      parentCallRooms = upstreams.callRoomsOf(parentRequestId);
+    }
+  }
+
+  /** Passes on for which fraction of the requests of its root a nested call found capacity. */
+  private void reportRoom() {
+    OptionalDouble room = forwarding == null ? OptionalDouble.empty() : forwarding.room();
+    Optional<RootOrigin> root = head.metadata().root();
+    if (room.isPresent() && root.isPresent()) {
+      parentCallRooms.ifPresent(rooms -> rooms.add(head.service(), room.getAsDouble()));
+      dependencies
+          .forwarding()
+          .upstreams()
+          .onNestedCallRoom(root.get(), room.getAsDouble(), System.nanoTime());
     }
   }
 
   private void onResult(CallResult result) {
     settleClaim(result);
+    reportRoom();
     if (result instanceof CallResult.Responded answered) {
       collaborators.metrics().answered.inc();
       settleWithParent();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -55,6 +56,7 @@
   private int rerouteCount;
   private TargetId lastTarget;
   private GateLoad lastLoad;
+  private OptionalDouble lastRoom = OptionalDouble.empty();
   private int keptAttempts;
   private int lentAttempts;
   private int remainingAttempts;
@@ -124,6 +126,11 @@
     return callsMade;
   }
 
+  /** Returns the fraction of such requests for which the last target has capacity, if known. */
+  OptionalDouble room() {
+    return lastRoom;
+  }
+
   /**
    * Sends the request to the next reachable target. Unreachable targets are skipped and do not
    * count as attempts.
@@ -221,6 +228,7 @@
       dependencies.notices().onResponse(id, ending.metadata().targetNotice());
     }
     lastResult = result;
+    lastRoom = ending.metadata().room();
     lastDownstreamCalls = ending.downstreamCalls();
     callsMade += 1 + lastDownstreamCalls;
     mayHaveRun |= result instanceof CallResult.Failed;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.admission.CallRooms;
 import org.cornelspoke.coordination.admission.Completion;
 import org.cornelspoke.coordination.admission.GateRequest;
 import org.cornelspoke.coordination.admission.UpstreamGate;
@@ -53,6 +54,8 @@
   private long sentAtNanos;
   private int downstreamCalls;
   private String requestId;
+  private GateRequest gateRequest;
+  private Optional<CallRooms> callRooms = Optional.empty();
 
   LocalCall(
       LocalCalls calls,
@@ -73,6 +76,7 @@
 
   void start() {
     calls.upstreams().onCallStarted(upstream);
+    gateRequest = upstream.chains.onArrival(head, deadlineNanos);
     if (isRoot() && !upstream.admitsRoot(head, startNanos)) {
       complete(
           new CallResult.Refused(
@@ -80,8 +84,7 @@
           head.extraAttempts());
       return;
     }
-    GateRequest request = upstream.chains.gateRequest(head, deadlineNanos);
-    ticket = upstream.gate.submit(request, this, startNanos);
+    ticket = upstream.gate.submit(gateRequest, this, startNanos);
     submitted = true;
     applyDecision();
     if (state != State.ENDED) {
@@ -138,11 +141,13 @@
   private void sendToUpstream() {
     state = State.RUNNING;
     sentAtNanos = System.nanoTime();
-    Optional<RootOrigin> origin = upstream.chains.originOf(head, sentAtNanos);
+    boolean makesCalls = upstream.nestedCallStatistics.makesCalls(head.trafficClass());
+    Optional<RootOrigin> origin = upstream.chains.originOf(head, makesCalls, sentAtNanos);
+    callRooms = upstream.chains.newCallRooms();
     requestId = collaborators.dialect().requestId(head.headers()).orElse(null);
     if (requestId != null) {
       upstream.nestedCallStatistics.onStarted(
-          requestId, isRoot() ? head.trafficClass() : null, origin);
+          requestId, isRoot() ? head.trafficClass() : null, origin, callRooms);
     }
     collaborators.metrics().gateWaitTime.update(sentAtNanos - startNanos, TimeUnit.NANOSECONDS);
     long remainingNanos = deadlineNanos - sentAtNanos;
@@ -152,7 +157,7 @@
       return;
     }
     callId = calls.parents().newId();
-    calls.parents().put(callId, new ParentCalls.Parent(deadlineNanos, origin));
+    calls.parents().put(callId, new ParentCalls.Parent(deadlineNanos, origin, callRooms));
     collaborators.ledger().open(callId, head.extraAttempts());
     Headers addedHeaders =
         calls.upstreamHeaders(
@@ -216,7 +221,9 @@
             unusedAttempts,
             downstreamCalls,
             upstream.load(System.nanoTime()),
-            ReplyMetadata.NONE.withTargetNotice(upstream.targetNotice())));
+            ReplyMetadata.NONE
+                .withTargetNotice(upstream.targetNotice())
+                .withRoom(upstream.chains.room(head, gateRequest, callRooms))));
   }
 
   private int closeCall() {
@@ -228,6 +235,9 @@
 
   private void finish() {
     state = State.ENDED;
+    if (sentAtNanos != 0) {
+      upstream.chains.onServed(gateRequest, System.nanoTime() - sentAtNanos);
+    }
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -100,6 +100,7 @@
   /** Updates the gate; called every few milliseconds while requests are pending. */
   void onTick(long nowNanos) {
     gate.onTick(nowNanos);
+    chains.onTick(gate.load(), nowNanos);
     noticeLog.onTick(noticeTracker.current(), gate.load(), nowNanos);
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.cornelspoke.coordination.admission.CallRooms;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.admission.UpstreamNotice;
@@ -177,6 +178,22 @@
     return Optional.empty();
   }
 
+  /** Returns the collector of what the calls of a running request report, or empty if unknown. */
+  Optional<CallRooms> callRoomsOf(String requestId) {
+    for (LocalUpstream upstream : upstreams.values()) {
+      Optional<CallRooms> rooms = upstream.nestedCallStatistics.callRoomsOf(requestId);
+      if (rooms.isPresent()) {
+        return rooms;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Records the fraction of requests for which a nested call on behalf of the root found room. */
+  void onNestedCallRoom(RootOrigin root, double room, long nowNanos) {
+    upstreams.values().forEach(upstream -> upstream.chains.onRoom(root, room, nowNanos));
+  }
+
   /**
    * Records the load that a nested call encountered. If the daemon has several local upstreams, it
    * is unknown which of them made the call, so the load is applied to all of them.
@@ -233,7 +250,7 @@
             announcement.address(),
             announcement.process(),
             gate,
-            new ChainAdmission(collaborators),
+            new ChainAdmission(collaborators, announcement.service(), System.nanoTime()),
             pool);
     upstream.slots = announcement.slots();
     return upstream;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/NestedCallStatistics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/NestedCallStatistics.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.cornelspoke.coordination.admission.CallRooms;
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.protocol.call.RootOrigin;
 
@@ -31,11 +32,14 @@
   private static final class RunningRequest {
     private final TrafficClass rootClass;
     private final Optional<RootOrigin> origin;
+    private final Optional<CallRooms> callRooms;
     private boolean madeCalls;
 
-    RunningRequest(TrafficClass rootClass, Optional<RootOrigin> origin) {
+    RunningRequest(
+        TrafficClass rootClass, Optional<RootOrigin> origin, Optional<CallRooms> callRooms) {
       this.rootClass = rootClass;
       this.origin = origin;
+      this.callRooms = callRooms;
     }
   }
 
@@ -48,15 +52,21 @@
    *
    * @param rootClass class of a root request, or null for a nested call made by another upstream
    * @param origin origin that the request's calls inherit, or empty if unknown
+   * @param callRooms collector of what the request's calls report, or empty if it isn't needed
    */
-  void onStarted(String requestId, TrafficClass rootClass, Optional<RootOrigin> origin) {
+  void onStarted(
+      String requestId,
+      TrafficClass rootClass,
+      Optional<RootOrigin> origin,
+      Optional<CallRooms> callRooms) {
     RunningRequest previous = running.get(requestId);
     if (previous == null && running.size() >= MAX_RUNNING) {
       return;
     }
     // Request ids come from callers. If two requests share one, the maker of a call is unknown.
     boolean ambiguous = previous != null && !isSameRoot(previous.origin, origin);
-    running.put(requestId, new RunningRequest(rootClass, ambiguous ? Optional.empty() : origin));
+    running.put(
+        requestId, new RunningRequest(rootClass, ambiguous ? Optional.empty() : origin, callRooms));
   }
 
   /** Returns the origin of a running request, or empty if it is unknown. */
@@ -84,6 +94,12 @@
     }
   }
 
+  /** Returns the collector of what the calls of a running request report, or empty if unknown. */
+  Optional<CallRooms> callRoomsOf(String requestId) {
+    RunningRequest request = running.get(requestId);
+    return request == null ? Optional.empty() : request.callRooms;
+  }
+
   private static boolean isSameRoot(Optional<RootOrigin> first, Optional<RootOrigin> second) {
     return first.isPresent()
         && second.isPresent()
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/ParentCalls.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/ParentCalls.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.cornelspoke.coordination.admission.CallRooms;
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.protocol.call.RootOrigin;
 
@@ -15,11 +16,18 @@
 
     private final long deadlineNanos;
     private final Optional<RootOrigin> origin;
+    private final Optional<CallRooms> callRooms;
     private int downstreamCalls;
 
-    Parent(long deadlineNanos, Optional<RootOrigin> origin) {
+    Parent(long deadlineNanos, Optional<RootOrigin> origin, Optional<CallRooms> callRooms) {
       this.deadlineNanos = deadlineNanos;
       this.origin = origin;
+      this.callRooms = callRooms;
+    }
+
+    /** Returns the collector of what nested calls report, or empty if chain admission is off. */
+    Optional<CallRooms> callRooms() {
+      return callRooms;
     }
 
     /** Returns the origin that nested calls inherit, or empty if chain admission is off. */
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/NestedCallStatisticsTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/NestedCallStatisticsTest.java
@@ -14,8 +14,8 @@
   @Test
   void distinguishesClassesWithAndWithoutNestedCalls() {
     for (int i = 0; i < 100; i++) {
-      statistics.onStarted("a" + i, TrafficClass.INTERACTIVE, Optional.empty());
-      statistics.onStarted("b" + i, TrafficClass.BULK, Optional.empty());
+      statistics.onStarted("a" + i, TrafficClass.INTERACTIVE, Optional.empty(), Optional.empty());
+      statistics.onStarted("b" + i, TrafficClass.BULK, Optional.empty(), Optional.empty());
       statistics.onCall("a" + i);
       statistics.onEnded("a" + i);
       statistics.onEnded("b" + i);
@@ -30,8 +30,8 @@
   @Test
   void nestedCallsOfNestedCallsAreNotCountedForRootRequests() {
     for (int i = 0; i < 100; i++) {
-      statistics.onStarted("call" + i, null, Optional.empty());
-      statistics.onStarted("root" + i, TrafficClass.BULK, Optional.empty());
+      statistics.onStarted("call" + i, null, Optional.empty(), Optional.empty());
+      statistics.onStarted("root" + i, TrafficClass.BULK, Optional.empty(), Optional.empty());
       statistics.onCall("call" + i);
       statistics.onEnded("call" + i);
       statistics.onEnded("root" + i);
@@ -43,7 +43,7 @@
   @Test
   void assumesNestedCallsWhileParentIdsAreUnknown() {
     for (int i = 0; i < 100; i++) {
-      statistics.onStarted("a" + i, TrafficClass.INTERACTIVE, Optional.empty());
+      statistics.onStarted("a" + i, TrafficClass.INTERACTIVE, Optional.empty(), Optional.empty());
       statistics.onCall("unknown");
       statistics.onEnded("a" + i);
     }
