--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/ClassDemand.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/ClassDemand.java
@@ -8,13 +8,13 @@
  * Slots that the requests of one root class would use at a gate if none were refused at the root,
  * by account.
  *
- * <p>The total follows changes within half a second, the parts of the accounts within two seconds:
- * an account has only a few requests a second at one gate, so that a shorter average would take
- * chance for demand.
+ * <p>The total follows changes within 300 ms, the parts of the accounts within two seconds: an
+ * account has only a few requests a second at one gate, so that a shorter average would take chance
+ * for demand.
  */
 final class ClassDemand {
 
-  private static final double TOTAL_WEIGHT = 0.2;
+  private static final double TOTAL_WEIGHT = 0.35;
   private static final double ACCOUNT_WEIGHT = 0.033;
 
   /** Weight of a new slot time; the mean covers about the last 50 requests. */
@@ -141,6 +141,11 @@
     return room;
   }
 
+  /** Returns the mean time for which a call of an admitted chain holds its slot. */
+  double begunSlotNanos() {
+    return begunSlotNanos;
+  }
+
   double usedSlots() {
     return usedSlots;
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/RoomEstimator.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/RoomEstimator.java
@@ -35,6 +35,11 @@
   private static final double CORRECTION_DECAY = 0.9;
   private static final double MAX_CORRECTION = 8;
 
+  /** Time in which calls that wait at the gate, after a sudden rise of load, are worked off. */
+  private static final double BACKLOG_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private static final double PERCENT = 100;
+
   private final double targetUtilisation;
   private final Map<TrafficClass, ClassDemand> classes = new EnumMap<>(TrafficClass.class);
   private double correction = 1;
@@ -81,7 +86,7 @@
     }
     double target = targetUtilisation * load.limit();
     correct(usedSlots, target, load.queued());
-    double capacity = target * correction;
+    double capacity = Math.max(0, target * correction - backlogSlots(load));
     for (ClassDemand demand : classes.values()) {
       capacity = demand.allocate(capacity);
     }
@@ -115,6 +120,16 @@
     return count;
   }
 
+  /** Returns the slots that work off the waiting calls within the time for that. */
+  private double backlogSlots(GateLoad load) {
+    double slotNanos = 0;
+    for (ClassDemand demand : classes.values()) {
+      slotNanos = Math.max(slotNanos, demand.begunSlotNanos());
+    }
+    double waiting = load.pressurePercent() * load.limit() / PERCENT;
+    return waiting * slotNanos / BACKLOG_NANOS;
+  }
+
   private void correct(double usedSlots, double target, int queued) {
     boolean limited = false;
     for (ClassDemand demand : classes.values()) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/RoomReports.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/RoomReports.java
@@ -28,16 +28,19 @@
   /** Without reports of any class, the distance of all fractions from 1 halves in this time. */
   private static final double SILENCE_HALF_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /** A class whose average is below this counts as held back. */
+  private static final double LIMITED_FRACTION = 0.98;
+
   /** Bounds of the half-life of one average while there are reports on others. */
   private static final double MIN_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-  private static final double MAX_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(20);
+  private static final double MAX_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
   /** Half-life of an average in usual intervals between two reports on it. */
-  private static final double INTERVALS_PER_HALF_LIFE = 8;
+  private static final double INTERVALS_PER_HALF_LIFE = 16;
 
   private static final double INTERVAL_WEIGHT = 0.3;
-  private static final double AVERAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final double AVERAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final double MIN_WEIGHT = 0.02;
   private static final double MAX_WEIGHT = 0.5;
 
@@ -83,14 +86,28 @@
   private static final class ClassReports {
     private final Average average;
     private final Map<AccountId, Average> accounts = new LinkedHashMap<>();
+    private long limitedAtNanos;
 
     ClassReports(long nowNanos) {
       average = new Average(1, nowNanos);
+      limitedAtNanos = nowNanos;
     }
 
     double fraction(Average account, long nowNanos) {
       double classFraction = average.movedTowards(1, nowNanos);
-      return account == null ? classFraction : account.movedTowards(classFraction, nowNanos);
+      if (account == null) {
+        return classFraction;
+      }
+      double fraction = account.movedTowards(classFraction, nowNanos);
+      // An account is held back only as long as its class is.
+      return classFraction
+          + (fraction - classFraction) * recovery(nowNanos - limitedAtNanos - SILENCE_NANOS);
+    }
+
+    void onReport(long nowNanos) {
+      if (average.fraction < LIMITED_FRACTION) {
+        limitedAtNanos = nowNanos;
+      }
     }
   }
 
@@ -124,6 +141,7 @@
       reports.accounts.remove(reports.accounts.keySet().iterator().next());
     }
     accountAverage.add(accountFraction, bounded, 1, nowNanos);
+    reports.onReport(nowNanos);
     lastReportAtNanos = nowNanos;
   }
 
@@ -136,7 +154,10 @@
   }
 
   private double afterSilence(double fraction, long nowNanos) {
-    long silentNanos = Math.max(0, nowNanos - lastReportAtNanos - SILENCE_NANOS);
-    return 1 - (1 - fraction) * Math.pow(0.5, silentNanos / SILENCE_HALF_LIFE_NANOS);
+    return 1 - (1 - fraction) * recovery(nowNanos - lastReportAtNanos - SILENCE_NANOS);
+  }
+
+  private static double recovery(long elapsedNanos) {
+    return elapsedNanos <= 0 ? 1 : Math.pow(0.5, elapsedNanos / SILENCE_HALF_LIFE_NANOS);
   }
 }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/ChainLedger.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/ChainLedger.java
@@ -54,7 +54,7 @@
   static final double CALL_MILLIS = 21.9;
   static final double OFFER_MILLIS = 358;
   private static final int CALLS_PER_LINE = 4;
-  private static final int ROOT_DAEMONS = 8;
+  static final int ROOT_DAEMONS = 8;
   private static final ServiceName SERVICE = new ServiceName("bottleneck");
   private static final AccountId OPEN = new AccountId("open");
 
--- a/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/call/CallCodecTest.java
@@ -105,7 +105,7 @@
     CallMetadata ofCall =
         CallMetadata.NONE
             .withTargetEstimate(Optional.of(estimate))
-            .withRoot(Optional.of(new RootOrigin(new AccountId("farm"), TrafficClass.BULK)));
+            .withRoot(Optional.of(new RootOrigin(new AccountId("farm"), TrafficClass.BULK, 0.25)));
     ReplyMetadata ofReply =
         ReplyMetadata.NONE
             .withTargetEstimate(Optional.of(estimate))
@@ -128,6 +128,24 @@
     assertThat(reply.headers().block()).isEqualTo(headers.block());
   }
 
+  /** Guards against a peer whose calls count without bound by a tiny admitted fraction. */
+  @Test
+  void admittedFractionOfARootIsBoundedAndAbsentMeansAll() throws Exception {
+    for (String[] lineAndFraction :
+        new String[][] {
+          {"", "1"},
+          {"cornelspoke-root-admitted: 0.5\r\n", "0.5"},
+          {"cornelspoke-root-admitted: 0.000001\r\n", "0.02"},
+          {"cornelspoke-root-admitted: 0\r\n", "0.02"}
+        }) {
+      byte[] block = ("cornelspoke-root: BULK farm\r\n" + lineAndFraction[0]).getBytes(US_ASCII);
+      RootOrigin root =
+          MetadataHeaders.readCall(Headers.parse(block, 0, block.length)).root().orElseThrow();
+      assertThat(root.admittedFraction()).isEqualTo(Double.parseDouble(lineAndFraction[1]));
+      assertThat(MetadataHeaders.strip(Headers.parse(block, 0, block.length)).size()).isEqualTo(0);
+    }
+  }
+
   /** Guards against a peer that states numbers which would attract or repel all requests. */
   @Test
   void metadataOutOfRangeIsRejected() {
@@ -140,6 +158,8 @@
             "cornelspoke-room: 1.5",
             "cornelspoke-room: -0.1",
             "cornelspoke-room: NaN",
+            "cornelspoke-root: BULK farm\r\ncornelspoke-root-admitted: 7",
+            "cornelspoke-root: BULK farm\r\ncornelspoke-root-admitted: NaN",
             "cornelspoke-root: NOBLE farm")) {
       byte[] block = (line + "\r\n").getBytes(US_ASCII);
       assertThrows(
