Test and describe chain admission

Change: daemons on real sockets show the root of a nested call at the called gate, by signed context and by request id, and nothing of it while the setting is off; the settings block is validated with its path.

--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/ChainLedger.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/ChainLedger.java
@@ -82,11 +82,16 @@
   double lostReplies;
   long feedbackNanos = TimeUnit.MILLISECONDS.toNanos(20);
   private final List<Kind> kinds;
-  private final SplittableRandom random = new SplittableRandom(11);
+  private final SplittableRandom random;
   private final List<Gate> gates = new ArrayList<>();
   private final List<RootDaemon> daemons = new ArrayList<>();
 
   ChainLedger(Mode mode, List<Kind> kinds) {
+    this(mode, kinds, 11);
+  }
+
+  ChainLedger(Mode mode, List<Kind> kinds, long seed) {
+    this.random = new SplittableRandom(seed);
     this.mode = mode;
     this.kinds = kinds;
     for (int i = 0; i < GATES; i++) {
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/settings/SettingsReaderTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/settings/SettingsReaderTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.cornelspoke.coordination.admission.ChainAdmissionSettings;
 import org.cornelspoke.model.Endpoint;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -59,6 +60,21 @@
     assertThat(settings.log()).isEqualTo(new LogSettings(LogFormat.TEXT, LogLevel.INFO));
   }
 
+  /** Guards against chain admission that is on without being asked for, or ignores its block. */
+  @Test
+  void readsChainAdmission() throws Exception {
+    TrafficSettings defaults = (TrafficSettings) new SettingsReader().parse(TRAFFIC);
+    assertThat(defaults.chainAdmission()).isEqualTo(new ChainAdmissionSettings(false, 0.9));
+    TrafficSettings settings =
+        (TrafficSettings)
+            new SettingsReader()
+                .parse(
+                    TRAFFIC.replace(
+                        "/* two relays */",
+                        "\"chainAdmission\": {\"enabled\": true, \"targetUtilisation\": 0.8}"));
+    assertThat(settings.chainAdmission()).isEqualTo(new ChainAdmissionSettings(true, 0.8));
+  }
+
   /** Guards against fields of the documented control settings that are not read. */
   @Test
   void readsControlSettings() throws Exception {
@@ -106,6 +122,15 @@
         "/* two relays */ | \"logFormat\": \"xml\" | logFormat: must be one of \"text\", \"json\"",
         "/* two relays */ | \"logLevel\": \"loud\" | logLevel: must be one of",
         "/* two relays */ | \"logLevel\": \"info\", \"logLevel\": \"warn\" | $: must be JSON",
+        "/* two relays */ | \"chainAdmission\": true | chainAdmission: must be an object",
+        "/* two relays */ | \"chainAdmission\": {\"enabled\": 1} | "
+            + "chainAdmission.enabled: must be true or false, not a number",
+        "/* two relays */ | \"chainAdmission\": {\"targetUtilisation\": 1.2} | "
+            + "chainAdmission.targetUtilisation: must be between 0.1 and 1.0",
+        "/* two relays */ | \"chainAdmission\": {\"targetUtilisation\": \"x\"} | "
+            + "chainAdmission.targetUtilisation: must be a number",
+        "/* two relays */ | \"chainAdmission\": {\"target\": 1} | "
+            + "chainAdmission.target: unknown field",
         "\"role\": \"traffic\" | \"role\" \"traffic\" | $: must be JSON: line 2"
       })
   void refusesTrafficSettings(String from, String to, String message) {
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/Fakes.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.cornelspoke.coordination.admission.Completion;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.GateRequest;
@@ -50,13 +51,17 @@
     private boolean draining;
     private boolean entered;
 
-    SlotGate(int slots) {
+    private final Consumer<GateRequest> submitted;
+
+    SlotGate(int slots, Consumer<GateRequest> submitted) {
       this.slots = slots;
+      this.submitted = submitted;
     }
 
     @Override
     public Ticket submit(GateRequest request, UpstreamGate.Listener listener, long nowNanos) {
       Waiting ticket = new Waiting(listener);
+      submitted.accept(request);
       enter();
       if (draining) {
         listener.onRefused(RefusalReason.DRAINING, 1_000);
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -11,10 +11,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import org.cornelspoke.coordination.admission.ChainAdmissionSettings;
+import org.cornelspoke.coordination.admission.GateRequest;
 import org.cornelspoke.coordination.dissemination.FleetViewSource;
 import org.cornelspoke.coordination.dissemination.TargetPublisher;
 import org.cornelspoke.coordination.quota.RateLimiter;
@@ -55,6 +58,14 @@
   final Fakes.InMemoryClaimClient claims = new Fakes.InMemoryClaimClient();
   final Map<String, MetricRegistry> metrics = new ConcurrentHashMap<>();
 
+  /** Requests submitted to the gates of all daemons. */
+  final List<GateRequest> gateRequests = new CopyOnWriteArrayList<>();
+
+  /** Settings of the daemons that are started from now on. */
+  ChainAdmissionSettings chainAdmission = ChainAdmissionSettings.OFF;
+
+  HttpDialect dialect = new DefaultDialect();
+
   private final Map<TargetId, Target> targets = new TreeMap<>((a, b) -> compare(a, b));
   private final List<TrafficDaemon> daemons = new ArrayList<>();
   private final List<ConfigEntity> entities = new ArrayList<>(defaultEntities());
@@ -85,6 +96,7 @@
             .withAddresses(ANY_PORT, ANY_PORT, ANY_PORT)
             .withMaxBodyBytes(1 << 20)
             .withStopTimes(drainMillis, stopTimeoutMillis)
+            .withChainAdmission(chainAdmission)
             .build();
     TrafficDaemon daemon = build(settings, selector);
     daemon.start();
@@ -109,12 +121,14 @@
         };
     return TrafficDaemon.builder(settings, Eventloop.create())
         .withFleet(this, this)
-        .withAdmission(limiter, claims, (service, slots, now) -> new Fakes.SlotGate(slots))
+        .withAdmission(
+            limiter, claims, (service, slots, now) -> new Fakes.SlotGate(slots, gateRequests::add))
         .withSelector(selector)
         .withRetries(
             new Fakes.HalvingRetryBudgets(),
             RetryThrottles.shared(new Fakes.UnlimitedRetryThrottle()))
         .withMetrics(registry)
+        .withDialect(dialect, LocalApi::new)
         .build();
   }
 
