Merge admission of call chains by the capacity below them

Change: the gate closes, states a rate and queues begun chains with one set of queues; the metadata lines of both parts.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -1,6 +1,8 @@
 package org.cornelspoke.daemon.traffic;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.cornelspoke.coordination.admission.CallRooms;
 import org.cornelspoke.coordination.admission.Completion;
 import org.cornelspoke.coordination.admission.GateRequest;
 import org.cornelspoke.coordination.admission.UpstreamGate;
@@ -12,6 +14,7 @@
 import org.cornelspoke.protocol.call.CallResult;
 import org.cornelspoke.protocol.call.Headers;
 import org.cornelspoke.protocol.call.ReplyMetadata;
+import org.cornelspoke.protocol.call.RootOrigin;
 import org.cornelspoke.transport.http.UpstreamExchange;
 import org.cornelspoke.transport.http.UpstreamRequest;
 import org.cornelspoke.transport.link.LinkCall;
@@ -33,9 +36,6 @@
   /** Upper bound for the remaining time sent by a peer, so that the deadline cannot overflow. */
   private static final long MAX_REMAINING_MILLIS = TimeUnit.DAYS.toMillis(30);
 
-  /** Downstream queues shrink within this time once fewer root requests are started. */
-  private static final long DOWNSTREAM_RETRY_MILLIS = 1_000;
-
   private final LocalCalls calls;
   private final Collaborators collaborators;
   private final LocalUpstream upstream;
@@ -54,6 +54,8 @@
   private long sentAtNanos;
   private int downstreamCalls;
   private String requestId;
+  private GateRequest gateRequest;
+  private Optional<CallRooms> callRooms = Optional.empty();
 
   LocalCall(
       LocalCalls calls,
@@ -74,15 +76,15 @@
 
   void start() {
     calls.upstreams().onCallStarted(upstream, startNanos);
-    if (isRoot() && !upstream.admitsRoot(head.trafficClass(), startNanos)) {
+    gateRequest = upstream.chains.onArrival(head, deadlineNanos);
+    if (isRoot() && !upstream.admitsRoot(head, startNanos)) {
       complete(
-          new CallResult.Refused(RefusalReason.DOWNSTREAM, DOWNSTREAM_RETRY_MILLIS),
+          new CallResult.Refused(
+              RefusalReason.DOWNSTREAM, upstream.chains.retryAfterMillis(head, startNanos)),
           head.extraAttempts());
       return;
     }
-    GateRequest request =
-        new GateRequest(head.account(), head.weight(), head.trafficClass(), deadlineNanos);
-    ticket = upstream.gate.submit(request, this, startNanos);
+    ticket = upstream.gate.submit(gateRequest, this, startNanos);
     submitted = true;
     applyDecision();
     if (state != State.ENDED) {
@@ -138,11 +140,15 @@
 
   private void sendToUpstream() {
     state = State.RUNNING;
+    sentAtNanos = System.nanoTime();
+    boolean makesCalls = upstream.nestedCallStatistics.makesCalls(head.trafficClass());
+    Optional<RootOrigin> origin = upstream.chains.originOf(head, makesCalls, sentAtNanos);
+    callRooms = upstream.chains.newCallRooms();
     requestId = collaborators.dialect().requestId(head.headers()).orElse(null);
     if (requestId != null) {
-      upstream.nestedCallStatistics.onStarted(requestId, isRoot() ? head.trafficClass() : null);
+      upstream.nestedCallStatistics.onStarted(
+          requestId, isRoot() ? head.trafficClass() : null, origin, callRooms);
     }
-    sentAtNanos = System.nanoTime();
     collaborators.metrics().gateWaitTime.update(sentAtNanos - startNanos, TimeUnit.NANOSECONDS);
     long remainingNanos = deadlineNanos - sentAtNanos;
     if (remainingNanos <= 0) {
@@ -151,7 +157,7 @@
       return;
     }
     callId = calls.parents().newId();
-    calls.parents().put(callId, new ParentCalls.Parent(deadlineNanos));
+    calls.parents().put(callId, new ParentCalls.Parent(deadlineNanos, origin, callRooms));
     collaborators.ledger().open(callId, head.extraAttempts());
     Headers addedHeaders =
         calls.upstreamHeaders(
@@ -183,9 +189,8 @@
     complete(result, closeCall());
   }
 
-  /** Requests under the shared open account are treated as calls made by other upstreams. */
   private boolean isRoot() {
-    return !head.account().equals(EdgeHandler.OPEN_ACCOUNT);
+    return upstream.chains.isRoot(head);
   }
 
   private void onDeadline() {
@@ -216,7 +221,9 @@
             unusedAttempts,
             downstreamCalls,
             upstream.load(System.nanoTime()),
-            ReplyMetadata.NONE.withTargetNotice(upstream.targetNotice(System.nanoTime()))));
+            ReplyMetadata.NONE
+                .withTargetNotice(upstream.targetNotice(System.nanoTime()))
+                .withRoom(upstream.chains.room(head, gateRequest, callRooms))));
   }
 
   private int closeCall() {
@@ -228,6 +235,9 @@
 
   private void finish() {
     state = State.ENDED;
+    if (sentAtNanos != 0) {
+      upstream.chains.onServed(gateRequest, System.nanoTime() - sentAtNanos);
+    }
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -4,15 +4,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cornelspoke.coordination.admission.GateLoad;
-import org.cornelspoke.coordination.admission.PressureEstimator;
-import org.cornelspoke.coordination.admission.RootRequestThrottle;
 import org.cornelspoke.coordination.admission.StatedRate;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.coordination.admission.UpstreamNoticeTracker;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
-import org.cornelspoke.model.TrafficClass;
+import org.cornelspoke.protocol.call.CallHead;
 import org.cornelspoke.protocol.call.TargetNotice;
 import org.cornelspoke.state.config.ServicePolicy;
 import org.cornelspoke.transport.http.UpstreamPool;
@@ -28,8 +26,7 @@
 
   final UpstreamGate gate;
   final UpstreamPool pool;
-  private final RootRequestThrottle rootThrottle;
-  private final PressureEstimator downstreamPressure = new PressureEstimator();
+  final ChainAdmission chains;
   private final UpstreamNoticeTracker noticeTracker = new UpstreamNoticeTracker(System.nanoTime());
   private final UpstreamNoticeLog noticeLog;
   final NestedCallStatistics nestedCallStatistics = new NestedCallStatistics();
@@ -44,10 +41,10 @@
       Endpoint address,
       Optional<ProcessId> process,
       UpstreamGate gate,
-      RootRequestThrottle rootThrottle,
+      ChainAdmission chains,
       UpstreamPool pool,
       TrafficMetrics metrics) {
-    this.rootThrottle = rootThrottle;
+    this.chains = chains;
     this.process = process;
     this.service = service;
     this.address = address;
@@ -56,10 +53,9 @@
     this.noticeLog = new UpstreamNoticeLog(service, instance(), metrics);
   }
 
-  /** Returns true if a root request of the class may be submitted to the gate. */
-  boolean admitsRoot(TrafficClass trafficClass, long nowNanos) {
-    return !nestedCallStatistics.makesCalls(trafficClass)
-        || rootThrottle.tryAdmit(trafficClass, downstreamPressure.percent(nowNanos), nowNanos);
+  /** Returns true if a root request may be submitted to the gate. */
+  boolean admitsRoot(CallHead head, long nowNanos) {
+    return !nestedCallStatistics.makesCalls(head.trafficClass()) || chains.admits(head, nowNanos);
   }
 
   /** Returns the name of the upstream process, or null if unknown. */
@@ -147,17 +143,18 @@
   void onTick(long nowNanos) {
     applyStatements(nowNanos);
     gate.onTick(nowNanos);
+    chains.onTick(gate.load(), nowNanos);
     noticeLog.onTick(gate.load(), nowNanos);
   }
 
   /** Records the load reported at the end of a call that this upstream made. */
   void onCallEnded(GateLoad load, long nowNanos) {
-    downstreamPressure.record(load.pressurePercent(), nowNanos);
+    chains.onCallEnded(load.pressurePercent(), nowNanos);
   }
 
   /** Returns the load of the gate, including the pressure of downstream gates. */
   GateLoad load(long nowNanos) {
-    return gate.load().withDownstreamPressure(downstreamPressure.percent(nowNanos));
+    return gate.load().withDownstreamPressure(chains.downstreamPressurePercent(nowNanos));
   }
 
   /** Sets the rate of the gate to the one that the statements lead to at this time. */
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -6,12 +6,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.cornelspoke.coordination.admission.CallRooms;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.admission.UpstreamNotice;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
+import org.cornelspoke.protocol.call.RootOrigin;
 import org.cornelspoke.protocol.call.TargetNotice;
 import org.cornelspoke.state.config.Preset;
 import org.cornelspoke.state.registry.Target;
@@ -213,6 +215,33 @@
     upstreams.values().forEach(upstream -> upstream.nestedCallStatistics.onCall(parentRequestId));
   }
 
+  /** Returns the origin of a running request, or empty if the request is unknown. */
+  Optional<RootOrigin> rootOf(String requestId) {
+    for (LocalUpstream upstream : upstreams.values()) {
+      Optional<RootOrigin> root = upstream.nestedCallStatistics.rootOf(requestId);
+      if (root.isPresent()) {
+        return root;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the collector of what the calls of a running request report, or empty if unknown. */
+  Optional<CallRooms> callRoomsOf(String requestId) {
+    for (LocalUpstream upstream : upstreams.values()) {
+      Optional<CallRooms> rooms = upstream.nestedCallStatistics.callRoomsOf(requestId);
+      if (rooms.isPresent()) {
+        return rooms;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Records the fraction of requests for which a nested call on behalf of the root found room. */
+  void onNestedCallRoom(RootOrigin root, double room, long nowNanos) {
+    upstreams.values().forEach(upstream -> upstream.chains.onRoom(root, room, nowNanos));
+  }
+
   /**
    * Records the load that a nested call encountered. If the daemon has several local upstreams, it
    * is unknown which of them made the call, so the load is applied to all of them.
@@ -270,7 +299,7 @@
             announcement.address(),
             announcement.process(),
             gate,
-            collaborators.rootThrottles().get(),
+            new ChainAdmission(collaborators, announcement.service(), System.nanoTime()),
             pool,
             collaborators.metrics());
     upstream.slots = announcement.slots();
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -11,10 +11,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import org.cornelspoke.coordination.admission.ChainAdmissionSettings;
+import org.cornelspoke.coordination.admission.GateRequest;
 import org.cornelspoke.coordination.dissemination.FleetViewSource;
 import org.cornelspoke.coordination.dissemination.TargetPublisher;
 import org.cornelspoke.coordination.quota.RateLimiter;
@@ -57,12 +60,20 @@
   final Fakes.InMemoryClaimClient claims = new Fakes.InMemoryClaimClient();
   final Map<String, MetricRegistry> metrics = new ConcurrentHashMap<>();
 
+  /** Requests submitted to the gates of all daemons. */
+  final List<GateRequest> gateRequests = new CopyOnWriteArrayList<>();
+
+  /** Settings of the daemons that are started from now on. */
+  ChainAdmissionSettings chainAdmission = ChainAdmissionSettings.OFF;
+
+  HttpDialect dialect = new DefaultDialect();
+
   private final Map<TargetId, Target> targets = new TreeMap<>((a, b) -> compare(a, b));
   private final List<TrafficDaemon> daemons = new ArrayList<>();
   private final List<ConfigEntity> entities = new ArrayList<>(defaultEntities());
   private final Map<String, DataCentreId> dataCentres = new ConcurrentHashMap<>();
   private final Map<String, FleetView> frozenViews = new ConcurrentHashMap<>();
-  private GateFactory gates = (service, slots, now) -> new Fakes.SlotGate(slots);
+  private GateFactory gates = (service, slots, now) -> new Fakes.SlotGate(slots, gateRequests::add);
   private volatile FleetView view;
 
   TestFleet() {
@@ -90,6 +101,7 @@
             .withAddresses(ANY_PORT, ANY_PORT, ANY_PORT)
             .withMaxBodyBytes(1 << 20)
             .withStopTimes(drainMillis, stopTimeoutMillis)
+            .withChainAdmission(chainAdmission)
             .build();
     TrafficDaemon daemon = build(settings, selector);
     daemon.start();
@@ -120,6 +132,7 @@
             new Fakes.HalvingRetryBudgets(),
             RetryThrottles.shared(new Fakes.UnlimitedRetryThrottle()))
         .withMetrics(registry)
+        .withDialect(dialect, LocalApi::new)
         .build();
   }
 
