--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.cornelspoke.coordination.admission.CallRooms;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.UpstreamGate;
@@ -169,24 +170,24 @@
 
   /** Returns the origin of a running request, or empty if the request is unknown. */
   Optional<RootOrigin> rootOf(String requestId) {
-    for (LocalUpstream upstream : upstreams.values()) {
-      Optional<RootOrigin> root = upstream.nestedCallStatistics.rootOf(requestId);
-      if (root.isPresent()) {
-        return root;
-      }
-    }
-    return Optional.empty();
+    return findRunning(statistics -> statistics.rootOf(requestId));
   }
 
   /** Returns the collector of what the calls of a running request report, or empty if unknown. */
   Optional<CallRooms> callRoomsOf(String requestId) {
+    return findRunning(statistics -> statistics.callRoomsOf(requestId));
+  }
+
+  /** Returns the first result over all upstreams, since a withdrawn one still runs requests. */
+  private <T> Optional<T> findRunning(Function<NestedCallStatistics, Optional<T>> lookup) {
+    Optional<T> found = Optional.empty();
     for (LocalUpstream upstream : upstreams.values()) {
-      Optional<CallRooms> rooms = upstream.nestedCallStatistics.callRoomsOf(requestId);
-      if (rooms.isPresent()) {
-        return rooms;
-      }
+      found = found.or(() -> lookup.apply(upstream.nestedCallStatistics));
+    }
+    for (LocalUpstream upstream : withdrawnUpstreams) {
+      found = found.or(() -> lookup.apply(upstream.nestedCallStatistics));
     }
-    return Optional.empty();
+    return found;
   }
 
   /** Records the fraction of requests for which a nested call on behalf of the root found room. */
