Call the end of an evacuation before the gate opens

Cause: what follows an evacuation must be known to the gate before it admits.

Change: LocalUpstreams opens the gate after LocalUpstream.onEvacuationEnded, which is empty so far. design.md and design/platform.md name evacuations.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -101,10 +101,8 @@
     return noticeTracker.current().leaving();
   }
 
-  /** Opens the gate again after the evacuation of the data centre. */
-  void onEvacuationEnded(long nowNanos) {
-    gate.setEvacuated(false);
-  }
+  /** Called when the evacuation of the data centre has ended, before the gate opens again. */
+  void onEvacuationEnded(long nowNanos) {}
 
   /** Closes the gate and refuses the queued requests; running ones complete. */
   void onEvacuated(long nowNanos) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -149,6 +149,7 @@
         upstream.onEvacuated(nowNanos);
       } else {
         upstream.onEvacuationEnded(nowNanos);
+        upstream.gate.setEvacuated(false);
       }
     }
   }
