--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -133,6 +133,7 @@
     return noticeTracker.isLeaving();
   }
 
+
   /** Closes the gate and refuses the queued requests; running ones complete. */
   void onEvacuated(long nowNanos) {
     gate.setEvacuated(true);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -173,6 +173,7 @@
         upstream.onEvacuated(nowNanos);
       } else {
         upstream.onEvacuationEnded(nowNanos);
+        upstream.gate.setEvacuated(false);
       }
     }
   }
