Schedule the returns of callers refused for their rate

Cause: an account above its rate refused each caller about twice, since all were told the same delay whatever the backlog.

Change: ReturnSchedule, beside HeldAccount, hands out the times at which tokens are expected or says that a retry can't succeed, and reserves a token around each return time.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/FloorRateLimiter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/FloorRateLimiter.java
@@ -63,12 +63,23 @@
       long deadlineNanos,
       Listener listener,
       long nowNanos) {
+    acquire(account, trafficClass, deadlineNanos, CallerLimits.UNKNOWN, listener, nowNanos);
+  }
+
+  @Override
+  public void acquire(
+      AccountId account,
+      TrafficClass trafficClass,
+      long deadlineNanos,
+      CallerLimits limits,
+      Listener listener,
+      long nowNanos) {
     applyView(views.get(), nowNanos);
     TokenBucket floor = floors.get(account);
     if (floor != null && floor.tryTake(nowNanos)) {
       listener.onGranted();
     } else {
-      shares.acquire(account, trafficClass, deadlineNanos, listener, nowNanos);
+      shares.acquire(account, trafficClass, deadlineNanos, limits, listener, nowNanos);
     }
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -1,7 +1,6 @@
 package org.cornelspoke.coordination.quota;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
@@ -43,22 +42,18 @@
   private static final double SHARE_RELEASE_DEMAND_PER_SECOND = 1;
 
   private static final double MILLIS_PER_SECOND = 1e3;
+  private static final double NANOS_PER_SECOND = 1e9;
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
   private static final long MAX_RETRY_AFTER_MILLIS = 30_000;
 
-  /**
-   * Time after its grant during which a returned token may be reused. The account's bucket refills
-   * in the meantime, so a token that is reused later would add to the account's burst.
-   */
-  private static final long RETURNED_TOKEN_VALIDITY_NANOS = 200_000_000L;
-
   private final ShareTimes times;
   private final TokenBucket bucket;
   private final ShareClient shareClient;
   private final TokenRequester tokenRequester;
   private final DemandMeter demand;
   private final TokenQueue waiters = new TokenQueue();
-  private final Deque<Long> returnedTokenEndNanos = new ArrayDeque<>();
+  private final ReturnedTokens returnedTokens = new ReturnedTokens();
+  private final ReturnSchedule returns;
   private TokenBucket previousBucket;
   private long previousLeaseEndNanos;
   private long lastArrivalAtNanos;
@@ -68,8 +63,14 @@
   private boolean usesShare;
   private boolean serving;
 
-  HeldAccount(AccountId account, ShareTimes times, Consumer<ShareMessage> toOwner, long nowNanos) {
+  HeldAccount(
+      AccountId account,
+      ShareTimes times,
+      Consumer<ShareMessage> toOwner,
+      ReturnSchedule returns,
+      long nowNanos) {
     this.times = times;
+    this.returns = returns;
     bucket = new TokenBucket(nowNanos);
     shareClient = new ShareClient(account, bucket, toOwner);
     tokenRequester = new TokenRequester(account, times.tokenRequestRetryNanos(), toOwner);
@@ -98,7 +99,10 @@
     serve(nowNanos);
     reply
         .exhaustion()
-        .ifPresent(state -> waiters.refuseNewest(state, requested, retryAfterMillis(nowNanos)));
+        .ifPresent(
+            state ->
+                refuse(
+                    retryAfterMillis(nowNanos), waiters.removeNewest(state, requested), nowNanos));
   }
 
   void onGrant(Grant grant, long nowNanos) {
@@ -122,7 +126,8 @@
       shareClient.onRecall(recall.keep(), nowNanos);
     } else if (waiters.isEmpty()) {
       double needed = demand.perSecond(nowNanos) * RATE_HEADROOM_FACTOR;
-      double level = needed * KEPT_TOKEN_SECONDS;
+      double level =
+          needed * KEPT_TOKEN_SECONDS + returns.reservedTokens(TrafficClass.BULK, false, nowNanos);
       shareClient.onRecall(new TokenShare(needed, level + 1, level), nowNanos);
     } else {
       shareClient.returnCapacity(0, 0, 0, nowNanos);
@@ -151,7 +156,7 @@
   void onTick(long nowNanos) {
     removeExpiredLeases(nowNanos);
     serve(nowNanos);
-    waiters.refuseExpired(nowNanos, retryAfterMillis(nowNanos));
+    refuse(retryAfterMillis(nowNanos), waiters.removeExpired(nowNanos), nowNanos);
     if (isUnused(nowNanos)) {
       releaseShare(nowNanos);
       return;
@@ -187,18 +192,27 @@
   }
 
   void acquire(
-      TrafficClass trafficClass, long deadlineNanos, RateLimiter.Listener listener, long nowNanos) {
+      TrafficClass trafficClass,
+      long deadlineNanos,
+      CallerLimits limits,
+      RateLimiter.Listener listener,
+      long nowNanos) {
     removeExpiredLeases(nowNanos);
     demand.onArrival(trafficClass, nowNanos);
     lastArrivalAtNanos = nowNanos;
-    if (!waiters.hasAtOrAbove(trafficClass) && tryTake(nowNanos)) {
+    Arrival arrival = returns.onArrival(trafficClass, limits, nowNanos);
+    boolean returning = arrival == Arrival.RETURNING;
+    boolean early = arrival == Arrival.EARLY;
+    TokenWaiter request = new TokenWaiter(trafficClass, deadlineNanos, limits, returning, listener);
+    if (!early && !waiters.hasAhead(request) && tryTake(request, nowNanos)) {
       listener.onGranted();
       return;
     }
-    if (nowNanos - deadlineNanos >= 0
-        || isExhausted(trafficClass, nowNanos)
-        || !waiters.add(trafficClass, deadlineNanos, listener)) {
-      listener.onRefused(retryAfterMillis(nowNanos));
+    if (early
+        || nowNanos - deadlineNanos >= 0
+        || (!returning && isExhausted(trafficClass, nowNanos))
+        || !waiters.add(request)) {
+      refuse(retryAfterMillis(nowNanos), List.of(request), nowNanos);
       return;
     }
     unrequested = unrequested.plus(trafficClass, 1);
@@ -248,8 +262,10 @@
   }
 
   private boolean isExhausted(TrafficClass trafficClass, long nowNanos) {
-    double expectedTokens = bucket.rate() * times.usableWaitSeconds();
-    return waiters.size() + 1 > expectedTokens
+    double waitSeconds = times.usableWaitSeconds();
+    long endNanos = nowNanos + (long) (waitSeconds * NANOS_PER_SECOND);
+    int ahead = waiters.size() + returns.returnsBefore(trafficClass, endNanos, nowNanos);
+    return ahead + 1 > bucket.rate() * waitSeconds
         && tokenRequester
             .exhaustion(nowNanos)
             .filter(state -> state.includes(trafficClass))
@@ -263,8 +279,8 @@
     }
     serving = true;
     try {
-      while (!waiters.isEmpty() && tryTake(nowNanos)) {
-        waiters.poll().onGranted();
+      while (!waiters.isEmpty() && tryTake(waiters.peek(), nowNanos)) {
+        waiters.poll().listener().onGranted();
       }
     } finally {
       serving = false;
@@ -274,21 +290,46 @@
 
   /** Takes back a token, which serves another request of this daemon or lapses. */
   void returnToken(long grantedAtNanos, long nowNanos) {
-    if (nowNanos - grantedAtNanos < RETURNED_TOKEN_VALIDITY_NANOS) {
-      returnedTokenEndNanos.add(grantedAtNanos + RETURNED_TOKEN_VALIDITY_NANOS);
+    if (returnedTokens.add(grantedAtNanos, nowNanos)) {
       serve(nowNanos);
     }
   }
 
-  private boolean tryTakeReturnedToken(long nowNanos) {
-    while (!returnedTokenEndNanos.isEmpty() && nowNanos - returnedTokenEndNanos.peek() >= 0) {
-      returnedTokenEndNanos.poll();
+  /** Calls the listeners after the queue was updated, since they may add their next requests. */
+  private void refuse(long retryAfterMillis, List<TokenWaiter> refused, long nowNanos) {
+    for (TokenWaiter request : refused) {
+      returns.refuse(request, () -> supply(nowNanos), retryAfterMillis, nowNanos);
+    }
+  }
+
+  private TokenSupply supply(long nowNanos) {
+    return new TokenSupply(
+        bucket.rate(),
+        demand.perSecondByClass(nowNanos),
+        waiters.sizeByClass(),
+        tokenRequester.exhaustedNanos(nowNanos));
+  }
+
+  /** Takes a token that isn't reserved for others. */
+  private boolean tryTake(TokenWaiter request, long nowNanos) {
+    int reserved = returns.reservedTokens(request.trafficClass(), request.returning(), nowNanos);
+    if ((reserved > 0 && heldTokens(nowNanos) <= reserved) || !tryTake(nowNanos)) {
+      return false;
     }
-    return returnedTokenEndNanos.poll() != null;
+    returns.onTokenTaken(nowNanos);
+    return true;
+  }
+
+  private int heldTokens(long nowNanos) {
+    int previous = previousBucket == null ? 0 : (int) previousBucket.level(nowNanos);
+    return returnedTokens.count(nowNanos)
+        + tokenRequester.tokens(nowNanos)
+        + previous
+        + (int) bucket.level(nowNanos);
   }
 
   private boolean tryTake(long nowNanos) {
-    if (tryTakeReturnedToken(nowNanos)) {
+    if (returnedTokens.tryTake(nowNanos)) {
       return true;
     }
     if (tokenRequester.tryTake(nowNanos)) {
@@ -314,7 +355,12 @@
     unrequested = ClassAmounts.NONE;
     reportedDemandPerSecond = demand.perSecond(nowNanos);
     shareClient.report(
-        TokenShare.EMPTY, demand.perSecondByClass(nowNanos), waiters.sizeByClass(), nowNanos);
+        TokenShare.EMPTY, demand.perSecondByClass(nowNanos), waiting(nowNanos), nowNanos);
+  }
+
+  /** Returns the tokens that are needed for waiting requests and for returns, by class. */
+  private ClassAmounts waiting(long nowNanos) {
+    return waiters.sizeByClass().plus(returns.reservedByClass(nowNanos));
   }
 
   private long retryAfterMillis(long nowNanos) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RateLimiter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RateLimiter.java
@@ -31,6 +31,20 @@
     acquire(account, deadlineNanos, listener, nowNanos);
   }
 
+  /**
+   * As {@link #acquire(AccountId, TrafficClass, long, Listener, long)}, for a caller that has told
+   * about its time and may be given a time at which to return.
+   */
+  default void acquire(
+      AccountId account,
+      TrafficClass trafficClass,
+      long deadlineNanos,
+      CallerLimits limits,
+      Listener listener,
+      long nowNanos) {
+    acquire(account, trafficClass, deadlineNanos, listener, nowNanos);
+  }
+
   /**
    * Takes back the token of a request that has not run and will not run, so that another request of
    * the account may use it. A limiter may let the token lapse, and does so if it is old.
@@ -58,5 +72,14 @@
      * @param retryAfterMillis time until a token is expected
      */
     void onRefused(long retryAfterMillis);
+
+    /**
+     * The account is over its rate, and a retry can't succeed within the caller's time.
+     *
+     * @param retryAfterMillis time after which the caller no longer waits for this request
+     */
+    default void onReturnImpossible(long retryAfterMillis) {
+      onRefused(retryAfterMillis);
+    }
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareHolder.java
@@ -23,6 +23,7 @@
 
   private final ShareTimes times;
   private final Consumer<ShareMessage> toOwner;
+  private final ReturnSchedule.Factory returnSchedules;
   private final Map<AccountId, HeldAccount> accounts = new HashMap<>();
   private boolean connected;
   private long connectionSession;
@@ -33,6 +34,24 @@
    * @param toOwner sends a message over the current connection, in order
    */
   public ShareHolder(ShareTimes times, Consumer<ShareMessage> toOwner) {
+    this(times, toOwner, ReturnSchedule::none);
+  }
+
+  /**
+   * Creates a holder without shares that schedules the retries of refused callers.
+   *
+   * @param toOwner sends a message over the current connection, in order
+   * @param keepNanos time for which a token is reserved after its return time
+   * @param counts counts the return times
+   */
+  public static ShareHolder withScheduledReturns(
+      ShareTimes times, Consumer<ShareMessage> toOwner, long keepNanos, ReturnCounts counts) {
+    return new ShareHolder(times, toOwner, () -> new TokenReturnSchedule(keepNanos, counts));
+  }
+
+  private ShareHolder(
+      ShareTimes times, Consumer<ShareMessage> toOwner, ReturnSchedule.Factory returnSchedules) {
+    this.returnSchedules = returnSchedules;
     this.times = Assert.notNull(times, "times");
     this.toOwner = Assert.notNull(toOwner, "toOwner");
   }
@@ -106,12 +125,24 @@
       long deadlineNanos,
       Listener listener,
       long nowNanos) {
+    acquire(account, trafficClass, deadlineNanos, CallerLimits.UNKNOWN, listener, nowNanos);
+  }
+
+  @Override
+  public void acquire(
+      AccountId account,
+      TrafficClass trafficClass,
+      long deadlineNanos,
+      CallerLimits limits,
+      Listener listener,
+      long nowNanos) {
     Assert.notNull(trafficClass, "trafficClass");
+    Assert.notNull(limits, "limits");
     Assert.notNull(account, "account");
     Assert.notNull(listener, "listener");
     accounts
         .computeIfAbsent(account, id -> newAccount(id, nowNanos))
-        .acquire(trafficClass, deadlineNanos, listener, nowNanos);
+        .acquire(trafficClass, deadlineNanos, limits, listener, nowNanos);
   }
 
   @Override
@@ -129,7 +160,7 @@
   }
 
   private HeldAccount newAccount(AccountId id, long nowNanos) {
-    HeldAccount account = new HeldAccount(id, times, toOwner, nowNanos);
+    HeldAccount account = new HeldAccount(id, times, toOwner, returnSchedules.create(), nowNanos);
     if (connected) {
       account.onConnected(connectionSession, nowNanos);
     }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenQueue.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenQueue.java
@@ -9,19 +9,36 @@
 import java.util.Map;
 import org.cornelspoke.model.TrafficClass;
 
-/** Requests that wait for a token, by class. */
+/** Requests that wait for a token, by class; within a class, returning requests come first. */
 final class TokenQueue {
 
   private static final int MAX_WAITING = 10_000;
 
-  private record Waiter(long deadlineNanos, RateLimiter.Listener listener) {}
+  private record ClassQueue(Deque<TokenWaiter> returning, Deque<TokenWaiter> others) {
 
-  private final Map<TrafficClass, Deque<Waiter>> waiters = new EnumMap<>(TrafficClass.class);
+    ClassQueue() {
+      this(new ArrayDeque<>(), new ArrayDeque<>());
+    }
+
+    int size() {
+      return returning.size() + others.size();
+    }
+
+    boolean isEmpty() {
+      return returning.isEmpty() && others.isEmpty();
+    }
+
+    Deque<TokenWaiter> first() {
+      return returning.isEmpty() ? others : returning;
+    }
+  }
+
+  private final Map<TrafficClass, ClassQueue> waiters = new EnumMap<>(TrafficClass.class);
   private int size;
 
   TokenQueue() {
     for (TrafficClass trafficClass : TrafficClass.values()) {
-      waiters.put(trafficClass, new ArrayDeque<>());
+      waiters.put(trafficClass, new ClassQueue());
     }
   }
 
@@ -32,7 +49,7 @@
   /** Returns the number of waiting requests by class. */
   ClassAmounts sizeByClass() {
     ClassAmounts sizes = ClassAmounts.NONE;
-    for (Map.Entry<TrafficClass, Deque<Waiter>> entry : waiters.entrySet()) {
+    for (Map.Entry<TrafficClass, ClassQueue> entry : waiters.entrySet()) {
       sizes = sizes.plus(entry.getKey(), entry.getValue().size());
     }
     return sizes;
@@ -42,72 +59,92 @@
     return size == 0;
   }
 
-  /** Returns true if a request of this class or a higher one is waiting. */
-  boolean hasAtOrAbove(TrafficClass trafficClass) {
-    for (Map.Entry<TrafficClass, Deque<Waiter>> entry : waiters.entrySet()) {
-      if (!trafficClass.outranks(entry.getKey()) && !entry.getValue().isEmpty()) {
+  /** Returns true if a request is waiting that is served before the given one. */
+  boolean hasAhead(TokenWaiter request) {
+    for (Map.Entry<TrafficClass, ClassQueue> entry : waiters.entrySet()) {
+      ClassQueue queue = entry.getValue();
+      if (entry.getKey().outranks(request.trafficClass()) && !queue.isEmpty()) {
         return true;
       }
+      if (entry.getKey() == request.trafficClass()) {
+        return request.returning() ? !queue.returning().isEmpty() : !queue.isEmpty();
+      }
     }
     return false;
   }
 
   /** Adds a request, or returns false if the queue is full. */
-  boolean add(TrafficClass trafficClass, long deadlineNanos, RateLimiter.Listener listener) {
+  boolean add(TokenWaiter request) {
     if (size >= MAX_WAITING) {
       return false;
     }
-    waiters.get(trafficClass).add(new Waiter(deadlineNanos, listener));
+    ClassQueue queue = waiters.get(request.trafficClass());
+    (request.returning() ? queue.returning() : queue.others()).add(request);
     size++;
     return true;
   }
 
-  /** Removes the oldest request of the highest class. */
-  RateLimiter.Listener poll() {
-    for (Deque<Waiter> queue : waiters.values()) {
+  /** Returns the request that is served next: the oldest one of the highest class. */
+  TokenWaiter peek() {
+    return next().peek();
+  }
+
+  /** Removes the request that is served next. */
+  TokenWaiter poll() {
+    TokenWaiter request = next().poll();
+    size--;
+    return request;
+  }
+
+  private Deque<TokenWaiter> next() {
+    for (ClassQueue queue : waiters.values()) {
       if (!queue.isEmpty()) {
-        size--;
-        return queue.poll().listener();
+        return queue.first();
       }
     }
     throw new IllegalStateException("no request is waiting");
   }
 
-  /** Refuses the requests whose deadline has passed. */
-  void refuseExpired(long nowNanos, long retryAfterMillis) {
-    List<RateLimiter.Listener> expired = new ArrayList<>();
-    for (Deque<Waiter> queue : waiters.values()) {
-      for (Iterator<Waiter> iterator = queue.iterator(); iterator.hasNext(); ) {
-        Waiter waiter = iterator.next();
-        if (nowNanos - waiter.deadlineNanos() >= 0) {
-          iterator.remove();
-          size--;
-          expired.add(waiter.listener());
-        }
-      }
+  /** Removes and returns the requests whose deadline has passed. */
+  List<TokenWaiter> removeExpired(long nowNanos) {
+    List<TokenWaiter> expired = new ArrayList<>();
+    for (ClassQueue queue : waiters.values()) {
+      removeExpired(queue.returning(), expired, nowNanos);
+      removeExpired(queue.others(), expired, nowNanos);
     }
-    refuse(expired, retryAfterMillis);
+    size -= expired.size();
+    return expired;
   }
 
-  /** Refuses the newest requests of the exhausted classes, up to the given number of each class. */
-  void refuseNewest(Exhaustion exhaustion, ClassAmounts requests, long retryAfterMillis) {
-    List<RateLimiter.Listener> refused = new ArrayList<>();
-    for (Map.Entry<TrafficClass, Deque<Waiter>> entry : waiters.entrySet()) {
-      if (exhaustion.includes(entry.getKey())) {
-        long count = Math.min(Math.round(requests.of(entry.getKey())), entry.getValue().size());
-        for (long i = 0; i < count; i++) {
-          refused.add(entry.getValue().pollLast().listener());
-          size--;
-        }
+  private static void removeExpired(
+      Deque<TokenWaiter> queue, List<TokenWaiter> expired, long nowNanos) {
+    for (Iterator<TokenWaiter> iterator = queue.iterator(); iterator.hasNext(); ) {
+      TokenWaiter request = iterator.next();
+      if (nowNanos - request.deadlineNanos() >= 0) {
+        iterator.remove();
+        expired.add(request);
       }
     }
-    refuse(refused, retryAfterMillis);
   }
 
   /**
-   * Called after the queue was updated, since a listener may add the next request of its caller.
+   * Removes and returns the newest requests of the exhausted classes, up to the given number of
+   * each class. Returning requests stay: they were promised a token.
    */
-  private static void refuse(List<RateLimiter.Listener> listeners, long retryAfterMillis) {
-    listeners.forEach(listener -> listener.onRefused(retryAfterMillis));
+  List<TokenWaiter> removeNewest(Exhaustion exhaustion, ClassAmounts requests) {
+    List<TokenWaiter> removed = new ArrayList<>();
+    for (Map.Entry<TrafficClass, ClassQueue> entry : waiters.entrySet()) {
+      if (exhaustion.includes(entry.getKey())) {
+        Deque<TokenWaiter> queue = entry.getValue().others();
+        long unserved =
+            Math.round(requests.of(entry.getKey())) - entry.getValue().returning().size();
+        long count = Math.min(unserved, queue.size());
+        for (long i = 0; i < count; i++) {
+          removed.add(queue.pollLast());
+        }
+      }
+    }
+    size -= removed.size();
+    return removed;
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenRequester.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenRequester.java
@@ -117,9 +117,14 @@
   }
 
   boolean tryTake(long nowNanos) {
+    return tokens(nowNanos) > 0 && tokenEndNanos.poll() != null;
+  }
+
+  /** Returns the number of tokens that are held. */
+  int tokens(long nowNanos) {
     while (!tokenEndNanos.isEmpty() && nowNanos - tokenEndNanos.peek() >= 0) {
       tokenEndNanos.poll();
     }
-    return tokenEndNanos.poll() != null;
+    return tokenEndNanos.size();
   }
 }
