Switch scheduled returns on by settings or profile, and test them

Cause: the schedule had no switch, no metrics and no way to tell a caller that a retry can't succeed: the platform dialect shortened each delay to one that callers follow.

Change: settings block returns, TrafficProfile.withScheduledReturns, gauges returns.*, a DaemonResponse whose delay isn't shortened. Callers that repeat at once are recognised by the deadline that they state and refused.

ShareBoundTest, SmallAccountSharesTest, SharesAtSizeTest, DataPathTest, SettingsReaderTest, PlatformDialectTest and LayerTest pass.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/Arrival.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/Arrival.java
@@ -6,6 +6,8 @@
   NEW,
   /** The request has come at a return time, which it uses. */
   RETURNING,
-  /** An earlier attempt of this caller was given a return time that hasn't come yet. */
+  /**
+   * An earlier attempt of this caller was refused a moment ago, or its return time hasn't come yet.
+   */
   EARLY
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/CallerLimits.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/CallerLimits.java
@@ -32,6 +32,16 @@
   /** Maximum wait of a return for its token as a part of the objective. */
   private static final double MAX_RETURN_WAIT_FRACTION = 0.125;
 
+  /**
+   * Largest difference of the deadlines that the attempts of one caller state: they vary with the
+   * time that each attempt needs on the network. Below the shortest return delay, after which a new
+   * request states a deadline that is later by that delay.
+   */
+  private static final long DEADLINE_TOLERANCE_NANOS = 10_000_000L;
+
+  /** Least time between two attempts of one caller; kinds of requests may differ by less. */
+  private static final long MIN_ATTEMPT_DISTANCE_NANOS = 5_000_000L;
+
   /** Validates the ranges. */
   public CallerLimits {
     Assert.isTrue(objectiveNanos >= 0, "objectiveNanos must be 0 or more");
@@ -53,6 +63,18 @@
     return deadlineNanos - arrivedAtNanos;
   }
 
+  /**
+   * Returns true if this request looks like a retry of an earlier one of the same account and
+   * class: its caller gives up at the same time and has less time left.
+   */
+  boolean isRetryOf(CallerLimits earlier) {
+    return hasDeadline()
+        && earlier.hasDeadline()
+        && Math.abs(deadlineNanos - earlier.deadlineNanos()) <= DEADLINE_TOLERANCE_NANOS
+        && remainingAtArrivalNanos()
+            <= earlier.remainingAtArrivalNanos() - MIN_ATTEMPT_DISTANCE_NANOS;
+  }
+
   /** Returns the longest delay after which a retry can still be answered within the objective. */
   long maxInTimeDelayNanos(long nowNanos) {
     long inTimeNanos = arrivedAtNanos + (long) (objectiveNanos * MAX_OBJECTIVE_FRACTION) - nowNanos;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ExpectedReturns.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ExpectedReturns.java
@@ -14,27 +14,8 @@
   /** A caller's clock may run 1% faster than that of the daemon, over return times of 0.5 s. */
   private static final long EARLY_NANOS = 5_000_000L;
 
-  /**
-   * Largest difference of the deadlines that the attempts of one caller state: they vary with the
-   * time that each attempt needs on the network. Below the shortest return delay, after which a new
-   * request states a deadline that is later by that delay.
-   */
-  private static final long DEADLINE_TOLERANCE_NANOS = 20_000_000L;
-
-  /** Least time between two attempts of one caller. */
-  private static final long MIN_ATTEMPT_DISTANCE_NANOS = 2_000_000L;
-
   private record ExpectedReturn(
-      long dueNanos, long reservedFromNanos, long endNanos, CallerLimits limits) {
-
-    boolean isSameCaller(CallerLimits other) {
-      return limits.hasDeadline()
-          && other.hasDeadline()
-          && Math.abs(other.deadlineNanos() - limits.deadlineNanos()) <= DEADLINE_TOLERANCE_NANOS
-          && other.remainingAtArrivalNanos()
-              <= limits.remainingAtArrivalNanos() - MIN_ATTEMPT_DISTANCE_NANOS;
-    }
-  }
+      long dueNanos, long reservedFromNanos, long endNanos, CallerLimits limits) {}
 
   private final Deque<ExpectedReturn> returns = new ArrayDeque<>();
   private long lastDueNanos;
@@ -61,7 +42,7 @@
   /** Returns the return time that was handed out to an earlier attempt of this caller. */
   Optional<Long> dueNanosOf(CallerLimits limits) {
     for (ExpectedReturn expected : returns) {
-      if (expected.isSameCaller(limits)) {
+      if (limits.isRetryOf(expected.limits())) {
         return Optional.of(expected.dueNanos());
       }
     }
@@ -81,7 +62,7 @@
         return false;
       }
       boolean unrecognisable = !limits.hasDeadline() || !expected.limits().hasDeadline();
-      if (anyCaller || unrecognisable || expected.isSameCaller(limits)) {
+      if (anyCaller || unrecognisable || limits.isRetryOf(expected.limits())) {
         iterator.remove();
         return true;
       }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -201,16 +201,15 @@
     demand.onArrival(trafficClass, nowNanos);
     lastArrivalAtNanos = nowNanos;
     Arrival arrival = returns.onArrival(trafficClass, limits, nowNanos);
-    boolean returning = arrival == Arrival.RETURNING;
     boolean early = arrival == Arrival.EARLY;
-    TokenWaiter request = new TokenWaiter(trafficClass, deadlineNanos, limits, returning, listener);
+    TokenWaiter request = new TokenWaiter(trafficClass, deadlineNanos, limits, arrival, listener);
     if (!early && !waiters.hasAhead(request) && tryTake(request, nowNanos)) {
       listener.onGranted();
       return;
     }
     if (early
         || nowNanos - deadlineNanos >= 0
-        || (!returning && isExhausted(trafficClass, nowNanos))
+        || (!request.returning() && isExhausted(trafficClass, nowNanos))
         || !waiters.add(request)) {
       refuse(retryAfterMillis(nowNanos), List.of(request), nowNanos);
       return;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenReturnSchedule.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenReturnSchedule.java
@@ -26,7 +26,7 @@
    * Tokens per second below which no return time is handed out. Tokens then come one by one, on
    * request and at no foreseeable time.
    */
-  private static final double MIN_TOKENS_PER_SECOND = 15;
+  private static final double MIN_TOKENS_PER_SECOND = 20;
 
   /** Tokens set aside for the demand of higher classes, for its variation. */
   private static final double HIGHER_DEMAND_FACTOR = 1.25;
@@ -37,11 +37,11 @@
    */
   private static final double MARGIN_DEVIATIONS = 1.65;
 
-  /** Time over which the taken tokens are averaged. */
-  private static final double AVERAGING_SECONDS = 2;
-
-  /** Shortest return delay. A caller that repeats at once, after a round trip, is too early. */
-  private static final long MIN_RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  /**
+   * Shortest return delay. A caller that repeats at once makes several attempts within 60 to 70 ms,
+   * and these must not meet the return times of callers that arrived at the same moment.
+   */
+  private static final long MIN_RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   /** Retry-After of at least this says that a retry can't succeed. */
   private static final long MIN_IMPOSSIBLE_MILLIS = 1_000;
@@ -63,8 +63,8 @@
   private final long keepNanos;
   private final ReturnCounts counts;
   private final Map<TrafficClass, ExpectedReturns> returns = new EnumMap<>(TrafficClass.class);
-  private double takenPerSecond;
-  private long takenAtNanos;
+  private final Map<TrafficClass, RecentRefusals> refusals = new EnumMap<>(TrafficClass.class);
+  private final TokenRateMeter taken = new TokenRateMeter();
   private int lapsesInARow;
   private int usesByAnyCaller;
 
@@ -79,6 +79,7 @@
     this.counts = Assert.notNull(counts, "counts");
     for (TrafficClass trafficClass : TrafficClass.values()) {
       returns.put(trafficClass, new ExpectedReturns());
+      refusals.put(trafficClass, new RecentRefusals());
     }
   }
 
@@ -91,7 +92,8 @@
     }
     if (expected.use(limits, false, nowNanos)) {
       lapsesInARow = 0;
-    } else if (expected.dueNanosOf(limits).isPresent()) {
+    } else if (expected.dueNanosOf(limits).isPresent()
+        || refusals.get(trafficClass).contains(limits, nowNanos)) {
       return Arrival.EARLY;
     } else if (lapsesInARow < MAX_LAPSES_IN_A_ROW || !expected.use(limits, true, nowNanos)) {
       return Arrival.NEW;
@@ -140,8 +142,7 @@
 
   @Override
   public void onTokenTaken(long nowNanos) {
-    takenPerSecond = takenPerSecond(nowNanos) + 1 / AVERAGING_SECONDS;
-    takenAtNanos = nowNanos;
+    taken.onTaken(nowNanos);
   }
 
   @Override
@@ -152,8 +153,8 @@
       return;
     }
     removeLapsed(nowNanos);
-    Optional<Long> delayNanos =
-        waiter.returning() ? Optional.empty() : returnDelayNanos(waiter, supply.get(), nowNanos);
+    Optional<Long> delayNanos = returnDelayNanos(waiter, supply, nowNanos);
+    refusals.get(waiter.trafficClass()).add(waiter.limits(), nowNanos);
     if (delayNanos.isPresent()) {
       waiter.listener().onRefused(toMillisRoundedUp(delayNanos.get()));
     } else {
@@ -162,7 +163,8 @@
     }
   }
 
-  private Optional<Long> returnDelayNanos(TokenWaiter waiter, TokenSupply supply, long nowNanos) {
+  private Optional<Long> returnDelayNanos(
+      TokenWaiter waiter, Supplier<TokenSupply> currentSupply, long nowNanos) {
     TrafficClass trafficClass = waiter.trafficClass();
     CallerLimits limits = waiter.limits();
     ExpectedReturns expected = returns.get(trafficClass);
@@ -170,8 +172,12 @@
     if (known.isPresent()) {
       return Optional.of(Math.max(0, known.get() - nowNanos));
     }
+    if (waiter.arrival() != Arrival.NEW) {
+      return Optional.empty();
+    }
+    TokenSupply supply = currentSupply.get();
     double perSecond =
-        Math.max(supply.shareRate(), takenPerSecond(nowNanos))
+        Math.max(supply.shareRate(), taken.perSecond(nowNanos))
             - HIGHER_DEMAND_FACTOR * TokenSupply.above(trafficClass, supply.demandPerSecond());
     if (perSecond < MIN_TOKENS_PER_SECOND || expected.isFull()) {
       return Optional.empty();
@@ -217,14 +223,6 @@
         Math.max(MIN_IMPOSSIBLE_MILLIS, Math.max(retryAfterMillis, remainingMillis)));
   }
 
-  private double takenPerSecond(long nowNanos) {
-    if (takenPerSecond == 0) {
-      return 0;
-    }
-    double seconds = (nowNanos - takenAtNanos) / NANOS_PER_SECOND;
-    return takenPerSecond * Math.exp(-seconds / AVERAGING_SECONDS);
-  }
-
   private void removeLapsed(long nowNanos) {
     for (ExpectedReturns expected : returns.values()) {
       for (int lapsed = expected.removeLapsed(nowNanos); lapsed > 0; lapsed--) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenWaiter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/TokenWaiter.java
@@ -6,11 +6,17 @@
  * A request that needs a token.
  *
  * @param deadlineNanos time until which it waits for the token
- * @param returning true if it has come at a return time that was handed out
+ * @param arrival how it relates to the return times that were handed out
  */
 record TokenWaiter(
     TrafficClass trafficClass,
     long deadlineNanos,
     CallerLimits limits,
-    boolean returning,
-    RateLimiter.Listener listener) {}
+    Arrival arrival,
+    RateLimiter.Listener listener) {
+
+  /** Returns true if the request has come at a return time that was handed out. */
+  boolean returning() {
+    return arrival == Arrival.RETURNING;
+  }
+}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/HolderChannel.java
@@ -34,12 +34,17 @@
   private Consumer<byte[]> relaySender;
   private long lastSessionId;
 
-  HolderChannel(Eventloop traffic, Eventloop control, DaemonId daemon, ShareTimes times) {
+  HolderChannel(
+      Eventloop traffic,
+      Eventloop control,
+      DaemonId daemon,
+      ShareTimes times,
+      ScheduledReturns returns) {
     this.traffic = traffic;
     this.control = control;
     this.daemon = daemon;
     this.batchSender = new BatchSender(traffic, MIN_BATCH_INTERVAL_NANOS, this::send);
-    this.holder = new ShareHolder(times, batchSender::add);
+    this.holder = returns.createHolder(times, batchSender::add);
   }
 
   ShareHolder holder() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.IntFunction;
@@ -38,6 +39,7 @@
   IntFunction<ConcurrencyLimit> concurrencyLimits = LimitAlgorithm.DEFAULT::create;
   ShareTimes shareTimes = ShareTimes.DEFAULT;
   Supplier<RootRequestThrottle> rootThrottles = RootRequestThrottle::none;
+  OptionalInt returnKeepMillis = OptionalInt.empty();
   double reservedInteractiveFraction;
   double rateFloorFraction;
   long drainMillis = DEFAULT_DRAIN_MILLIS;
@@ -113,6 +115,17 @@
     return this;
   }
 
+  /**
+   * Tells callers that are refused for their rate when a token is expected for them.
+   *
+   * @param keepMillis time for which a token stays reserved after its return time
+   */
+  public TrafficProfile withScheduledReturns(int keepMillis) {
+    Assert.isTrue(keepMillis > 0, "keepMillis must be positive");
+    this.returnKeepMillis = OptionalInt.of(keepMillis);
+    return this;
+  }
+
   /** Replaces the drain time and the timeout of a graceful stop. */
   public TrafficProfile withStopTimes(long newDrainMillis, long newStopTimeoutMillis) {
     this.drainMillis = newDrainMillis;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -48,7 +48,12 @@
     this.profile = profile;
     this.trafficLoop = EventLoops.create("traffic", metrics());
     this.shareChannel =
-        new HolderChannel(trafficLoop, control(), settings.daemonId(), profile.shareTimes);
+        new HolderChannel(
+            trafficLoop,
+            control(),
+            settings.daemonId(),
+            profile.shareTimes,
+            ScheduledReturns.of(profile, settings.returns(), metrics()));
     this.controlClient =
         ControlClient.builder()
             .withReactor(control())
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsObject.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsObject.java
@@ -87,6 +87,17 @@
     return value.intValue();
   }
 
+  boolean booleanValue(String field, boolean defaultValue) throws SettingsException {
+    JsonNode value = optional(field);
+    if (value == null) {
+      return defaultValue;
+    }
+    if (!value.isBoolean()) {
+      throw invalid(field, "must be true or false, not " + describe(value));
+    }
+    return value.booleanValue();
+  }
+
   <E extends Enum<E>> E enumConstant(String field, Class<E> type, E defaultValue)
       throws SettingsException {
     JsonNode value = optional(field);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
@@ -39,6 +39,8 @@
   private static final int MIN_FRESHNESS_BOUND_MILLIS = 100;
   private static final int MAX_FRESHNESS_BOUND_MILLIS = 60_000;
   private static final int MAX_SHARE_WAIT_MILLIS = 10_000;
+  private static final int MIN_KEEP_MILLIS = 10;
+  private static final int MAX_KEEP_MILLIS = 1_000;
   private static final int MAX_MAX_BODY_BYTES = 1024 * 1024 * 1024;
 
   private static final JsonMapper MAPPER =
@@ -129,7 +131,8 @@
             object.enumConstant("staleKeys", StaleKeys.class, StaleKeys.REFUSE),
             object.intValue("shareWaitMillis", DEFAULT_SHARE_WAIT_MILLIS, 0, MAX_SHARE_WAIT_MILLIS),
             object.intValue("maxBodyBytes", DEFAULT_MAX_BODY_BYTES, 1, MAX_MAX_BODY_BYTES),
-            log(object));
+            log(object),
+            returns(object));
     if (!settings.localAddress().toSocketAddress().getAddress().isLoopbackAddress()) {
       throw object.invalid("localAddress", "must be a loopback address");
     }
@@ -137,6 +140,25 @@
     return settings;
   }
 
+  private static ReturnSettings returns(SettingsObject object) throws SettingsException {
+    Optional<SettingsObject> block = object.object("returns");
+    if (block.isEmpty()) {
+      return ReturnSettings.DEFAULT;
+    }
+    ReturnSettings returns =
+        new ReturnSettings(
+            block.get().booleanValue("enabled", ReturnSettings.DEFAULT.enabled()),
+            block
+                .get()
+                .intValue(
+                    "keepMillis",
+                    ReturnSettings.DEFAULT.keepMillis(),
+                    MIN_KEEP_MILLIS,
+                    MAX_KEEP_MILLIS));
+    block.get().rejectUnknownFields();
+    return returns;
+  }
+
   private static ControlSettings control(SettingsObject object) throws SettingsException {
     VmId vmId = object.textAs("vmId", VmId::new);
     ControlSettings settings =
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.cornelspoke.coordination.admission.RetryAfterPolicy;
+import org.cornelspoke.coordination.quota.CallerLimits;
 import org.cornelspoke.coordination.quota.RateLimiter;
 import org.cornelspoke.coordination.quota.TokenShare;
 import org.cornelspoke.model.CallId;
@@ -53,6 +54,7 @@
   private ClaimKey claimKey;
   private CallId claimAttempt;
   private Forwarding forwarding;
+  private boolean retryUseless;
 
   EdgeRequest(EdgeDependencies dependencies, HttpExchange exchange) {
     this.dependencies = dependencies;
@@ -123,6 +125,7 @@
             head.account(),
             head.trafficClass(),
             Math.min(deadlineNanos, now + waitNanos),
+            callerLimits(),
             new RateLimiter.Listener() {
               @Override
               public void onGranted() {
@@ -134,10 +137,25 @@
               public void onRefused(long retryAfterMillis) {
                 refuse(RefusalReason.RATE, Math.max(0, retryAfterMillis));
               }
+
+              @Override
+              public void onReturnImpossible(long retryAfterMillis) {
+                retryUseless = true;
+                refuse(RefusalReason.RATE, retryAfterMillis);
+              }
             },
             now);
   }
 
+  private CallerLimits callerLimits() {
+    return new CallerLimits(
+        startNanos,
+        TimeUnit.MILLISECONDS.toNanos(Math.max(0, latencyObjectiveMillis)),
+        callerDeadlineNanos,
+        collaborators.dialect().honouredRetryAfterFraction(),
+        TimeUnit.MILLISECONDS.toNanos(collaborators.dialect().retryAfterUnitMillis()));
+  }
+
   private void claimOrForward() {
     if (exchange.isAbandoned()) {
       settleWithParent();
@@ -294,7 +312,8 @@
         collaborators
             .dialect()
             .toHttpResponse(
-                new DaemonResponse(reason, verdict, requestId, retryAfterMillis, remainingMillis)));
+                new DaemonResponse(
+                    reason, verdict, requestId, retryAfterMillis, remainingMillis, retryUseless)));
   }
 
   private String describe(
@@ -304,6 +323,9 @@
     line.append(" reason=").append(reason.code()).append(" verdict=").append(verdict.headerValue());
     line.append(" ageMillis=").append(TimeUnit.NANOSECONDS.toMillis(nowNanos - startNanos));
     line.append(" retryAfterMillis=").append(retryAfterMillis);
+    if (retryUseless) {
+      line.append(" retryUseless=true");
+    }
     line.append(" path=").append(exchange.head().path());
     line.append(" revision=").append(collaborators.views().current().revision().number());
     line.append(" viewFresh=").append(collaborators.views().isFresh(nowNanos));
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/runtime/HolderChannelTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/runtime/HolderChannelTest.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
 import org.cornelspoke.coordination.quota.ShareTimes;
 import org.cornelspoke.model.DaemonId;
@@ -24,7 +26,13 @@
   @Test
   void daemonAttachedBeforeStartReportsReady() throws Exception {
     DaemonId daemon = new DaemonId("10.1.0.7");
-    HolderChannel channel = new HolderChannel(traffic, control, daemon, ShareTimes.DEFAULT);
+    HolderChannel channel =
+        new HolderChannel(
+            traffic,
+            control,
+            daemon,
+            ShareTimes.DEFAULT,
+            new ScheduledReturns(OptionalInt.empty(), new MetricRegistry()));
     channel.setRelaySender(sent::add);
 
     channel.onAttached();
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/settings/SettingsReaderTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/settings/SettingsReaderTest.java
@@ -59,6 +59,17 @@
     assertThat(settings.log()).isEqualTo(new LogSettings(LogFormat.TEXT, LogLevel.INFO));
   }
 
+  /** Guards against return times that are on by default or can't be switched on. */
+  @Test
+  void readsReturnSettings() throws Exception {
+    TrafficSettings settings = (TrafficSettings) new SettingsReader().parse(TRAFFIC);
+    assertThat(settings.returns()).isEqualTo(new ReturnSettings(false, 100));
+    String enabled =
+        TRAFFIC.replace("/* two relays */", "\"returns\": {\"enabled\": true, \"keepMillis\": 80}");
+    settings = (TrafficSettings) new SettingsReader().parse(enabled);
+    assertThat(settings.returns()).isEqualTo(new ReturnSettings(true, 80));
+  }
+
   /** Guards against fields of the documented control settings that are not read. */
   @Test
   void readsControlSettings() throws Exception {
@@ -103,6 +114,10 @@
             + "staleKeys: must be one of \"refuse\", \"serve\"",
         "/* two relays */ | \"shareWaitMillis\": -1 | shareWaitMillis: must be between 0 and 10000",
         "/* two relays */ | \"maxBodyBytes\": 99999999999 | maxBodyBytes: must be between 1 and",
+        "/* two relays */ | \"returns\": true | returns: must be an object, not a boolean",
+        "/* two relays */ | \"returns\": {\"enabled\": 1} | returns.enabled: must be true or false",
+        "/* two relays */ | \"returns\": {\"keepMillis\": 9} | returns.keepMillis: must be between",
+        "/* two relays */ | \"returns\": {\"keep\": 9} | returns.keep: unknown field",
         "/* two relays */ | \"logFormat\": \"xml\" | logFormat: must be one of \"text\", \"json\"",
         "/* two relays */ | \"logLevel\": \"loud\" | logLevel: must be one of",
         "/* two relays */ | \"logLevel\": \"info\", \"logLevel\": \"warn\" | $: must be JSON",
