--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -52,10 +52,8 @@
   private final TokenRequester tokenRequester;
   private final DemandMeter demand;
   private final TokenQueue waiters = new TokenQueue();
-  private final ReturnedTokens returnedTokens = new ReturnedTokens();
+  private final HeldTokens tokens;
   private final ReturnSchedule returns;
-  private TokenBucket previousBucket;
-  private long previousLeaseEndNanos;
   private long lastArrivalAtNanos;
   private long lastSession;
   private double reportedDemandPerSecond;
@@ -74,6 +72,7 @@
     bucket = new TokenBucket(nowNanos);
     shareClient = new ShareClient(account, bucket, toOwner);
     tokenRequester = new TokenRequester(account, times.tokenRequestRetryNanos(), toOwner);
+    tokens = new HeldTokens(bucket, shareClient, tokenRequester);
     demand = new DemandMeter(nowNanos);
     lastArrivalAtNanos = nowNanos;
   }
@@ -144,9 +143,7 @@
       return;
     }
     if (shareClient.hasLease(nowNanos)) {
-      previousBucket = new TokenBucket(nowNanos);
-      previousBucket.add(bucket.snapshot(nowNanos), nowNanos);
-      previousLeaseEndNanos = shareClient.leaseEndNanos();
+      tokens.keepPreviousShare(nowNanos);
     }
     bucket.clear(nowNanos);
     lastSession = shareClient.endLease();
@@ -226,7 +223,7 @@
 
   /** Returns true if this state may be removed. */
   boolean isIdle(long nowNanos) {
-    return isUnused(nowNanos) && previousBucket == null;
+    return isUnused(nowNanos) && !tokens.hasPreviousShare();
   }
 
   long nextSession() {
@@ -289,7 +286,7 @@
 
   /** Takes back a token, which serves another request of this daemon or lapses. */
   void returnToken(long grantedAtNanos, long nowNanos) {
-    if (returnedTokens.add(grantedAtNanos, nowNanos)) {
+    if (tokens.addReturned(grantedAtNanos, nowNanos)) {
       serve(nowNanos);
     }
   }
@@ -312,38 +309,15 @@
   /** Takes a token that isn't reserved for others. */
   private boolean tryTake(TokenWaiter request, long nowNanos) {
     int reserved = returns.reservedTokens(request.trafficClass(), request.returning(), nowNanos);
-    if ((reserved > 0 && heldTokens(nowNanos) <= reserved) || !tryTake(nowNanos)) {
+    if ((reserved > 0 && tokens.count(nowNanos) <= reserved) || !tokens.tryTake(nowNanos)) {
       return false;
     }
     returns.onTokenTaken(nowNanos);
     return true;
   }
 
-  private int heldTokens(long nowNanos) {
-    int previous = previousBucket == null ? 0 : (int) previousBucket.level(nowNanos);
-    return returnedTokens.count(nowNanos)
-        + tokenRequester.tokens(nowNanos)
-        + previous
-        + (int) bucket.level(nowNanos);
-  }
-
-  private boolean tryTake(long nowNanos) {
-    if (returnedTokens.tryTake(nowNanos)) {
-      return true;
-    }
-    if (tokenRequester.tryTake(nowNanos)) {
-      return true;
-    }
-    if (previousBucket != null && previousBucket.tryTake(nowNanos)) {
-      return true;
-    }
-    return shareClient.hasLease(nowNanos) && bucket.tryTake(nowNanos);
-  }
-
   private void removeExpiredLeases(long nowNanos) {
-    if (previousBucket != null && nowNanos - previousLeaseEndNanos >= 0) {
-      previousBucket = null;
-    }
+    tokens.removeExpiredShare(nowNanos);
     if (shareClient.isLeaseExpired(nowNanos)) {
       bucket.clear(nowNanos);
       lastSession = shareClient.endLease();
