--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/TrafficSettings.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/TrafficSettings.java
@@ -19,6 +19,7 @@
  * @param shareWaitMillis maximum time that a request waits for spare rate capacity
  * @param maxBodyBytes maximum size of a request body that the edge accepts
  * @param chainAdmission admission of call chains by the capacity of the called services
+ * @param returns when callers that were refused for their rate return
  */
 public record TrafficSettings(
     DaemonId daemonId,
@@ -33,6 +34,7 @@
     long shareWaitMillis,
     int maxBodyBytes,
     ChainAdmissionSettings chainAdmission,
+    ReturnSettings returns,
     LogSettings log)
     implements DaemonSettings {
 
@@ -40,6 +42,7 @@
   public TrafficSettings {
     controlEndpoints = List.copyOf(controlEndpoints);
     Assert.notNull(chainAdmission, "chainAdmission");
+    Assert.notNull(returns, "returns");
   }
 
   /** Creates settings without the optional blocks. */
@@ -69,6 +72,7 @@
         shareWaitMillis,
         maxBodyBytes,
         ChainAdmissionSettings.OFF,
+        ReturnSettings.DEFAULT,
         log);
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -173,7 +173,6 @@
         upstream.onEvacuated(nowNanos);
       } else {
         upstream.onEvacuationEnded(nowNanos);
-        upstream.gate.setEvacuated(false);
       }
     }
   }
