Learn the capacity of upstreams and choose targets by it

Cause: a fixed limit below 95% of the slots neither finds upstreams that slow down earlier nor tells callers which targets are fast.

Change: LearnedLimit compares its limit with others by short trials while it is in use; LearnedCapacity measures work times without nested calls, errors and pauses of the event loop. The estimate travels with replies, and callers return it to a daemon that restarted. DefaultTargetSelector compares candidates by a TargetCost; ExpectedCompletionCost uses the estimates, LoadCost is the cost as before. Off by default: settings block learnedCapacity, TrafficProfile.withLearnedCapacity.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/DefaultTargetSelector.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/DefaultTargetSelector.java
@@ -36,6 +36,7 @@
   private final DataCentreId dataCentre;
   private final int subsetSize;
   private final RandomGenerator random;
+  private final TargetCost targetCost;
   private final Map<TargetId, TargetStats> stats = new HashMap<>();
   private final Map<ServiceName, List<TargetStats>> subsets = new HashMap<>();
   private final Map<RequestKind, MeanLatency> meanLatencies = new HashMap<>();
@@ -50,11 +51,26 @@
    */
   public DefaultTargetSelector(
       DaemonId self, DataCentreId dataCentre, int subsetSize, RandomGenerator random) {
+    this(self, dataCentre, subsetSize, random, LoadCost.INSTANCE);
+  }
+
+  /**
+   * Creates a selector without targets that compares them by another cost.
+   *
+   * @param targetCost cost of a candidate, used by this selector only
+   */
+  public DefaultTargetSelector(
+      DaemonId self,
+      DataCentreId dataCentre,
+      int subsetSize,
+      RandomGenerator random,
+      TargetCost targetCost) {
     Assert.isTrue(subsetSize >= 1, "subsetSize must be 1 or more");
     this.self = Assert.notNull(self, "self");
     this.dataCentre = Assert.notNull(dataCentre, "dataCentre");
     this.subsetSize = subsetSize;
     this.random = Assert.notNull(random, "random");
+    this.targetCost = Assert.notNull(targetCost, "targetCost");
   }
 
   @Override
@@ -86,6 +102,16 @@
 
   @Override
   public Optional<Target> select(ServiceName service, Set<TargetId> excluded, long nowNanos) {
+    return select(service, null, excluded, nowNanos);
+  }
+
+  @Override
+  public Optional<Target> select(RequestKind kind, Set<TargetId> excluded, long nowNanos) {
+    return select(kind.service(), kind, excluded, nowNanos);
+  }
+
+  private Optional<Target> select(
+      ServiceName service, RequestKind kind, Set<TargetId> excluded, long nowNanos) {
     List<TargetStats> subset = subsets.getOrDefault(service, List.of());
     List<TargetStats> usable = new ArrayList<>(subset.size());
     for (TargetStats candidate : subset) {
@@ -99,8 +125,16 @@
     List<TargetStats> healthy = new ArrayList<>(usable);
     healthy.removeIf(candidate -> candidate.isEjected(nowNanos));
     removeFailing(healthy, nowNanos);
-    List<TargetStats> candidates = healthy.isEmpty() ? usable : preferLocal(healthy, nowNanos);
-    TargetStats chosen = cheaperOfTwo(candidates, nowNanos);
+    List<TargetStats> remaining = healthy.isEmpty() ? usable : healthy;
+    TargetCost cost = targetCost.forRequest(kind, remaining, nowNanos);
+    TargetStats chosen;
+    if (cost.includesDistance()) {
+      chosen = cheapestOfBothGroups(remaining, cost, nowNanos);
+    } else {
+      chosen =
+          cheapest(
+              healthy.isEmpty() ? usable : preferLocal(healthy, nowNanos), true, cost, nowNanos);
+    }
     chosen.onStart();
     return Optional.of(chosen.target());
   }
@@ -132,6 +166,23 @@
     }
   }
 
+  @Override
+  public void onEstimate(
+      TargetId target, RequestKind kind, int concurrency, long workNanos, long nowNanos) {
+    TargetStats targetStats = stats.get(target);
+    if (targetStats != null) {
+      targetStats.onEstimate(kind.workKind().index(), concurrency, workNanos, nowNanos);
+      if (concurrency > 0 && workNanos > 0) {
+        targetCost.onEstimate(kind, workNanos);
+      }
+    }
+  }
+
+  @Override
+  public double meanWorkNanos(RequestKind kind) {
+    return targetCost.meanWorkNanos(kind);
+  }
+
   /** Returns true if the target is ejected at this time. */
   public boolean isEjected(TargetId target, long nowNanos) {
     TargetStats targetStats = stats.get(target);
@@ -195,7 +246,7 @@
     List<TargetStats> local = new ArrayList<>(healthy.size());
     boolean anyUnsaturated = false;
     for (TargetStats candidate : healthy) {
-      if (candidate.target().dataCentre().equals(dataCentre)) {
+      if (isLocal(candidate)) {
         local.add(candidate);
         anyUnsaturated |= !candidate.isSaturated(nowNanos);
       }
@@ -207,18 +258,40 @@
     return healthy;
   }
 
-  private TargetStats cheaperOfTwo(List<TargetStats> candidates, long nowNanos) {
-    int first = random.nextInt(candidates.size());
-    if (candidates.size() == 1) {
-      return candidates.get(first);
+  private TargetStats cheapestOfBothGroups(
+      List<TargetStats> targets, TargetCost cost, long nowNanos) {
+    List<TargetStats> local = new ArrayList<>(targets.size());
+    List<TargetStats> remote = new ArrayList<>(targets.size());
+    for (TargetStats candidate : targets) {
+      (isLocal(candidate) ? local : remote).add(candidate);
     }
-    int second = random.nextInt(candidates.size() - 1);
-    if (second >= first) {
-      second++;
+    if (local.isEmpty() || remote.isEmpty()) {
+      return cheapest(targets, remote.isEmpty(), cost, nowNanos);
     }
-    TargetStats a = candidates.get(first);
-    TargetStats b = candidates.get(second);
-    return a.cost(nowNanos) <= b.cost(nowNanos) ? a : b;
+    TargetStats near = cheapest(local, true, cost, nowNanos);
+    TargetStats far = cheapest(remote, false, cost, nowNanos);
+    return cost.cost(near, true, nowNanos) <= cost.cost(far, false, nowNanos) ? near : far;
+  }
+
+  /** Returns the cheapest of random candidates; removes the candidates from the list. */
+  private TargetStats cheapest(
+      List<TargetStats> targets, boolean local, TargetCost cost, long nowNanos) {
+    int count = Math.min(targets.size(), cost.candidateCount());
+    TargetStats best = null;
+    double lowestCost = 0;
+    for (int i = 0; i < count; i++) {
+      TargetStats candidate = targets.remove(random.nextInt(targets.size()));
+      double candidateCost = count == 1 ? 0 : cost.cost(candidate, local, nowNanos);
+      if (best == null || candidateCost < lowestCost) {
+        best = candidate;
+        lowestCost = candidateCost;
+      }
+    }
+    return best;
+  }
+
+  private boolean isLocal(TargetStats candidate) {
+    return candidate.target().dataCentre().equals(dataCentre);
   }
 
   private boolean mayEject(ServiceName service, long nowNanos) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/RequestKind.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/RequestKind.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.coordination.routing;
 
+import org.cornelspoke.coordination.admission.WorkKind;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TrafficClass;
 import org.cornelspoke.util.Assert;
@@ -20,4 +21,9 @@
     Assert.notNull(service, "service");
     Assert.notNull(trafficClass, "trafficClass");
   }
+
+  /** Returns the kind of the request at its target. */
+  public WorkKind workKind() {
+    return WorkKind.of(trafficClass, nested);
+  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetSelector.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetSelector.java
@@ -27,6 +27,14 @@
    */
   Optional<Target> select(ServiceName service, Set<TargetId> excluded, long nowNanos);
 
+  /**
+   * Chooses a target like {@link #select(ServiceName, Set, long)} for a request of a known kind.
+   * Selectors that don't compare targets by kind ignore it.
+   */
+  default Optional<Target> select(RequestKind kind, Set<TargetId> excluded, long nowNanos) {
+    return select(kind.service(), excluded, nowNanos);
+  }
+
   /**
    * Records the result of an attempt started by {@link #select} and decrements the in-flight count.
    *
@@ -43,12 +51,18 @@
    * use estimates ignore it.
    *
    * @param kind kind of the request to which the estimate was attached
-   * @param concurrency requests that the upstream serves at the same time without slowing down
+   * @param concurrency requests that the upstream serves at the same time without slowing down, or
+   *     0 if the response carried no estimate
    * @param workNanos mean time for which the upstream works on a request of the kind
    */
   default void onEstimate(
       TargetId target, RequestKind kind, int concurrency, long workNanos, long nowNanos) {}
 
+  /** Returns the mean work time of a kind over its targets, or 0 if it is unknown. */
+  default double meanWorkNanos(RequestKind kind) {
+    return 0;
+  }
+
   /** Result of an attempt as far as it matters for target selection. */
   enum AttemptResult {
     /** A complete response that is not a server error. */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetStats.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/TargetStats.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.coordination.routing;
 
 import org.cornelspoke.coordination.admission.GateLoad;
+import org.cornelspoke.coordination.admission.WorkKind;
 import org.cornelspoke.coordination.routing.TargetSelector.AttemptResult;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.registry.TargetState;
@@ -43,6 +44,9 @@
   private static final double SLOW_START_MIN_WEIGHT = 0.1;
   private static final long NEVER = Long.MIN_VALUE;
 
+  /** Validity of an estimate; every response renews it. */
+  private static final long ESTIMATE_VALIDITY_NANOS = 30_000_000_000L;
+
   private Target target;
   private final long createdAtNanos;
   private final boolean slowStart;
@@ -59,6 +63,10 @@
   private long refusedAtNanos = NEVER;
   private GateLoad load = GateLoad.IDLE;
   private long loadAtNanos = NEVER;
+  private int sentSinceReport;
+  private final long[] estimatedWorkNanos = new long[WorkKind.COUNT];
+  private int estimatedConcurrency;
+  private long estimatedAtNanos = NEVER;
 
   TargetStats(Target target, boolean slowStart, long nowNanos) {
     this.target = target;
@@ -118,6 +126,7 @@
 
   void onStart() {
     inFlight++;
+    sentSinceReport++;
   }
 
   /**
@@ -157,6 +166,54 @@
   void onLoad(GateLoad newLoad, long nowNanos) {
     load = newLoad;
     loadAtNanos = nowNanos;
+    sentSinceReport = 0;
+  }
+
+  /** Returns the requests that the target reported as running or waiting. */
+  int reportedRequests() {
+    return load.inFlight() + load.queued();
+  }
+
+  /** Returns the attempts that were started after the last report. */
+  int sentSinceReport() {
+    return sentSinceReport;
+  }
+
+  long loadAgeNanos(long nowNanos) {
+    return nowNanos - loadAtNanos;
+  }
+
+  double relativeLatency() {
+    return relativeLatency;
+  }
+
+  /**
+   * Records an estimate of the target's daemon. A concurrency of 0 means that there is none for
+   * this kind of request.
+   */
+  void onEstimate(int kindIndex, int concurrency, long workNanos, long nowNanos) {
+    if (concurrency <= 0) {
+      estimatedWorkNanos[kindIndex] = 0;
+      return;
+    }
+    estimatedConcurrency = concurrency;
+    estimatedWorkNanos[kindIndex] = Math.max(0, workNanos);
+    estimatedAtNanos = nowNanos;
+  }
+
+  /** Returns the estimated work time of a kind of request, or 0 if it is unknown. */
+  long estimatedWorkNanos(int kindIndex, long nowNanos) {
+    return estimateIsValid(nowNanos) ? estimatedWorkNanos[kindIndex] : 0;
+  }
+
+  /** Returns the requests that the target serves at a time, as far as it is known. */
+  int usableConcurrency(long nowNanos) {
+    if (loadIsRecent(nowNanos)) {
+      return Math.min(load.limit(), target.slots());
+    }
+    return estimateIsValid(nowNanos)
+        ? Math.min(estimatedConcurrency, target.slots())
+        : target.slots();
   }
 
   /** Ejects the target and doubles the duration of the next ejection, up to a bound. */
@@ -173,14 +230,18 @@
     failureRatio = 0;
   }
 
-  private double slowStartWeight(long nowNanos) {
+  private boolean estimateIsValid(long nowNanos) {
+    return estimatedConcurrency > 0 && nowNanos - estimatedAtNanos < ESTIMATE_VALIDITY_NANOS;
+  }
+
+  double slowStartWeight(long nowNanos) {
     if (!slowStart || nowNanos - createdAtNanos >= SLOW_START_NANOS) {
       return 1;
     }
     return Math.max(SLOW_START_MIN_WEIGHT, (double) (nowNanos - createdAtNanos) / SLOW_START_NANOS);
   }
 
-  private boolean loadIsRecent(long nowNanos) {
+  boolean loadIsRecent(long nowNanos) {
     return loadAtNanos != NEVER && nowNanos - loadAtNanos < LOAD_VALIDITY_NANOS;
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
@@ -12,6 +12,7 @@
 import org.cornelspoke.coordination.quota.ShareTimes;
 import org.cornelspoke.coordination.retry.DefaultRetryThrottle;
 import org.cornelspoke.coordination.retry.RetryThrottles;
+import org.cornelspoke.daemon.settings.LearnedCapacitySettings;
 import org.cornelspoke.daemon.traffic.DefaultDialect;
 import org.cornelspoke.daemon.traffic.HttpDialect;
 import org.cornelspoke.daemon.traffic.LocalApiFactory;
@@ -38,6 +39,7 @@
   IntFunction<ConcurrencyLimit> concurrencyLimits = LimitAlgorithm.DEFAULT::create;
   ShareTimes shareTimes = ShareTimes.DEFAULT;
   Supplier<RootRequestThrottle> rootThrottles = RootRequestThrottle::none;
+  Optional<LearnedCapacitySettings> learnedCapacity = Optional.empty();
   double reservedInteractiveFraction;
   double rateFloorFraction;
   long drainMillis = DEFAULT_DRAIN_MILLIS;
@@ -80,6 +82,15 @@
     return this;
   }
 
+  /**
+   * Replaces the settings of the learned capacity. If it is enabled, gates learn their limit, which
+   * replaces {@link #withConcurrencyLimits}, and targets are chosen by what is learned.
+   */
+  public TrafficProfile withLearnedCapacity(LearnedCapacitySettings newLearnedCapacity) {
+    this.learnedCapacity = Optional.of(newLearnedCapacity);
+    return this;
+  }
+
   /** Replaces the timing of the rate shares, which must match that of the control daemons. */
   public TrafficProfile withShareTimes(ShareTimes times) {
     this.shareTimes = Assert.notNull(times, "times");
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -7,15 +7,20 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.math3.random.Well19937c;
+import org.cornelspoke.coordination.admission.ConcurrencyLimit;
 import org.cornelspoke.coordination.admission.DefaultUpstreamGate;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.quota.FloorRateLimiter;
 import org.cornelspoke.coordination.quota.RateLimiter;
 import org.cornelspoke.coordination.retry.DefaultRetryBudgets;
 import org.cornelspoke.coordination.routing.DefaultTargetSelector;
+import org.cornelspoke.coordination.routing.ExpectedCompletionCost;
+import org.cornelspoke.coordination.routing.TargetCost;
+import org.cornelspoke.coordination.routing.TargetSelector;
 import org.cornelspoke.daemon.admin.AdminServer;
 import org.cornelspoke.daemon.admin.Health;
 import org.cornelspoke.daemon.controlclient.ControlClient;
+import org.cornelspoke.daemon.settings.LearnedCapacitySettings;
 import org.cornelspoke.daemon.settings.TrafficSettings;
 import org.cornelspoke.daemon.traffic.StaleKeys;
 import org.cornelspoke.daemon.traffic.TrafficDaemon;
@@ -66,16 +71,14 @@
             ? new FloorRateLimiter(
                 shareChannel.holder(), controlClient::current, profile.rateFloorFraction)
             : shareChannel.holder();
+    LearnedCapacitySettings learnedCapacity =
+        profile.learnedCapacity.orElse(settings.learnedCapacity());
     TrafficDaemon.Builder builder =
         TrafficDaemon.builder(trafficSettings(settings, profile), trafficLoop)
             .withFleet(controlClient, controlClient)
-            .withAdmission(limiter, controlClient, (service, slots, nowNanos) -> createGate(slots))
-            .withSelector(
-                new DefaultTargetSelector(
-                    settings.daemonId(),
-                    settings.dataCentre(),
-                    DefaultTargetSelector.DEFAULT_SUBSET_SIZE,
-                    new Well19937c()))
+            .withAdmission(
+                limiter, controlClient, new LearningGateFactory(learnedCapacity, this::createGate))
+            .withSelector(createSelector(learnedCapacity))
             .withRetries(new DefaultRetryBudgets(), profile.retryThrottles)
             .withRootThrottles(profile.rootThrottles)
             .withMetrics(metrics());
@@ -143,10 +146,21 @@
     control().delayBackground(READINESS_SWEEP_INTERVAL_MILLIS, this::sweepReadinessServer);
   }
 
-  private UpstreamGate createGate(int slots) {
+  private TargetSelector createSelector(LearnedCapacitySettings learnedCapacity) {
+    return new DefaultTargetSelector(
+        settings.daemonId(),
+        settings.dataCentre(),
+        DefaultTargetSelector.DEFAULT_SUBSET_SIZE,
+        new Well19937c(),
+        learnedCapacity.enabled() ? new ExpectedCompletionCost() : TargetCost.byLoad());
+  }
+
+  private UpstreamGate createGate(int slots, Optional<ConcurrencyLimit> limit) {
     Preset preset = controlClient.current().activePreset().orElseGet(BuiltInPresets::ordinary);
     return new DefaultUpstreamGate(
-        preset, profile.concurrencyLimits.apply(slots), profile.reservedInteractiveFraction);
+        preset,
+        limit.orElseGet(() -> profile.concurrencyLimits.apply(slots)),
+        profile.reservedInteractiveFraction);
   }
 
   private Health health() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsObject.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsObject.java
@@ -87,6 +87,32 @@
     return value.intValue();
   }
 
+  double doubleValue(String field, double defaultValue, double min, double max)
+      throws SettingsException {
+    JsonNode value = optional(field);
+    if (value == null) {
+      return defaultValue;
+    }
+    if (!value.isNumber()) {
+      throw invalid(field, "must be a number without a unit, not " + describe(value));
+    }
+    if (!(value.doubleValue() >= min && value.doubleValue() <= max)) {
+      throw invalid(field, "must be between " + min + " and " + max);
+    }
+    return value.doubleValue();
+  }
+
+  boolean booleanValue(String field, boolean defaultValue) throws SettingsException {
+    JsonNode value = optional(field);
+    if (value == null) {
+      return defaultValue;
+    }
+    if (!value.isBoolean()) {
+      throw invalid(field, "must be true or false, not " + describe(value));
+    }
+    return value.booleanValue();
+  }
+
   <E extends Enum<E>> E enumConstant(String field, Class<E> type, E defaultValue)
       throws SettingsException {
     JsonNode value = optional(field);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
@@ -129,7 +129,8 @@
             object.enumConstant("staleKeys", StaleKeys.class, StaleKeys.REFUSE),
             object.intValue("shareWaitMillis", DEFAULT_SHARE_WAIT_MILLIS, 0, MAX_SHARE_WAIT_MILLIS),
             object.intValue("maxBodyBytes", DEFAULT_MAX_BODY_BYTES, 1, MAX_MAX_BODY_BYTES),
-            log(object));
+            log(object),
+            learnedCapacity(object));
     if (!settings.localAddress().toSocketAddress().getAddress().isLoopbackAddress()) {
       throw object.invalid("localAddress", "must be a loopback address");
     }
@@ -137,6 +138,30 @@
     return settings;
   }
 
+  private static LearnedCapacitySettings learnedCapacity(SettingsObject object)
+      throws SettingsException {
+    Optional<SettingsObject> block = object.object("learnedCapacity");
+    if (block.isEmpty()) {
+      return LearnedCapacitySettings.OFF;
+    }
+    SettingsObject fields = block.get();
+    LearnedCapacitySettings settings =
+        new LearnedCapacitySettings(
+            fields.booleanValue("enabled", LearnedCapacitySettings.OFF.enabled()),
+            fields.doubleValue(
+                "minLimitFraction",
+                LearnedCapacitySettings.OFF.minLimitFraction(),
+                LearnedCapacitySettings.MIN_LIMIT_FRACTION,
+                1),
+            fields.intValue(
+                "windowMillis",
+                LearnedCapacitySettings.OFF.windowMillis(),
+                LearnedCapacitySettings.MIN_WINDOW_MILLIS,
+                LearnedCapacitySettings.MAX_WINDOW_MILLIS));
+    fields.rejectUnknownFields();
+    return settings;
+  }
+
   private static ControlSettings control(SettingsObject object) throws SettingsException {
     VmId vmId = object.textAs("vmId", VmId::new);
     ControlSettings settings =
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/TrafficSettings.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/TrafficSettings.java
@@ -16,6 +16,7 @@
  * @param staleKeys how requests with a client key are treated after that time
  * @param shareWaitMillis maximum time that a request waits for spare rate capacity
  * @param maxBodyBytes maximum size of a request body that the edge accepts
+ * @param learnedCapacity settings of the learned capacity of upstreams
  */
 public record TrafficSettings(
     DaemonId daemonId,
@@ -29,9 +30,40 @@
     StaleKeys staleKeys,
     long shareWaitMillis,
     int maxBodyBytes,
-    LogSettings log)
+    LogSettings log,
+    LearnedCapacitySettings learnedCapacity)
     implements DaemonSettings {
 
+  /** Creates settings without a learned capacity. */
+  public TrafficSettings(
+      DaemonId daemonId,
+      DataCentreId dataCentre,
+      Endpoint edgeAddress,
+      Endpoint linkAddress,
+      Endpoint localAddress,
+      Endpoint adminAddress,
+      List<Endpoint> controlEndpoints,
+      long freshnessBoundMillis,
+      StaleKeys staleKeys,
+      long shareWaitMillis,
+      int maxBodyBytes,
+      LogSettings log) {
+    this(
+        daemonId,
+        dataCentre,
+        edgeAddress,
+        linkAddress,
+        localAddress,
+        adminAddress,
+        controlEndpoints,
+        freshnessBoundMillis,
+        staleKeys,
+        shareWaitMillis,
+        maxBodyBytes,
+        log,
+        LearnedCapacitySettings.OFF);
+  }
+
   /** Makes an unmodifiable copy of the list. */
   public TrafficSettings {
     controlEndpoints = List.copyOf(controlEndpoints);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -53,6 +53,7 @@
   private ClaimKey claimKey;
   private CallId claimAttempt;
   private Forwarding forwarding;
+  private String parentRequestId;
 
   EdgeRequest(EdgeDependencies dependencies, HttpExchange exchange) {
     this.dependencies = dependencies;
@@ -209,10 +210,10 @@
   private void forward() {
     boolean nested = parentCallId != null || head.account().equals(EdgeHandler.OPEN_ACCOUNT);
     if (nested && requestId != null) {
-      collaborators
-          .dialect()
-          .parentRequestId(requestId)
-          .ifPresent(id -> dependencies.forwarding().upstreams().onNestedCall(id));
+      parentRequestId = collaborators.dialect().parentRequestId(requestId).orElse(null);
+      if (parentRequestId != null) {
+        dependencies.forwarding().upstreams().onNestedCall(parentRequestId, System.nanoTime());
+      }
     }
     forwarding =
         new Forwarding(
@@ -226,7 +227,18 @@
     forwarding.start();
   }
 
+  private void endNestedCall() {
+    if (parentRequestId != null) {
+      dependencies
+          .forwarding()
+          .upstreams()
+          .onNestedCallAnswered(parentRequestId, System.nanoTime());
+      parentRequestId = null;
+    }
+  }
+
   private void onResult(CallResult result) {
+    endNestedCall();
     settleClaim(result);
     if (result instanceof CallResult.Responded answered) {
       collaborators.metrics().answered.inc();
@@ -266,6 +278,7 @@
     collaborators.metrics().onRefused(RefusalReason.CANCELLED);
     if (forwarding != null && claimKey == null) {
       forwarding.cancel();
+      endNestedCall();
       settleWithParent();
       exchange.respond(HttpResponse.ofStatus(RefusalReason.CANCELLED.httpStatus()));
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -13,6 +13,7 @@
 import org.cornelspoke.protocol.call.CallHead;
 import org.cornelspoke.protocol.call.CallOutcome;
 import org.cornelspoke.protocol.call.CallResult;
+import org.cornelspoke.protocol.call.TargetEstimate;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.transport.link.LinkCall;
 import org.cornelspoke.transport.link.PeerLink;
@@ -132,8 +133,7 @@
     backoffTimer = null;
     while (true) {
       long now = System.nanoTime();
-      Optional<Target> selected =
-          collaborators.selector().select(head.service(), triedTargets, now);
+      Optional<Target> selected = collaborators.selector().select(requestKind, triedTargets, now);
       if (selected.isEmpty()) {
         complete(lastResult);
         return;
@@ -195,7 +195,9 @@
     return head.forAttempt(
         remainingMillis,
         lentAttempts,
-        head.metadata().withTargetNotice(dependencies.notices().of(target.id())));
+        head.metadata()
+            .withTargetNotice(dependencies.notices().of(target.id()))
+            .withTargetEstimate(dependencies.estimates().toReturn(target.id(), requestKind, now)));
   }
 
   private void onAttemptEnded(CallOutcome ending) {
@@ -219,6 +221,7 @@
     }
     if (result instanceof CallResult.Responded) {
       dependencies.notices().onResponse(id, ending.metadata().targetNotice());
+      onEstimate(id, ending.metadata().targetEstimate(), now);
     }
     lastResult = result;
     lastDownstreamCalls = ending.downstreamCalls();
@@ -234,6 +237,15 @@
     }
   }
 
+  private void onEstimate(TargetId id, Optional<TargetEstimate> estimate, long now) {
+    dependencies.estimates().onResponse(id, requestKind, estimate, now);
+    int concurrency = estimate.isPresent() ? estimate.get().concurrency() : 0;
+    long workMicros = estimate.isPresent() ? estimate.get().workMicros() : 0;
+    collaborators
+        .selector()
+        .onEstimate(id, requestKind, concurrency, TimeUnit.MICROSECONDS.toNanos(workMicros), now);
+  }
+
   /**
    * A refusal by the gate is free for the target, so another target may be tried immediately
    * without a charge on the retry budgets.
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/ForwardingDependencies.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/ForwardingDependencies.java
@@ -9,4 +9,17 @@
     LocalCalls localCalls,
     PeerLinks links,
     TargetNotices notices,
-    SplittableRandom random) {}
+    TargetEstimates estimates,
+    SplittableRandom random) {
+
+  /** Creates dependencies that remember no estimates yet. */
+  ForwardingDependencies(
+      Collaborators collaborators,
+      LocalUpstreams upstreams,
+      LocalCalls localCalls,
+      PeerLinks links,
+      TargetNotices notices,
+      SplittableRandom random) {
+    this(collaborators, upstreams, localCalls, links, notices, new TargetEstimates(), random);
+  }
+}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/GateFactory.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/GateFactory.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.traffic;
 
+import java.util.Optional;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.model.ServiceName;
 
@@ -14,4 +15,9 @@
    * @param slots number of requests that the upstream claims to serve concurrently
    */
   UpstreamGate create(ServiceName service, int slots, long nowNanos);
+
+  /** Returns a new gate, with a learned capacity if this factory uses one. */
+  default LearningGate createLearning(ServiceName service, int slots, long nowNanos) {
+    return new LearningGate(create(service, slots, nowNanos), Optional.empty());
+  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -5,6 +5,7 @@
 import org.cornelspoke.coordination.admission.GateRequest;
 import org.cornelspoke.coordination.admission.UpstreamGate;
 import org.cornelspoke.coordination.admission.UpstreamNotice;
+import org.cornelspoke.coordination.admission.WorkKind;
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.protocol.call.CallHead;
@@ -54,6 +55,7 @@
   private long sentAtNanos;
   private int downstreamCalls;
   private String requestId;
+  private boolean working;
 
   LocalCall(
       LocalCalls calls,
@@ -113,6 +115,7 @@
         exchange.cancel();
       }
       upstream.gate.complete(ticket, Completion.CANCELLED, System.nanoTime());
+      endWork(Completion.CANCELLED, System.nanoTime());
     }
     finish();
   }
@@ -160,6 +163,8 @@
         new UpstreamRequest(
             head.method(), head.requestTarget(), head.headers(), addedHeaders, body);
     upstream.onSent();
+    working = true;
+    upstream.capacity.onSent(sentAtNanos);
     exchange =
         upstream.pool.send(
             request,
@@ -180,6 +185,7 @@
     long now = System.nanoTime();
     collaborators.metrics().upstreamTime.update(now - sentAtNanos, TimeUnit.NANOSECONDS);
     upstream.gate.complete(ticket, completionOf(result), now);
+    endWork(completionOf(result), now);
     complete(result, closeCall());
   }
 
@@ -201,6 +207,7 @@
     }
     boolean notRun = exchange == null || exchange.cancel();
     upstream.gate.complete(ticket, Completion.TIMEOUT, now);
+    endWork(Completion.TIMEOUT, now);
     complete(
         notRun
             ? new CallResult.Refused(RefusalReason.DEADLINE, 0)
@@ -216,7 +223,25 @@
             unusedAttempts,
             downstreamCalls,
             upstream.load(System.nanoTime()),
-            ReplyMetadata.NONE.withTargetNotice(upstream.targetNotice())));
+            ReplyMetadata.NONE
+                .withTargetNotice(upstream.targetNotice())
+                .withTargetEstimate(upstream.capacity.estimate(workKind(head)))));
+  }
+
+  /** Reports the end of a request that was sent to what learns the upstream's capacity. */
+  private void endWork(Completion completion, long now) {
+    if (working) {
+      working = false;
+      ParentCalls.Parent parent = calls.parents().get(callId);
+      boolean madeCalls = parent != null && parent.downstreamCalls() > 0;
+      long nestedNanos = upstream.nestedCallStatistics.nestedNanos(requestId, madeCalls, now);
+      upstream.capacity.onEnded(workKind(head), sentAtNanos, nestedNanos, completion, now);
+    }
+  }
+
+  /** Returns the kind of work of a call. */
+  static WorkKind workKind(CallHead head) {
+    return WorkKind.of(head.trafficClass(), head.account().equals(EdgeHandler.OPEN_ACCOUNT));
   }
 
   private int closeCall() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
@@ -63,6 +63,10 @@
       return null;
     }
     head.metadata().targetNotice().ifPresent(notice -> upstreams.onEarlierNotice(upstream, notice));
+    head.metadata()
+        .targetEstimate()
+        .ifPresent(
+            estimate -> upstream.capacity.onEarlierEstimate(LocalCall.workKind(head), estimate));
     LocalCall call = new LocalCall(this, upstream, head, body, listener);
     call.start();
     return call;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -29,6 +29,7 @@
   private final PressureEstimator downstreamPressure = new PressureEstimator();
   private final UpstreamNoticeTracker noticeTracker = new UpstreamNoticeTracker();
   private final UpstreamNoticeLog noticeLog;
+  final UpstreamCapacity capacity;
   final NestedCallStatistics nestedCallStatistics = new NestedCallStatistics();
   int slots;
   boolean draining;
@@ -40,6 +41,7 @@
       Endpoint address,
       Optional<ProcessId> process,
       UpstreamGate gate,
+      UpstreamCapacity capacity,
       RootRequestThrottle rootThrottle,
       UpstreamPool pool) {
     this.rootThrottle = rootThrottle;
@@ -47,6 +49,7 @@
     this.service = service;
     this.address = address;
     this.gate = gate;
+    this.capacity = capacity;
     this.pool = pool;
     this.noticeLog = new UpstreamNoticeLog(service, instance());
   }
@@ -104,6 +107,7 @@
   /** Updates the gate; called every few milliseconds while requests are pending. */
   void onTick(long nowNanos) {
     gate.onTick(nowNanos);
+    capacity.onTick(nowNanos);
     noticeLog.onTick(noticeTracker.current(), gate.load(), nowNanos);
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -131,6 +131,8 @@
   void onTick(long nowNanos) {
     for (LocalUpstream upstream : new ArrayList<>(upstreams.values())) {
       upstream.onTick(nowNanos);
+      upstream.capacity.updateMetrics(
+          collaborators.metrics().registry(), collaborators.selector(), nowNanos);
     }
     for (LocalUpstream upstream : new ArrayList<>(withdrawnUpstreams)) {
       upstream.onTick(nowNanos);
@@ -160,9 +162,18 @@
     }
   }
 
-  /** Records a nested call made on behalf of the given request. */
-  void onNestedCall(String parentRequestId) {
-    upstreams.values().forEach(upstream -> upstream.nestedCallStatistics.onCall(parentRequestId));
+  /** Records the start of a nested call made on behalf of the given request. */
+  void onNestedCall(String parentRequestId, long nowNanos) {
+    for (LocalUpstream upstream : upstreams.values()) {
+      upstream.nestedCallStatistics.onCallStarted(parentRequestId, nowNanos);
+    }
+  }
+
+  /** Records that the caller of a nested call gets its answer. */
+  void onNestedCallAnswered(String parentRequestId, long nowNanos) {
+    for (LocalUpstream upstream : upstreams.values()) {
+      upstream.nestedCallStatistics.onCallEnded(parentRequestId, nowNanos);
+    }
   }
 
   /**
@@ -201,10 +212,11 @@
   }
 
   private LocalUpstream create(Announcement announcement) {
-    UpstreamGate gate =
+    LearningGate learningGate =
         collaborators
             .gates()
-            .create(announcement.service(), announcement.slots(), System.nanoTime());
+            .createLearning(announcement.service(), announcement.slots(), System.nanoTime());
+    UpstreamGate gate = learningGate.gate();
     preset.ifPresent(gate::applyPreset);
     UpstreamPool pool =
         new UpstreamPool(
@@ -221,6 +233,8 @@
             announcement.address(),
             announcement.process(),
             gate,
+            new UpstreamCapacity(
+                announcement.service(), announcement.process(), learningGate.capacity()),
             collaborators.rootThrottles().get(),
             pool);
     upstream.slots = announcement.slots();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/NestedCallStatistics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/NestedCallStatistics.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
+import org.cornelspoke.coordination.admission.LearnedCapacity;
 import org.cornelspoke.model.TrafficClass;
 
 /**
@@ -26,6 +27,9 @@
   private static final class RunningRequest {
     private final TrafficClass rootClass;
     private boolean madeCalls;
+    private int callsInFlight;
+    private long callsSinceNanos;
+    private long nestedNanos;
 
     RunningRequest(TrafficClass rootClass) {
       this.rootClass = rootClass;
@@ -54,6 +58,45 @@
     }
   }
 
+  /** Records the start of a nested call made on behalf of the given request. */
+  void onCallStarted(String parentRequestId, long nowNanos) {
+    onCall(parentRequestId);
+    RunningRequest parent = running.get(parentRequestId);
+    if (parent != null) {
+      if (parent.callsInFlight == 0) {
+        parent.callsSinceNanos = nowNanos;
+      }
+      parent.callsInFlight++;
+    }
+  }
+
+  /** Records the end of a nested call made on behalf of the given request. */
+  void onCallEnded(String parentRequestId, long nowNanos) {
+    RunningRequest parent = running.get(parentRequestId);
+    if (parent != null && parent.callsInFlight > 0) {
+      parent.callsInFlight--;
+      if (parent.callsInFlight == 0) {
+        parent.nestedNanos += nowNanos - parent.callsSinceNanos;
+      }
+    }
+  }
+
+  /**
+   * Returns the time for which at least one nested call of a running request was in flight, or a
+   * negative value if the request made calls that could not be assigned to it.
+   *
+   * @param madeCalls true if it is known by other means that the request made calls
+   */
+  long nestedNanos(String requestId, boolean madeCalls, long nowNanos) {
+    RunningRequest request = requestId == null ? null : running.get(requestId);
+    if (request == null || !request.madeCalls) {
+      return madeCalls ? LearnedCapacity.UNKNOWN_NESTED_NANOS : 0;
+    }
+    return request.callsInFlight == 0
+        ? request.nestedNanos
+        : request.nestedNanos + nowNanos - request.callsSinceNanos;
+  }
+
   /** Records that a request has ended; unknown requests are ignored. */
   void onEnded(String requestId) {
     RunningRequest ended = running.remove(requestId);
