--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/LearnedCapacity.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/LearnedCapacity.java
@@ -19,8 +19,20 @@
 
   private static final double MIN_WORK_NANOS = 1_000;
 
+  /** Fraction of the concurrency below which an upstream is assumed not to slow down. */
+  private static final double LOW_LOAD_FRACTION = 0.5;
+
+  /** Fraction of the concurrency above which requests count for the slowness at a full limit. */
+  private static final double FULL_LOAD_FRACTION = 0.9;
+
+  private static final double SLOWNESS_WEIGHT = 0.02;
+
   private final LearnedLimit limit;
   private final WorkTimes workTimes;
+  private final WorkTimes lowLoadTimes;
+  private double slowness = Double.NaN;
+  private long lastAboveLowNanos = Long.MIN_VALUE;
+  private long lastBelowFullNanos = Long.MIN_VALUE;
   private int inFlight;
 
   /** True while ticks are expected, since requests are in flight. */
@@ -33,6 +45,7 @@
   public LearnedCapacity(LearnedLimit limit, long windowNanos) {
     this.limit = Assert.notNull(limit, "limit");
     this.workTimes = new WorkTimes(windowNanos);
+    this.lowLoadTimes = new WorkTimes(windowNanos);
   }
 
   /** Records that a request has been sent to the upstream. */
@@ -44,6 +57,7 @@
       lastTickNanos = nowNanos;
     }
     limit.onSent(nowNanos);
+    trackLoad(nowNanos);
   }
 
   /**
@@ -55,7 +69,10 @@
   public void onEnded(
       WorkKind kind, long sentAtNanos, long nestedNanos, Completion completion, long nowNanos) {
     detectPause(nowNanos);
+    boolean lowLoad = lastAboveLowNanos == Long.MIN_VALUE || sentAtNanos - lastAboveLowNanos > 0;
+    boolean fullLoad = lastBelowFullNanos != Long.MIN_VALUE && sentAtNanos - lastBelowFullNanos > 0;
     inFlight--;
+    trackLoad(nowNanos);
     boolean valid = validSinceNanos == Long.MIN_VALUE || sentAtNanos - validSinceNanos >= 0;
     if (completion != Completion.SUCCESS || nestedNanos < 0 || !valid) {
       limit.onEnded(0, Double.NaN, sentAtNanos, nowNanos);
@@ -64,6 +81,7 @@
     long workNanos = Math.max(0, nowNanos - sentAtNanos - nestedNanos);
     double meanNanos = workTimes.meanNanos(kind);
     workTimes.record(kind, workNanos, nowNanos);
+    compareLoads(kind, workNanos, lowLoad, fullLoad, nowNanos);
     limit.onEnded(
         workNanos,
         meanNanos < MIN_WORK_NANOS ? Double.NaN : workNanos / meanNanos,
@@ -99,6 +117,33 @@
     return (long) workTimes.meanNanos(kind);
   }
 
+  private void trackLoad(long nowNanos) {
+    if (inFlight > LOW_LOAD_FRACTION * limit.concurrency()) {
+      lastAboveLowNanos = nowNanos;
+    }
+    if (inFlight < FULL_LOAD_FRACTION * limit.concurrency()) {
+      lastBelowFullNanos = nowNanos;
+    }
+  }
+
+  /**
+   * Compares the work times of requests that ran at a low load all the time with those of requests
+   * that ran at a full limit all the time.
+   */
+  private void compareLoads(
+      WorkKind kind, long workNanos, boolean lowLoad, boolean fullLoad, long nowNanos) {
+    if (lowLoad) {
+      lowLoadTimes.record(kind, workNanos, nowNanos);
+    }
+    double lowLoadNanos = lowLoadTimes.meanNanos(kind);
+    if (fullLoad && lowLoadNanos >= MIN_WORK_NANOS) {
+      double relative = workNanos / lowLoadNanos;
+      slowness =
+          Double.isNaN(slowness) ? relative : slowness + SLOWNESS_WEIGHT * (relative - slowness);
+      limit.setSlowness(slowness);
+    }
+  }
+
   /** After a pause, the ends of requests are processed late, also before the next tick. */
   private void detectPause(long nowNanos) {
     if (watching && nowNanos - lastTickNanos > MAX_TICK_INTERVAL_NANOS) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/LearnedLimit.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/admission/LearnedLimit.java
@@ -25,13 +25,32 @@
 
   private static final int START_LEVEL = 1;
 
-  /** Steps that skip levels get past a knee where one level less lowers the throughput. */
-  private static final int[] STEPS = {1, -1, 3};
+  /**
+   * Levels by which a trial lowers the limit. The first one tells whether there is a knee at all,
+   * and gets past levels at which less is served than at a full limit.
+   */
+  private static final int[] DOWN_STEPS = {3, 1};
+
+  private static final int UP_STEP = -1;
+
+  /** Full use of the limit before a trial; a slow period of 600 ms must not start one. */
+  private static final long MIN_USE_NANOS = 1_000_000_000L;
+
+  /** The same if nothing suggests a knee, since the work time at a low load is unknown. */
+  private static final long MIN_USE_WITHOUT_SIGN_NANOS = 4_000_000_000L;
 
-  private static final long MIN_INTERVAL_NANOS = 500_000_000L;
+  private static final long MIN_INTERVAL_NANOS = 1_000_000_000L;
 
-  /** Trials at a lower limit cost throughput; at this interval less than 1% of it. */
-  private static final long MAX_INTERVAL_NANOS = 8_000_000_000L;
+  /** Trials at a lower limit cost throughput; at this interval less than 0.5% of it. */
+  private static final long MAX_DOWN_INTERVAL_NANOS = 30_000_000_000L;
+
+  private static final long MAX_UP_INTERVAL_NANOS = 8_000_000_000L;
+
+  /** Interval of trials with all slots; they gain 5% at most and often slow the upstream down. */
+  private static final long ALL_SLOTS_INTERVAL_NANOS = 30_000_000_000L;
+
+  /** Work time at a full limit, relative to that at a low load, that suggests a knee. */
+  private static final double MIN_SLOWNESS = 1.1;
 
   /** Fraction of the step that a lower limit may cost; a knee costs 0, mere overload all of it. */
   private static final double MAX_LOSS = 0.25;
@@ -55,18 +74,24 @@
   private int inFlight;
   private double meanWorkNanos;
   private LimitTrial trial;
-  private int stepIndex;
+  private int trialStep;
+  private int downStepIndex;
   private int trials;
   private double weightedGain;
   private double weightedThreshold;
+  private double weightedSlowness;
   private double weight;
-  private long intervalNanos = MIN_INTERVAL_NANOS;
+  private double slowness = Double.NaN;
   private boolean started;
-  private long nextTrialAtNanos;
+  private long downIntervalNanos = MIN_INTERVAL_NANOS;
+  private long upIntervalNanos = MIN_INTERVAL_NANOS;
+  private long nextDownAtNanos;
+  private long nextUpAtNanos;
   private long windowStartNanos;
   private int completions;
   private int completionsAtLimit;
   private boolean inUse;
+  private long inUseSinceNanos;
   private boolean learned;
 
   /**
@@ -116,7 +141,11 @@
       trial.onCompletion(atLimit);
     }
     if (nowNanos - windowStartNanos >= windowNanos) {
-      inUse = completionsAtLimit >= IN_USE_FRACTION * completions;
+      boolean usedUp = completionsAtLimit >= IN_USE_FRACTION * completions;
+      if (usedUp && !inUse) {
+        inUseSinceNanos = nowNanos;
+      }
+      inUse = usedUp;
       windowStartNanos = nowNanos;
       completions = 0;
       completionsAtLimit = 0;
@@ -129,12 +158,15 @@
     if (!started) {
       started = true;
       windowStartNanos = nowNanos;
-      nextTrialAtNanos = nowNanos + MIN_INTERVAL_NANOS;
+      nextDownAtNanos = nowNanos + MIN_INTERVAL_NANOS;
+      nextUpAtNanos = nowNanos + upIntervalNanos();
     }
     if (trial != null) {
       trial.onSent(inFlight, nowNanos);
-    } else if (inUse && nowNanos - nextTrialAtNanos >= 0) {
-      startTrial(nowNanos);
+    } else if (inUse
+        && nowNanos - inUseSinceNanos
+            >= (Double.isNaN(slowness) ? MIN_USE_WITHOUT_SIGN_NANOS : MIN_USE_NANOS)) {
+      startTrialIfDue(nowNanos);
     }
   }
 
@@ -159,11 +191,19 @@
     }
   }
 
+  /**
+   * Sets the mean work time of requests at a full limit relative to that of requests at a low load,
+   * or NaN if one of them is unknown. Near 1 there is no knee below the limit to search for.
+   */
+  void setSlowness(double newSlowness) {
+    slowness = newSlowness;
+  }
+
   /** Ends the running trial without a result. */
   void discardTrial(long nowNanos) {
     if (trial != null) {
       trial = null;
-      nextTrialAtNanos = nowNanos + MIN_INTERVAL_NANOS;
+      backOff(nowNanos);
     }
   }
 
@@ -181,18 +221,28 @@
     }
   }
 
-  private void startTrial(long nowNanos) {
-    for (int i = 0; i < STEPS.length; i++) {
-      int other = Math.max(0, Math.min(lowestLevel(), level + STEPS[stepIndex]));
-      if (limitAt(other) != limitAt(level)) {
-        trial =
-            new LimitTrial(
-                limitAt(level), limitAt(other), windowNanos, (long) meanWorkNanos, nowNanos);
-        return;
-      }
-      nextStep();
+  private void startTrialIfDue(long nowNanos) {
+    boolean downDue = nowNanos - nextDownAtNanos >= 0 && !(slowness < MIN_SLOWNESS);
+    if (downDue && startTrial(DOWN_STEPS[downStepIndex], nowNanos)) {
+      return;
+    }
+    if (nowNanos - nextUpAtNanos >= 0 && !startTrial(UP_STEP, nowNanos)) {
+      nextUpAtNanos = nowNanos + ALL_SLOTS_INTERVAL_NANOS;
+    }
+  }
+
+  private boolean startTrial(int step, long nowNanos) {
+    int other = levelAfter(step);
+    if (limitAt(other) == limitAt(level)) {
+      return false;
     }
-    nextTrialAtNanos = nowNanos + MAX_INTERVAL_NANOS;
+    if (step != trialStep) {
+      clearTrials();
+    }
+    trialStep = step;
+    trial =
+        new LimitTrial(limitAt(level), limitAt(other), windowNanos, (long) meanWorkNanos, nowNanos);
+    return true;
   }
 
   private void evaluate(long nowNanos) {
@@ -203,29 +253,57 @@
     weight += trialWeight;
     weightedGain += trialWeight * trial.gain();
     weightedThreshold += trialWeight * (step < 0 ? MAX_LOSS * step : MIN_GAIN * step);
+    weightedSlowness += trialWeight * (trial.gain() - step);
     trial = null;
     double margin = (weightedGain - weightedThreshold) / weight;
     if (Math.abs(margin) < Math.sqrt(1 / weight) && trials < MAX_TRIALS) {
-      nextTrialAtNanos = nowNanos;
+      delay(trialStep, 0, nowNanos);
       return;
     }
+    boolean noKnee = weightedSlowness / weight < Math.log(MIN_SLOWNESS);
+    clearTrials();
     if (margin > 0) {
-      level = Math.max(0, Math.min(lowestLevel(), level + STEPS[stepIndex]));
-      intervalNanos = MIN_INTERVAL_NANOS;
-      clearTrials();
-      nextTrialAtNanos = nowNanos;
+      level = levelAfter(trialStep);
+      downStepIndex = 0;
+      downIntervalNanos = MIN_INTERVAL_NANOS;
+      upIntervalNanos = MIN_INTERVAL_NANOS;
+      delay(UP_STEP, upIntervalNanos(), nowNanos);
+      delay(DOWN_STEPS[0], MIN_INTERVAL_NANOS, nowNanos);
+      delay(trialStep, 0, nowNanos);
     } else {
-      nextStep();
-      nextTrialAtNanos = nowNanos + intervalNanos;
-      if (stepIndex == 0) {
-        intervalNanos = Math.min(MAX_INTERVAL_NANOS, 2 * intervalNanos);
+      if (noKnee && trialStep == DOWN_STEPS[0]) {
+        downIntervalNanos = MAX_DOWN_INTERVAL_NANOS;
       }
+      backOff(nowNanos);
     }
   }
 
-  private void nextStep() {
-    stepIndex = (stepIndex + 1) % STEPS.length;
-    clearTrials();
+  /** Delays the next trial in the direction of the last one, longer each time. */
+  private void backOff(long nowNanos) {
+    if (trialStep == UP_STEP) {
+      delay(trialStep, upIntervalNanos(), nowNanos);
+      upIntervalNanos = Math.min(MAX_UP_INTERVAL_NANOS, 2 * upIntervalNanos);
+    } else {
+      delay(trialStep, downIntervalNanos, nowNanos);
+      downStepIndex = (downStepIndex + 1) % DOWN_STEPS.length;
+      downIntervalNanos = Math.min(MAX_DOWN_INTERVAL_NANOS, 2 * downIntervalNanos);
+    }
+  }
+
+  private void delay(int step, long delayNanos, long nowNanos) {
+    if (step == UP_STEP) {
+      nextUpAtNanos = nowNanos + delayNanos;
+    } else {
+      nextDownAtNanos = nowNanos + delayNanos;
+    }
+  }
+
+  private long upIntervalNanos() {
+    return level <= START_LEVEL ? ALL_SLOTS_INTERVAL_NANOS : upIntervalNanos;
+  }
+
+  private int levelAfter(int step) {
+    return Math.max(0, Math.min(lowestLevel(), level + step));
   }
 
   private void clearTrials() {
@@ -233,6 +311,7 @@
     weight = 0;
     weightedGain = 0;
     weightedThreshold = 0;
+    weightedSlowness = 0;
   }
 
   private int lowestLevel() {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/ExpectedCompletionCost.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/routing/ExpectedCompletionCost.java
@@ -24,7 +24,7 @@
   private static final double DISTANCE_NANOS = 3_000_000;
 
   /** Part of the work time by which a remote target must be better, which prevents oscillation. */
-  private static final double DISTANCE_WORK_FRACTION = 0.1;
+  private static final double DISTANCE_WORK_FRACTION = 0.3;
 
   /** Age at which a report and the mean load of the service have equal weight. */
   private static final double REPORT_AGE_NANOS = 500_000_000;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/UpstreamCapacity.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/UpstreamCapacity.java
@@ -26,8 +26,11 @@
   /** Change of a work time below which callers keep getting the same estimate object. */
   private static final double MIN_CHANGE = 0.02;
 
+  /** Longest name of a process for which an estimate has at most 64 bytes. */
+  private static final int MAX_PROCESS_LENGTH = 47;
+
   private final ServiceName service;
-  private final Optional<ProcessId> process;
+  private final String process;
   private final LearnedCapacity capacity;
   private final TargetEstimate[] estimates = new TargetEstimate[WorkKind.COUNT];
   private long metricsAtNanos;
@@ -35,7 +38,7 @@
   UpstreamCapacity(
       ServiceName service, Optional<ProcessId> process, Optional<LearnedCapacity> capacity) {
     this.service = service;
-    this.process = process;
+    this.process = process.map(ProcessId::toString).orElse(null);
     this.capacity = capacity.orElse(null);
   }
 
@@ -54,9 +57,7 @@
 
   /** Adopts what a caller remembers; ignored if it is about another process. */
   void onEarlierEstimate(WorkKind kind, TargetEstimate estimate) {
-    if (capacity != null
-        && process.isPresent()
-        && process.get().toString().equals(estimate.process())) {
+    if (capacity != null && estimate.process().equals(process)) {
       capacity.adopt(
           kind, estimate.concurrency(), TimeUnit.MICROSECONDS.toNanos(estimate.workMicros()));
     }
@@ -64,7 +65,7 @@
 
   /** Returns the estimate for a kind of request, or empty if it is unknown. */
   Optional<TargetEstimate> estimate(WorkKind kind) {
-    if (capacity == null || process.isEmpty()) {
+    if (capacity == null || process == null || process.length() > MAX_PROCESS_LENGTH) {
       return Optional.empty();
     }
     long workMicros = TimeUnit.NANOSECONDS.toMicros(capacity.workNanos(kind));
@@ -79,7 +80,7 @@
     if (!unchanged) {
       previous =
           new TargetEstimate(
-              process.get().toString(),
+              process,
               Math.min(TargetEstimate.MAX_CONCURRENCY, capacity.concurrency()),
               Math.min(TargetEstimate.MAX_WORK_MICROS, workMicros));
       estimates[kind.index()] = previous;
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/settings/SettingsReaderTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/settings/SettingsReaderTest.java
@@ -57,6 +57,19 @@
     assertThat(settings.shareWaitMillis()).isEqualTo(50);
     assertThat(settings.maxBodyBytes()).isEqualTo(8_388_608);
     assertThat(settings.log()).isEqualTo(new LogSettings(LogFormat.TEXT, LogLevel.INFO));
+    assertThat(settings.learnedCapacity()).isEqualTo(LearnedCapacitySettings.OFF);
+    assertThat(settings.learnedCapacity().enabled()).isFalse();
+  }
+
+  /** Guards against fields of the learned capacity that are not read. */
+  @Test
+  void readsLearnedCapacity() throws Exception {
+    String block =
+        "\"learnedCapacity\": {\"enabled\": true, \"minLimitFraction\": 0.5,"
+            + " \"windowMillis\": 200},";
+    TrafficSettings settings =
+        (TrafficSettings) new SettingsReader().parse(TRAFFIC.replace("/* two relays */", block));
+    assertThat(settings.learnedCapacity()).isEqualTo(new LearnedCapacitySettings(true, 0.5, 200));
   }
 
   /** Guards against fields of the documented control settings that are not read. */
@@ -103,6 +116,16 @@
             + "staleKeys: must be one of \"refuse\", \"serve\"",
         "/* two relays */ | \"shareWaitMillis\": -1 | shareWaitMillis: must be between 0 and 10000",
         "/* two relays */ | \"maxBodyBytes\": 99999999999 | maxBodyBytes: must be between 1 and",
+        "/* two relays */ | \"learnedCapacity\": {\"enabled\": 1} | "
+            + "learnedCapacity.enabled: must be true or false",
+        "/* two relays */ | \"learnedCapacity\": {\"minLimitFraction\": 0.2} | "
+            + "learnedCapacity.minLimitFraction: must be between 0.25 and 1.0",
+        "/* two relays */ | \"learnedCapacity\": {\"minLimitFraction\": \"x\"} | "
+            + "learnedCapacity.minLimitFraction: must be a number",
+        "/* two relays */ | \"learnedCapacity\": {\"windowMillis\": 5} | "
+            + "learnedCapacity.windowMillis: must be between 20 and 1000",
+        "/* two relays */ | \"learnedCapacity\": {\"window\": 5} | "
+            + "learnedCapacity.window: unknown field",
         "/* two relays */ | \"logFormat\": \"xml\" | logFormat: must be one of \"text\", \"json\"",
         "/* two relays */ | \"logLevel\": \"loud\" | logLevel: must be one of",
         "/* two relays */ | \"logLevel\": \"info\", \"logLevel\": \"warn\" | $: must be JSON",
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/NestedCallStatisticsTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/NestedCallStatisticsTest.java
@@ -49,4 +49,28 @@
 
     assertThat(statistics.makesCalls(TrafficClass.INTERACTIVE)).isTrue();
   }
+
+  /** Guards against calls at the same time that count twice, so that no work time remains. */
+  @Test
+  void timeWithNestedCallsIsCountedOnce() {
+    statistics.onStarted("a", TrafficClass.INTERACTIVE);
+    assertThat(statistics.nestedNanos("a", false, 5)).isEqualTo(0);
+    statistics.onCallStarted("a", 10);
+    statistics.onCallStarted("a", 20);
+    statistics.onCallEnded("a", 50);
+    assertThat(statistics.nestedNanos("a", true, 55)).isEqualTo(45);
+    statistics.onCallEnded("a", 60);
+    statistics.onCallStarted("a", 100);
+    statistics.onCallEnded("a", 130);
+    assertThat(statistics.nestedNanos("a", true, 200)).isEqualTo(80);
+  }
+
+  /** Guards against calls of an unknown duration that count as work of the upstream. */
+  @Test
+  void callsOfUnknownParentsMakeTheTimeUnknown() {
+    assertThat(statistics.nestedNanos(null, true, 5)).isLessThan(0);
+    statistics.onStarted("a", TrafficClass.INTERACTIVE);
+    assertThat(statistics.nestedNanos("a", true, 5)).isLessThan(0);
+    assertThat(statistics.nestedNanos("a", false, 5)).isEqualTo(0);
+  }
 }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -55,6 +55,12 @@
   final Fakes.InMemoryClaimClient claims = new Fakes.InMemoryClaimClient();
   final Map<String, MetricRegistry> metrics = new ConcurrentHashMap<>();
 
+  /** Creates the gates of the daemons that are started from now on. */
+  GateFactory gates = (service, slots, now) -> new Fakes.SlotGate(slots);
+
+  /** Creates the local API of the daemons that are started from now on. */
+  LocalApiFactory localApi = LocalApi::new;
+
   private final Map<TargetId, Target> targets = new TreeMap<>((a, b) -> compare(a, b));
   private final List<TrafficDaemon> daemons = new ArrayList<>();
   private final List<ConfigEntity> entities = new ArrayList<>(defaultEntities());
@@ -109,7 +115,8 @@
         };
     return TrafficDaemon.builder(settings, Eventloop.create())
         .withFleet(this, this)
-        .withAdmission(limiter, claims, (service, slots, now) -> new Fakes.SlotGate(slots))
+        .withAdmission(limiter, claims, gates)
+        .withDialect(new DefaultDialect(), localApi)
         .withSelector(selector)
         .withRetries(
             new Fakes.HalvingRetryBudgets(),
