Guard the learned limit against widely varying work times

Cause: the trials of the limit compare means; nothing showed that chance at upstreams whose work times deviate by their mean does not shrink the limit.

--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/LearnedLimitTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/admission/LearnedLimitTest.java
@@ -32,6 +32,7 @@
   private double requestsPerSecond = 2 * SLOTS / WORK_SECONDS;
   private LearnedCapacity capacity;
   private UpstreamGate gate;
+  private double spread = 0.4;
   private int inFlight;
   private int completed;
   private long nestedNanos;
@@ -56,7 +57,8 @@
       if (capacity != null) {
         capacity.onSent(sentAtNanos);
       }
-      double seconds = WORK_SECONDS * Math.exp(0.4 * random.nextGaussian() - 0.08);
+      double seconds =
+          WORK_SECONDS * Math.exp(spread * random.nextGaussian() - spread * spread / 2);
       seconds *= knee.applyAsDouble(inFlight) * slowness.applyAsDouble(sentAtNanos);
       events.after((long) (seconds * SECOND) + nestedNanos, this::end);
     }
@@ -92,6 +94,15 @@
     assertThat((double) learned / ideal).isAtLeast(0.97);
   }
 
+  /** Guards against chance that looks like a knee: work times with a deviation like their mean. */
+  @Test
+  void widelyVaryingWorkTimesDoNotShrinkTheLimit() {
+    spread = 0.83;
+    int fixed = play(new FixedLimit(SLOTS, 0.95), 60);
+    int learned = play(learnedLimit(), 60);
+    assertThat((double) learned / fixed).isAtLeast(0.97);
+  }
+
   /** Guards against a knee far below the slots that stays unknown: work only waits there. */
   @Test
   void kneeOfAQueueAt60PercentIsFound() {
