Merge learned capacity and the choice of targets by it

Change: one settings block each, off by default; replies carry the estimate beside the capacity left for the chain.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsObject.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsObject.java
@@ -87,7 +87,7 @@
     return value.intValue();
   }
 
-  double decimalValue(String field, double defaultValue, double min, double max)
+  double doubleValue(String field, double defaultValue, double min, double max)
       throws SettingsException {
     JsonNode value = optional(field);
     if (value == null) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
@@ -132,6 +132,7 @@
             object.enumConstant("staleKeys", StaleKeys.class, StaleKeys.REFUSE),
             object.intValue("shareWaitMillis", DEFAULT_SHARE_WAIT_MILLIS, 0, MAX_SHARE_WAIT_MILLIS),
             object.intValue("maxBodyBytes", DEFAULT_MAX_BODY_BYTES, 1, MAX_MAX_BODY_BYTES),
+            learnedCapacity(object),
             chainAdmission(object),
             returns(object),
             log(object));
@@ -153,7 +154,7 @@
             block.get().booleanValue("enabled", false),
             block
                 .get()
-                .decimalValue(
+                .doubleValue(
                     "targetUtilisation",
                     ChainAdmissionSettings.DEFAULT_TARGET_UTILISATION,
                     ChainAdmissionSettings.MIN_TARGET_UTILISATION,
@@ -181,6 +182,30 @@
     return returns;
   }
 
+  private static LearnedCapacitySettings learnedCapacity(SettingsObject object)
+      throws SettingsException {
+    Optional<SettingsObject> block = object.object("learnedCapacity");
+    if (block.isEmpty()) {
+      return LearnedCapacitySettings.OFF;
+    }
+    SettingsObject fields = block.get();
+    LearnedCapacitySettings settings =
+        new LearnedCapacitySettings(
+            fields.booleanValue("enabled", LearnedCapacitySettings.OFF.enabled()),
+            fields.doubleValue(
+                "minLimitFraction",
+                LearnedCapacitySettings.OFF.minLimitFraction(),
+                LearnedCapacitySettings.MIN_LIMIT_FRACTION,
+                1),
+            fields.intValue(
+                "windowMillis",
+                LearnedCapacitySettings.OFF.windowMillis(),
+                LearnedCapacitySettings.MIN_WINDOW_MILLIS,
+                LearnedCapacitySettings.MAX_WINDOW_MILLIS));
+    fields.rejectUnknownFields();
+    return settings;
+  }
+
   private static ControlSettings control(SettingsObject object) throws SettingsException {
     VmId vmId = object.textAs("vmId", VmId::new);
     ControlSettings settings =
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/TrafficSettings.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/TrafficSettings.java
@@ -18,6 +18,7 @@
  * @param staleKeys how requests with a client key are treated after that time
  * @param shareWaitMillis maximum time that a request waits for spare rate capacity
  * @param maxBodyBytes maximum size of a request body that the edge accepts
+ * @param learnedCapacity settings of the learned capacity of upstreams
  * @param chainAdmission admission of call chains by the capacity of the called services
  * @param returns when callers that were refused for their rate return
  */
@@ -33,6 +34,7 @@
     StaleKeys staleKeys,
     long shareWaitMillis,
     int maxBodyBytes,
+    LearnedCapacitySettings learnedCapacity,
     ChainAdmissionSettings chainAdmission,
     ReturnSettings returns,
     LogSettings log)
@@ -41,6 +43,7 @@
   /** Makes an unmodifiable copy of the list. */
   public TrafficSettings {
     controlEndpoints = List.copyOf(controlEndpoints);
+    Assert.notNull(learnedCapacity, "learnedCapacity");
     Assert.notNull(chainAdmission, "chainAdmission");
     Assert.notNull(returns, "returns");
   }
@@ -71,6 +74,7 @@
         staleKeys,
         shareWaitMillis,
         maxBodyBytes,
+        LearnedCapacitySettings.OFF,
         ChainAdmissionSettings.OFF,
         ReturnSettings.DEFAULT,
         log);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -59,6 +59,7 @@
   private CallId claimAttempt;
   private Forwarding forwarding;
   private boolean retryUseless;
+  private String parentRequestId;
 
   EdgeRequest(EdgeDependencies dependencies, HttpExchange exchange) {
     this.dependencies = dependencies;
@@ -236,7 +237,10 @@
     }
     boolean nested = parentCallId != null || head.account().equals(EdgeHandler.OPEN_ACCOUNT);
     if (nested && requestId != null) {
-      collaborators.dialect().parentRequestId(requestId).ifPresent(this::onParentKnown);
+      parentRequestId = collaborators.dialect().parentRequestId(requestId).orElse(null);
+      if (parentRequestId != null) {
+        onParentKnown();
+      }
     }
     forwarding =
         new Forwarding(
@@ -250,9 +254,9 @@
     forwarding.start();
   }
 
-  private void onParentKnown(String parentRequestId) {
+  private void onParentKnown() {
     LocalUpstreams upstreams = dependencies.forwarding().upstreams();
-    upstreams.onNestedCall(parentRequestId);
+    upstreams.onNestedCall(parentRequestId, System.nanoTime());
     if (head.metadata().root().isEmpty()) {
       head = head.withRoot(upstreams.rootOf(parentRequestId));
       parentCallRooms = upstreams.callRoomsOf(parentRequestId);
@@ -272,7 +276,18 @@
     }
   }
 
+  private void endNestedCall() {
+    if (parentRequestId != null) {
+      dependencies
+          .forwarding()
+          .upstreams()
+          .onNestedCallAnswered(parentRequestId, System.nanoTime());
+      parentRequestId = null;
+    }
+  }
+
   private void onResult(CallResult result) {
+    endNestedCall();
     settleClaim(result);
     reportRoom();
     if (result instanceof CallResult.Responded answered) {
@@ -313,6 +328,7 @@
     collaborators.metrics().onRefused(RefusalReason.CANCELLED);
     if (forwarding != null && claimKey == null) {
       forwarding.cancel();
+      endNestedCall();
       settleWithParent();
       exchange.respond(HttpResponse.ofStatus(RefusalReason.CANCELLED.httpStatus()));
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -15,6 +15,7 @@
 import org.cornelspoke.protocol.call.CallHead;
 import org.cornelspoke.protocol.call.CallOutcome;
 import org.cornelspoke.protocol.call.CallResult;
+import org.cornelspoke.protocol.call.TargetEstimate;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.transport.link.LinkCall;
 import org.cornelspoke.transport.link.PeerLink;
@@ -145,7 +146,7 @@
     while (true) {
       long now = System.nanoTime();
       Optional<Target> selected =
-          collaborators.selector().select(head.service(), excludedTargets, now);
+          collaborators.selector().select(requestKind, excludedTargets, now);
       if (selected.isEmpty()) {
         complete(resultWithoutTarget());
         return;
@@ -208,7 +209,9 @@
     return head.forAttempt(
         remainingMillis,
         lentAttempts,
-        head.metadata().withTargetNotice(dependencies.notices().of(target.id(), now)));
+        head.metadata()
+            .withTargetNotice(dependencies.notices().of(target.id(), now))
+            .withTargetEstimate(dependencies.estimates().toReturn(target.id(), requestKind, now)));
   }
 
   private void onAttemptEnded(CallOutcome ending) {
@@ -233,6 +236,7 @@
     }
     if (result instanceof CallResult.Responded) {
       dependencies.notices().onResponse(id, ending.metadata().targetNotice(), now);
+      onEstimate(id, ending.metadata().targetEstimate(), now);
     }
     lastResult = result;
     lastRoom = ending.metadata().room();
@@ -252,6 +256,15 @@
     }
   }
 
+  private void onEstimate(TargetId id, Optional<TargetEstimate> estimate, long now) {
+    dependencies.estimates().onResponse(id, requestKind, estimate, now);
+    int concurrency = estimate.isPresent() ? estimate.get().concurrency() : 0;
+    long workMicros = estimate.isPresent() ? estimate.get().workMicros() : 0;
+    collaborators
+        .selector()
+        .onEstimate(id, requestKind, concurrency, TimeUnit.MICROSECONDS.toNanos(workMicros), now);
+  }
+
   /**
    * A refusal by the gate is free for the target, so another target may be tried immediately
    * without a charge on the retry budgets.
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -29,6 +29,7 @@
   final ChainAdmission chains;
   private final UpstreamNoticeTracker noticeTracker = new UpstreamNoticeTracker(System.nanoTime());
   private final UpstreamNoticeLog noticeLog;
+  final UpstreamCapacity capacity;
   final NestedCallStatistics nestedCallStatistics = new NestedCallStatistics();
   private Optional<StatedRate> rate = Optional.empty();
   int slots;
@@ -41,6 +42,7 @@
       Endpoint address,
       Optional<ProcessId> process,
       UpstreamGate gate,
+      UpstreamCapacity capacity,
       ChainAdmission chains,
       UpstreamPool pool,
       TrafficMetrics metrics) {
@@ -49,6 +51,7 @@
     this.service = service;
     this.address = address;
     this.gate = gate;
+    this.capacity = capacity;
     this.pool = pool;
     this.noticeLog = new UpstreamNoticeLog(service, instance(), metrics);
   }
@@ -133,7 +136,6 @@
     return noticeTracker.isLeaving();
   }
 
-
   /** Closes the gate and refuses the queued requests; running ones complete. */
   void onEvacuated(long nowNanos) {
     gate.setEvacuated(true);
@@ -145,6 +147,7 @@
     applyStatements(nowNanos);
     gate.onTick(nowNanos);
     chains.onTick(gate.load(), nowNanos);
+    capacity.onTick(nowNanos);
     noticeLog.onTick(gate.load(), nowNanos);
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -180,6 +180,8 @@
   void onTick(long nowNanos) {
     for (LocalUpstream upstream : new ArrayList<>(upstreams.values())) {
       upstream.onTick(nowNanos);
+      upstream.capacity.updateMetrics(
+          collaborators.metrics().registry(), collaborators.selector(), nowNanos);
     }
     for (LocalUpstream upstream : new ArrayList<>(withdrawnUpstreams)) {
       upstream.onTick(nowNanos);
@@ -211,9 +213,18 @@
     }
   }
 
-  /** Records a nested call made on behalf of the given request. */
-  void onNestedCall(String parentRequestId) {
-    upstreams.values().forEach(upstream -> upstream.nestedCallStatistics.onCall(parentRequestId));
+  /** Records the start of a nested call made on behalf of the given request. */
+  void onNestedCall(String parentRequestId, long nowNanos) {
+    for (LocalUpstream upstream : upstreams.values()) {
+      upstream.nestedCallStatistics.onCallStarted(parentRequestId, nowNanos);
+    }
+  }
+
+  /** Records that the caller of a nested call gets its answer. */
+  void onNestedCallAnswered(String parentRequestId, long nowNanos) {
+    for (LocalUpstream upstream : upstreams.values()) {
+      upstream.nestedCallStatistics.onCallEnded(parentRequestId, nowNanos);
+    }
   }
 
   /** Returns the origin of a running request, or empty if the request is unknown. */
@@ -279,10 +290,11 @@
   }
 
   private LocalUpstream create(Announcement announcement) {
-    UpstreamGate gate =
+    LearningGate learningGate =
         collaborators
             .gates()
-            .create(announcement.service(), announcement.slots(), System.nanoTime());
+            .createLearning(announcement.service(), announcement.slots(), System.nanoTime());
+    UpstreamGate gate = learningGate.gate();
     preset.ifPresent(gate::applyPreset);
     gate.setEvacuated(evacuated);
     UpstreamPool pool =
@@ -300,6 +312,8 @@
             announcement.address(),
             announcement.process(),
             gate,
+            new UpstreamCapacity(
+                announcement.service(), announcement.process(), learningGate.capacity()),
             new ChainAdmission(collaborators, announcement.service(), System.nanoTime()),
             pool,
             collaborators.metrics());
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/settings/SettingsReaderTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/settings/SettingsReaderTest.java
@@ -58,6 +58,19 @@
     assertThat(settings.shareWaitMillis()).isEqualTo(50);
     assertThat(settings.maxBodyBytes()).isEqualTo(8_388_608);
     assertThat(settings.log()).isEqualTo(new LogSettings(LogFormat.TEXT, LogLevel.INFO));
+    assertThat(settings.learnedCapacity()).isEqualTo(LearnedCapacitySettings.OFF);
+    assertThat(settings.learnedCapacity().enabled()).isFalse();
+  }
+
+  /** Guards against fields of the learned capacity that are not read. */
+  @Test
+  void readsLearnedCapacity() throws Exception {
+    String block =
+        "\"learnedCapacity\": {\"enabled\": true, \"minLimitFraction\": 0.5,"
+            + " \"windowMillis\": 200},";
+    TrafficSettings settings =
+        (TrafficSettings) new SettingsReader().parse(TRAFFIC.replace("/* two relays */", block));
+    assertThat(settings.learnedCapacity()).isEqualTo(new LearnedCapacitySettings(true, 0.5, 200));
   }
 
   /** Guards against chain admission that is on without being asked for, or ignores its block. */
@@ -134,6 +147,16 @@
         "/* two relays */ | \"returns\": {\"enabled\": 1} | returns.enabled: must be true or false",
         "/* two relays */ | \"returns\": {\"keepMillis\": 9} | returns.keepMillis: must be between",
         "/* two relays */ | \"returns\": {\"keep\": 9} | returns.keep: unknown field",
+        "/* two relays */ | \"learnedCapacity\": {\"enabled\": 1} | "
+            + "learnedCapacity.enabled: must be true or false",
+        "/* two relays */ | \"learnedCapacity\": {\"minLimitFraction\": 0.2} | "
+            + "learnedCapacity.minLimitFraction: must be between 0.25 and 1.0",
+        "/* two relays */ | \"learnedCapacity\": {\"minLimitFraction\": \"x\"} | "
+            + "learnedCapacity.minLimitFraction: must be a number",
+        "/* two relays */ | \"learnedCapacity\": {\"windowMillis\": 5} | "
+            + "learnedCapacity.windowMillis: must be between 20 and 1000",
+        "/* two relays */ | \"learnedCapacity\": {\"window\": 5} | "
+            + "learnedCapacity.window: unknown field",
         "/* two relays */ | \"logFormat\": \"xml\" | logFormat: must be one of \"text\", \"json\"",
         "/* two relays */ | \"logLevel\": \"loud\" | logLevel: must be one of",
         "/* two relays */ | \"logLevel\": \"info\", \"logLevel\": \"warn\" | $: must be JSON",
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -68,6 +68,9 @@
 
   HttpDialect dialect = new DefaultDialect();
 
+  /** Creates the local API of the daemons that are started from now on. */
+  LocalApiFactory localApi = LocalApi::new;
+
   private final Map<TargetId, Target> targets = new TreeMap<>((a, b) -> compare(a, b));
   private final List<TrafficDaemon> daemons = new ArrayList<>();
   private final List<ConfigEntity> entities = new ArrayList<>(defaultEntities());
@@ -127,12 +130,12 @@
     return TrafficDaemon.builder(settings, Eventloop.create())
         .withFleet(viewsOf(settings.daemonId().value()), this)
         .withAdmission(limiter, claims, gates)
+        .withDialect(dialect, localApi)
         .withSelector(selector)
         .withRetries(
             new Fakes.HalvingRetryBudgets(),
             RetryThrottles.shared(new Fakes.UnlimitedRetryThrottle()))
         .withMetrics(registry)
-        .withDialect(dialect, LocalApi::new)
         .build();
   }
 
