Issue rates after a leader change once all relays have reported

Cause: a new leader withheld all rates until every registered daemon had reported or 5.1 s had passed, so one daemon that never returned after a loss of power kept all accounts refused. Change: relays state that they have reported everything and how long daemons may hold shares of former processes (RelayReady, sent as a HolderReady that the previous build ignores).

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
@@ -343,6 +343,11 @@
     return state.membership();
   }
 
+  /** Returns the membership of the last committed entry that changed it. */
+  public Membership committedMembership() {
+    return state.memberships.at(state.commitIndex);
+  }
+
   /** Returns the last known durable index of a member if this member leads, otherwise 0. */
   public long matchIndex(MemberIdentity identity) {
     return role == Role.LEADER ? leaderState.matchIndex(identity) : 0;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HeldAccount.java
@@ -224,12 +224,18 @@
     return waiters.isEmpty() && nowNanos - lastArrivalAtNanos >= times.idleTimeoutNanos();
   }
 
-  /** Reports a changed demand at once and a steady one at every fifth interval. */
+  /**
+   * Reports a changed demand at once and a steady one at every fifth interval, or twice per lease
+   * if that is sooner.
+   */
   private void reportIfDue(long nowNanos) {
     double change = Math.abs(demand.perSecond(nowNanos) - reportedDemandPerSecond);
     if (change > reportedDemandPerSecond * DEMAND_TOLERANCE_FRACTION
         || shareClient.reportIsOlderThan(
-            STEADY_REPORT_INTERVALS * times.reportIntervalNanos(), nowNanos)) {
+            Math.min(
+                STEADY_REPORT_INTERVALS * times.reportIntervalNanos(),
+                Math.max(times.reportIntervalNanos(), shareClient.grantedLeaseNanos() / 2)),
+            nowNanos)) {
       report(nowNanos);
     }
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RelayedAccount.java
@@ -102,12 +102,16 @@
   /**
    * Starts a new session without a share. The daemons are reset when they next report, and may use
    * their shares until the leases end.
+   *
+   * @return false if the reset belongs to a former session and is ignored
    */
-  void onReset(Reset reset, long nowNanos) {
-    if (shareClient.isCurrent(reset)) {
-      endLease(nowNanos);
-      report(nowNanos);
+  boolean onReset(Reset reset, long nowNanos) {
+    if (!shareClient.isCurrent(reset)) {
+      return false;
     }
+    endLease(nowNanos);
+    report(nowNanos);
+    return true;
   }
 
   void onReport(String holder, Report report, long nowNanos) {
@@ -168,7 +172,7 @@
   private long leaseNanos(long nowNanos) {
     long remainingNanos =
         shareClient.hasLease(nowNanos) ? shareClient.leaseEndNanos() - nowNanos : 0;
-    return (long) (Math.min(times.leaseNanos(), remainingNanos) * LEASE_FRACTION);
+    return (long) (Math.min(times.daemonLeaseNanos(), remainingNanos) * LEASE_FRACTION);
   }
 
   private Optional<Exhaustion> exhaustion(ShareAllocator shareAllocator, long nowNanos) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareClient.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareClient.java
@@ -40,6 +40,7 @@
   private boolean leased;
   private long leaseEndNanos;
   private long lastReportAtNanos;
+  private long grantedLeaseNanos = Long.MAX_VALUE;
   private long requestIntervalNanos = MIN_REQUEST_INTERVAL_NANOS;
   private SentReport acknowledgedReport;
   private double targetBurst = Double.MAX_VALUE;
@@ -87,6 +88,11 @@
     return sequence == 0 || nowNanos - lastReportAtNanos >= ageNanos;
   }
 
+  /** Returns the duration of the lease in the last grant, or the largest value without one. */
+  long grantedLeaseNanos() {
+    return grantedLeaseNanos;
+  }
+
   /** Returns true if a report for waiting requests may be sent outside the report interval. */
   boolean mayRequest(long nowNanos) {
     return reportIsOlderThan(requestIntervalNanos, nowNanos);
@@ -167,6 +173,7 @@
         leased = true;
       }
     }
+    grantedLeaseNanos = grant.leaseNanos();
     targetBurst = grant.targetBurst();
     exhaustion = grant.exhaustion();
     exhaustedEndNanos = nowNanos + exhaustion.map(Exhaustion::nanos).orElse(0L);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -29,10 +28,9 @@
 
   private final ShareTimes times;
   private final BiConsumer<String, ShareMessage> toHolder;
-  private long quietPeriodEndNanos;
+  private final RecoveryPeriod recovery;
   private final long unrecordedShareEndNanos;
   private final Map<AccountId, OwnedAccount> accounts = new HashMap<>();
-  private final Set<String> readyHolders = new HashSet<>();
   private long leadershipProvedAtNanos;
 
   private record OwnedAccount(TokenBucket spare, ShareAllocator allocator, Account account) {}
@@ -47,7 +45,7 @@
       ShareTimes times, BiConsumer<String, ShareMessage> toHolder, long electedAtNanos) {
     this.times = Assert.notNull(times, "times");
     this.toHolder = Assert.notNull(toHolder, "toHolder");
-    quietPeriodEndNanos = electedAtNanos + times.quietPeriodNanos();
+    recovery = new RecoveryPeriod(electedAtNanos + times.quietPeriodNanos());
     unrecordedShareEndNanos = electedAtNanos + times.quietPeriodNanos();
     leadershipProvedAtNanos = electedAtNanos;
   }
@@ -65,14 +63,12 @@
 
   /** Records that a daemon has reported, through its current relay, everything it holds. */
   public void onReady(String holder) {
-    readyHolders.add(Assert.notNull(holder, "holder"));
+    recovery.onHolderReady(holder);
   }
 
   /** Returns the given daemons that have not yet reported everything they hold to this owner. */
   public Set<String> unreadyHolders(Collection<String> holders) {
-    Set<String> missing = new LinkedHashSet<>(holders);
-    missing.removeAll(readyHolders);
-    return missing;
+    return recovery.unreadyHolders(holders);
   }
 
   /**
@@ -82,9 +78,53 @@
    * @param holders all daemons that may hold a share
    */
   public void endQuietPeriodIfReady(Collection<String> holders, long nowNanos) {
-    if (isInQuietPeriod(nowNanos) && unreadyHolders(holders).isEmpty()) {
-      quietPeriodEndNanos = nowNanos;
+    recovery.endIfHoldersReady(holders, nowNanos);
+  }
+
+  /**
+   * Records that a relay has reported, in its current session, everything it holds and has issued.
+   *
+   * @param unknownNanos time for which daemons may still hold shares that the relay has issued and
+   *     forgotten, by the clock of the relay
+   */
+  public void onRelayReady(String relay, long unknownNanos, long nowNanos) {
+    recovery.onRelayReady(relay, unknownNanos, nowNanos);
+  }
+
+  /** Returns the given relays that have not reported, or whose former shares may be unknown. */
+  public Set<String> incompleteRelays(Collection<String> relays, long nowNanos) {
+    return recovery.incompleteRelays(relays, nowNanos);
+  }
+
+  /**
+   * Ends the quiet period early if every relay has reported what it holds, whether or not every
+   * daemon has.
+   *
+   * @param relays all relays that may hold or have issued shares
+   */
+  public void endQuietPeriodIfRelaysComplete(Collection<String> relays, long nowNanos) {
+    recovery.endIfRelaysComplete(relays, nowNanos);
+  }
+
+  /** Returns the rate, over all accounts, that is configured but not known to be held. */
+  public double withheldRatePerSecond(long nowNanos) {
+    double withheld = 0;
+    if (isInQuietPeriod(nowNanos)) {
+      for (OwnedAccount owned : accounts.values()) {
+        if (owned.account() != null) {
+          withheld += Math.max(0, owned.account().rateTokensPerSecond() - owned.allocator().rate());
+        }
+      }
     }
+    return withheld;
+  }
+
+  /** Returns the rate of all configured accounts. */
+  public double configuredRatePerSecond() {
+    return accounts.values().stream()
+        .filter(owned -> owned.account() != null)
+        .mapToDouble(owned -> owned.account().rateTokensPerSecond())
+        .sum();
   }
 
   /** Sets the configured accounts. A lower rate or burst takes effect by recall. */
@@ -119,12 +159,17 @@
     if (!isLeadershipProved(nowNanos)) {
       if (message instanceof Return returned) {
         owned.allocator().onReturn(holder, returned, nowNanos);
+      } else {
+        recovery.onReportMissed();
       }
       return;
     }
     prepare(owned, nowNanos);
     if (message instanceof Report report) {
-      owned.allocator().onReport(holder, report, isInQuietPeriod(nowNanos), nowNanos);
+      boolean adopting = isInQuietPeriod(nowNanos);
+      if (!owned.allocator().onReport(holder, report, adopting, nowNanos) && adopting) {
+        recovery.onReportMissed();
+      }
     } else if (message instanceof Return returned) {
       owned.allocator().onReturn(holder, returned, nowNanos);
     }
@@ -152,7 +197,7 @@
 
   /** Returns true while nothing is issued because shares of an earlier leader may be unknown. */
   public boolean isInQuietPeriod(long nowNanos) {
-    return nowNanos - quietPeriodEndNanos < 0;
+    return recovery.isActive(nowNanos);
   }
 
   private void prepare(OwnedAccount owned, long nowNanos) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareRelay.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareRelay.java
@@ -27,6 +27,8 @@
   private final Map<AccountId, RelayedAccount> accounts = new HashMap<>();
   private boolean connected;
   private long connectionSession;
+  private boolean started;
+  private long unknownSharesEndNanos;
 
   /**
    * Creates a relay without shares.
@@ -41,6 +43,32 @@
     this.toHolder = Assert.notNull(toHolder, "toHolder");
   }
 
+  /**
+   * States that no former process of this relay issues shares any more. Without this call, daemons
+   * count as holding shares of a former process for ever.
+   *
+   * @param formerLeaseNanos longest lease of a share that a former process has issued
+   */
+  public void start(long formerLeaseNanos, long nowNanos) {
+    started = true;
+    unknownSharesEndNanos = nowNanos;
+    markSharesUnknown(formerLeaseNanos, nowNanos);
+  }
+
+  private void markSharesUnknown(long leaseNanos, long nowNanos) {
+    long endNanos = nowNanos + ShareTimes.expiryNanos(leaseNanos);
+    if (endNanos - unknownSharesEndNanos > 0) {
+      unknownSharesEndNanos = endNanos;
+    }
+  }
+
+  /**
+   * Returns how much longer daemons may hold shares that this relay has issued and does not report.
+   */
+  public long unknownSharesNanos(long nowNanos) {
+    return started ? Math.max(0, unknownSharesEndNanos - nowNanos) : times.quietPeriodNanos();
+  }
+
   /**
    * Opens a session with a leader.
    *
@@ -69,7 +97,9 @@
     } else if (message instanceof Recall recall) {
       account.onRecall(recall, nowNanos);
     } else if (message instanceof Reset reset) {
-      account.onReset(reset, nowNanos);
+      if (account.onReset(reset, nowNanos)) {
+        markSharesUnknown(times.daemonLeaseNanos(), nowNanos);
+      }
     }
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareTimes.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareTimes.java
@@ -11,13 +11,16 @@
  *     renews and issues nothing
  * @param idleTimeoutNanos time without requests after which a holder returns its whole share
  * @param maxWaitNanos longest time for which a request waits for a token
+ * @param daemonLeaseNanos longest lease of a daemon; after a restart of its relay, a daemon that
+ *     does not report may hold an unknown share for this long
  */
 public record ShareTimes(
     long leaseNanos,
     long reportIntervalNanos,
     long proofValidityNanos,
     long idleTimeoutNanos,
-    long maxWaitNanos) {
+    long maxWaitNanos,
+    long daemonLeaseNanos) {
 
   /** Longest wait of a request unless configured otherwise. */
   private static final long DEFAULT_MAX_WAIT_NANOS = 50_000_000L;
@@ -68,6 +71,9 @@
     Assert.isTrue(
         maxWaitNanos > 0 && maxWaitNanos < leaseNanos,
         "maxWaitNanos must be positive and below leaseNanos");
+    Assert.isTrue(
+        daemonLeaseNanos > reportIntervalNanos && daemonLeaseNanos <= leaseNanos,
+        "daemonLeaseNanos must be above reportIntervalNanos and at most leaseNanos");
   }
 
   /** Creates times with the default wait of 50 ms. */
@@ -78,13 +84,30 @@
         reportIntervalNanos,
         proofValidityNanos,
         idleTimeoutNanos,
-        DEFAULT_MAX_WAIT_NANOS);
+        DEFAULT_MAX_WAIT_NANOS,
+        leaseNanos);
   }
 
   /** Returns these times with another longest wait of requests. */
   public ShareTimes withMaxWaitNanos(long newMaxWaitNanos) {
     return new ShareTimes(
-        leaseNanos, reportIntervalNanos, proofValidityNanos, idleTimeoutNanos, newMaxWaitNanos);
+        leaseNanos,
+        reportIntervalNanos,
+        proofValidityNanos,
+        idleTimeoutNanos,
+        newMaxWaitNanos,
+        daemonLeaseNanos);
+  }
+
+  /** Returns these times with another longest lease of daemons. */
+  public ShareTimes withDaemonLeaseNanos(long newDaemonLeaseNanos) {
+    return new ShareTimes(
+        leaseNanos,
+        reportIntervalNanos,
+        proofValidityNanos,
+        idleTimeoutNanos,
+        maxWaitNanos,
+        newDaemonLeaseNanos);
   }
 
   /** Returns how long the waiting requests of a report are taken into account. */
@@ -120,7 +143,7 @@
   /**
    * Returns how long a new leader issues nothing, so that all leases of earlier leaders end before.
    */
-  long quietPeriodNanos() {
+  public long quietPeriodNanos() {
     return (long) ((leaseNanos + proofValidityNanos) * CLOCK_MARGIN_FACTOR);
   }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/protocol/quota/ShareMessageCodec.java
@@ -8,6 +8,7 @@
 import org.cornelspoke.coordination.quota.Exhaustion;
 import org.cornelspoke.coordination.quota.ShareFrame;
 import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
+import org.cornelspoke.coordination.quota.ShareFrame.RelayReady;
 import org.cornelspoke.coordination.quota.ShareMessage;
 import org.cornelspoke.coordination.quota.ShareMessage.Grant;
 import org.cornelspoke.coordination.quota.ShareMessage.Recall;
@@ -55,6 +56,14 @@
   private static final int TOKEN_REQUEST_FIELDS = 5;
   private static final int TOKEN_REPLY_FIELDS = 7;
   private static final int SHARE_FIELDS = 3;
+
+  /**
+   * Separates the fields of a {@link RelayReady}, which is sent as the holder's name in a {@link
+   * HolderReady}: the previous build takes it for a daemon that nobody waits for, but closes the
+   * connection on an unknown type. No daemon's name contains this character.
+   */
+  private static final char RELAY_READY_SEPARATOR = '=';
+
   private static final int EXHAUSTION_FIELDS = 2;
 
   /** Traffic classes by their code on the wire, which is the index. */
@@ -151,6 +160,10 @@
       packer.packArrayHeader(HOLDER_READY_FIELDS);
       packer.packInt(HOLDER_READY);
       packer.packString(ready.holder());
+    } else if (message instanceof RelayReady ready) {
+      packer.packArrayHeader(HOLDER_READY_FIELDS);
+      packer.packInt(HOLDER_READY);
+      packer.packString(ready.relay() + RELAY_READY_SEPARATOR + ready.unknownMillis());
     }
   }
 
@@ -173,9 +186,22 @@
     }
   }
 
+  private static ShareFrame readReady(String name) throws IOException {
+    int separator = name.indexOf(RELAY_READY_SEPARATOR);
+    if (separator < 0) {
+      return new HolderReady(name);
+    }
+    try {
+      return new RelayReady(
+          name.substring(0, separator), Long.parseLong(name.substring(separator + 1)));
+    } catch (IllegalArgumentException e) {
+      throw new IOException("malformed statement of a relay: " + name, e);
+    }
+  }
+
   private static ShareFrame readFields(MessageUnpacker unpacker, int type) throws IOException {
     if (type == HOLDER_READY) {
-      return new HolderReady(unpacker.unpackString());
+      return readReady(unpacker.unpackString());
     }
     AccountId account = new AccountId(unpacker.unpackString());
     long session = unpacker.unpackLong();
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/SizedShareFleet.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/SizedShareFleet.java
@@ -51,6 +51,7 @@
   private static final RaftSettings RAFT = RaftSettings.DEFAULT;
   private static final ShareTimes TIMES =
       new ShareTimes(3_500 * MILLI, 300 * MILLI, 1_500 * MILLI, 4 * SECOND)
+          .withDaemonLeaseNanos(2_000 * MILLI)
           .withMaxWaitNanos(WAIT_NANOS);
 
   final SimulatedNetwork network;
--- a/cornelspoke-core/src/test/java/org/cornelspoke/protocol/quota/ShareMessageCodecTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/protocol/quota/ShareMessageCodecTest.java
@@ -49,7 +49,8 @@
           new ShareMessage.Recall(ACCOUNT, 5, SHARE, true),
           new ShareMessage.Return(ACCOUNT, 5, 6, SHARE),
           new ShareMessage.UnrecordedShare(ACCOUNT, 5, SHARE, 1_500_000_000L),
-          new ShareFrame.HolderReady("10.1.0.7"));
+          new ShareFrame.HolderReady("10.1.0.7"),
+          new ShareFrame.RelayReady("control-2", 1_730));
 
   @Test
   void everyMessageRoundTrips() throws IOException {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -7,7 +7,6 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.security.SecureRandom;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -238,14 +237,19 @@
     return appliedIndex;
   }
 
+  /** Returns the committed membership; must be called after {@link #start}. */
+  public Membership committedMembership() {
+    return node.committedMembership();
+  }
+
   /** Returns the current members; match indexes are known on the leader only. */
   public List<MemberStatus> members() {
-    List<MemberStatus> result = new ArrayList<>();
-    for (Member member : node.membership().members()) {
-      boolean leads = node.leader().filter(member.identity()::equals).isPresent();
-      result.add(new MemberStatus(member, node.matchIndex(member.identity()), leads));
-    }
-    return result;
+    return node.membership().members().stream().map(this::status).toList();
+  }
+
+  private MemberStatus status(Member member) {
+    boolean leads = node.leader().filter(member.identity()::equals).isPresent();
+    return new MemberStatus(member, node.matchIndex(member.identity()), leads);
   }
 
   /**
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -75,7 +75,18 @@
     }
     this.consensus = builder.build();
     this.shares =
-        new RelayShares(control(), settings.vmId(), consensus, stateMachine.config(), profile);
+        new RelayShares(
+            control(),
+            settings.vmId(),
+            consensus,
+            stateMachine.config(),
+            consensus::committedMembership,
+            new RelayHistory(
+                settings.dataFolder(),
+                profile.shareTimes.quietPeriodNanos(),
+                profile.shareTimes.daemonLeaseNanos()),
+            new WithheldRates(metrics()),
+            profile);
     this.relay =
         RelayServer.builder()
             .withReactor(control())
@@ -167,6 +178,7 @@
    * Updates the relay's peers. With automatic membership, all control VMs use the same relay port.
    */
   private void onMembershipChanged(Membership membership) {
+    shares.setMembership(membership);
     if (settings.formation() == GroupFormation.OPERATED) {
       return;
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -12,11 +12,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.cornelspoke.coordination.consensus.Member;
+import org.cornelspoke.coordination.consensus.Membership;
 import org.cornelspoke.coordination.consensus.ReplicatedLog;
 import org.cornelspoke.coordination.quota.FloorRateLimiter;
 import org.cornelspoke.coordination.quota.ShareFrame;
 import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
+import org.cornelspoke.coordination.quota.ShareFrame.RelayReady;
 import org.cornelspoke.coordination.quota.ShareMessage;
 import org.cornelspoke.coordination.quota.ShareOwner;
 import org.cornelspoke.coordination.quota.ShareRelay;
@@ -54,12 +58,13 @@
   /** Minimum interval between batches to the owner; a twentieth of the maximum wait for a token. */
   private static final long MIN_BATCH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
-  private static final long WITHHELD_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   private final NioReactor reactor;
   private final VmId localVmId;
   private final ReplicatedLog replicatedLog;
   private final ConfigState config;
+  private final Supplier<Membership> committedMembership;
+  private final RelayHistory history;
+  private final WithheldRates withheldRates;
   private final ShareTimes times;
   private final double sharedBurstFraction;
   private final ShareRelay shareRelay;
@@ -70,10 +75,9 @@
   private final Set<DaemonId> readyDaemons = new LinkedHashSet<>();
   private RelayServer relayServer;
   private Optional<ShareOwner> owner = Optional.empty();
-  private long withheldLoggedAtNanos;
-  private long issuingLoggedTerm = -1;
   private long ownerTerm;
   private boolean leadershipConfirmed;
+  private Set<VmId> membersInForce = Set.of();
   private Revision ownerConfigRevision = Revision.NONE;
   private boolean burstReservedForFloors = true;
   private int peakDaemonCount;
@@ -89,7 +93,13 @@
       VmId localVmId,
       ReplicatedLog replicatedLog,
       ConfigState config,
+      Supplier<Membership> committedMembership,
+      RelayHistory history,
+      WithheldRates withheldRates,
       ControlProfile profile) {
+    this.committedMembership = committedMembership;
+    this.history = history;
+    this.withheldRates = withheldRates;
     this.times = profile.shareTimes;
     this.sharedBurstFraction = profile.sharedBurstFraction;
     this.reactor = reactor;
@@ -100,8 +110,15 @@
     this.shareRelay = new ShareRelay(times, ownerSender::add, this::sendToDaemon);
   }
 
-  void start(RelayServer relayServer) {
+  /**
+   * Starts to issue shares.
+   *
+   * @throws IOException if the history can't be read or written
+   */
+  void start(RelayServer relayServer) throws IOException {
     this.relayServer = relayServer;
+    history.open(System.nanoTime());
+    shareRelay.start(history.formerLeaseNanos(), System.nanoTime());
     this.leadershipCheckedAtNanos =
         System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(LEADERSHIP_CHECK_INTERVAL_MILLIS);
     tick();
@@ -110,6 +127,12 @@
   void stop() {
     scheduledTick.cancel();
     scheduledTurn.ifPresent(ScheduledRunnable::cancel);
+    history.close();
+  }
+
+  void setMembership(Membership membership) {
+    membersInForce = vmIds(membership);
+    history.setMembers(membersInForce, System.nanoTime());
   }
 
   @Override
@@ -154,6 +177,7 @@
     enqueueWork(
         () ->
             currentOwner(System.nanoTime())
+                .filter(current -> isServed(relay))
                 .ifPresent(
                     current -> {
                       relayReplies.computeIfAbsent(relay, unused -> new ArrayList<>());
@@ -168,20 +192,42 @@
     } else if (frame instanceof HolderReady ready) {
       current.onReady(ready.holder());
       issueSharesIfReady(current, nowNanos);
+    } else if (frame instanceof RelayReady ready) {
+      current.onRelayReady(
+          relay.value(), TimeUnit.MILLISECONDS.toNanos(ready.unknownMillis()), nowNanos);
+      issueSharesIfReady(current, nowNanos);
     }
   }
 
   /**
-   * Ends the period without new shares once all registered daemons are ready. The registry of
-   * daemons is complete only after leadership is confirmed, which requires that all earlier log
-   * entries are applied.
+   * Ends the period without new shares once all registered daemons or all relays are ready. The
+   * registry of daemons and the membership are complete only after leadership is confirmed, which
+   * requires that all earlier log entries are applied.
    */
   private void issueSharesIfReady(ShareOwner current, long nowNanos) {
     if (leadershipConfirmed) {
       current.endQuietPeriodIfReady(registeredDaemons(), nowNanos);
+      current.endQuietPeriodIfRelaysComplete(relays(nowNanos), nowNanos);
     }
   }
 
+  private Set<String> relays(long nowNanos) {
+    return history.vms(nowNanos).stream().map(VmId::value).collect(Collectors.toSet());
+  }
+
+  /**
+   * Returns whether the owner serves a relay. An owner that served a VM whose addition to the group
+   * is not committed, or whose removal is appended, would issue shares to a relay that its
+   * successor does not wait for.
+   */
+  private boolean isServed(VmId relay) {
+    return membersInForce.contains(relay) && vmIds(committedMembership.get()).contains(relay);
+  }
+
+  private static Set<VmId> vmIds(Membership membership) {
+    return membership.members().stream().map(Member::vmId).collect(Collectors.toSet());
+  }
+
   private Set<String> registeredDaemons() {
     return relayServer.registeredDaemons().stream()
         .map(DaemonId::value)
@@ -277,6 +323,7 @@
   private void tick() {
     scheduledTick = reactor.delayBackground(TICK_INTERVAL_MILLIS, this::tick);
     long nowNanos = System.nanoTime();
+    history.store(nowNanos);
     updateOwner(nowNanos);
     connectToLeader(nowNanos);
     owner.ifPresent(current -> current.onTick(nowNanos));
@@ -306,11 +353,12 @@
 
   private void updateOwner(long nowNanos) {
     if (currentOwner(nowNanos).isEmpty()) {
+      withheldRates.onNotOwner();
       return;
     }
     ShareOwner current = owner.get();
     issueSharesIfReady(current, nowNanos);
-    logIssuingState(current, nowNanos);
+    withheldRates.update(current, ownerTerm, registeredDaemons(), relays(nowNanos), nowNanos);
     boolean floorsInUse = floorsInUse();
     if (!config.revision().equals(ownerConfigRevision) || floorsInUse != burstReservedForFloors) {
       ownerConfigRevision = config.revision();
@@ -331,21 +379,6 @@
     }
   }
 
-  private void logIssuingState(ShareOwner current, long nowNanos) {
-    boolean withheld = current.isInQuietPeriod(nowNanos);
-    if (withheld && nowNanos - withheldLoggedAtNanos >= WITHHELD_LOG_INTERVAL_NANOS) {
-      withheldLoggedAtNanos = nowNanos;
-      LOGGER.log(
-          Level.INFO,
-          "event=rate-shares-withheld term={0} missingDaemons={1}",
-          ownerTerm,
-          current.unreadyHolders(registeredDaemons()));
-    } else if (!withheld && issuingLoggedTerm != ownerTerm) {
-      issuingLoggedTerm = ownerTerm;
-      LOGGER.log(Level.INFO, "event=rate-shares-issued term={0}", ownerTerm);
-    }
-  }
-
   /**
    * Returns whether daemons admit requests on rate floors. Once the fleet has been too large for
    * floors they stay disabled, even if it shrinks; the daemons apply the same rule.
@@ -401,6 +434,10 @@
       lastSessionId = Math.max(lastSessionId + 1, wallClockMicros());
       ownerSender.clear();
       shareRelay.onConnected(lastSessionId, nowNanos);
+      ownerSender.add(
+          new RelayReady(
+              localVmId.value(),
+              TimeUnit.NANOSECONDS.toMillis(shareRelay.unknownSharesNanos(nowNanos)) + 1));
       List.copyOf(readyDaemons).forEach(daemon -> ownerSender.add(new HolderReady(daemon.value())));
     }
   }
