Test the bound through losses of power, cut off relays and removed registrations

Cause: ShareBoundTest has no loss of power, no daemons that never return, no relays that stay with a former leader and no leaders that stop withholding early.

--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ShareCluster.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ShareCluster.java
@@ -1,7 +1,11 @@
 package org.cornelspoke.coordination.quota;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.cornelspoke.model.AccountId;
 import org.cornelspoke.state.config.Account;
@@ -22,12 +26,53 @@
   private final RandomGenerator random;
   private final double clockError;
   private final boolean quietAfterElection;
+  private final ShareTimes times;
+  private final Recovery recovery;
+  private final Set<String> unregisteredDaemons = new HashSet<>();
   private Leader leader;
   private Account account;
   private long nextSession = 1;
+  private long lastTerm;
   int refused;
   int messages;
 
+  /** How a new leader learns that it may issue shares before the quiet period ends. */
+  enum Recovery {
+    /** It waits for the whole quiet period. */
+    TIME_ONLY,
+
+    /** It waits for all relays, or for all registered daemons. */
+    REPORTS,
+
+    /** It waits for all relays only. */
+    RELAY_REPORTS,
+
+    /** Injects a fault: relays do not state that former processes have issued shares. */
+    RESTARTS_IGNORED,
+
+    /** Injects a fault: the leader does not wait for relays that do not report. */
+    CUT_OFF_RELAYS_IGNORED
+  }
+
+  /** Creates a cluster whose leaders wait for the quiet period. */
+  ShareCluster(
+      RandomGenerator random,
+      Account account,
+      int relayCount,
+      int daemonsPerRelay,
+      double clockError,
+      boolean quietAfterElection) {
+    this(
+        random,
+        account,
+        relayCount,
+        daemonsPerRelay,
+        clockError,
+        quietAfterElection,
+        ShareTimes.DEFAULT,
+        Recovery.TIME_ONLY);
+  }
+
   /**
    * Creates a cluster. A false {@code quietAfterElection} injects a fault that checks must detect.
    */
@@ -37,7 +82,11 @@
       int relayCount,
       int daemonsPerRelay,
       double clockError,
-      boolean quietAfterElection) {
+      boolean quietAfterElection,
+      ShareTimes times,
+      Recovery recovery) {
+    this.times = times;
+    this.recovery = recovery;
     this.random = random;
     this.account = account;
     this.clockError = clockError;
@@ -71,6 +120,87 @@
     }
   }
 
+  /**
+   * Elects a new leader that a relay does not follow; the relay stays with the former leader until
+   * it is connected again.
+   */
+  void changeLeaderWithout(Relay cutOff) {
+    Leader former = leader;
+    former.isolated = true;
+    leader = new Leader();
+    Leader elected = leader;
+    for (Relay relay : relays) {
+      if (relay != cutOff) {
+        network.after((long) (random.nextDouble() * SECOND / 5), () -> relay.connect(elected));
+      }
+    }
+  }
+
+  /**
+   * Stops the leader and all relays and daemons at once. Relays and daemons start again, except
+   * some daemons, and follow a new leader.
+   */
+  void losePower() {
+    leader.stopped = true;
+    for (Relay relay : relays) {
+      relay.stop();
+    }
+    for (Daemon daemon : daemons) {
+      if (random.nextInt(4) == 0) {
+        // This daemon is out of reach but keeps its power and its shares.
+        daemon.disconnect();
+        daemon.away = true;
+      } else {
+        daemon.stop();
+        daemon.away = random.nextInt(4) == 0;
+      }
+      if (daemon.away && random.nextBoolean()) {
+        network.after(
+            8 * SECOND,
+            () -> {
+              daemon.away = false;
+              daemon.connect(daemon.attached);
+            });
+      }
+    }
+    network.after(
+        (long) ((0.2 + random.nextDouble()) * SECOND),
+        () -> {
+          Leader elected = new Leader();
+          leader = elected;
+          for (Relay relay : relays) {
+            relay.start();
+            network.after((long) (random.nextDouble() * SECOND / 5), () -> relay.connect(elected));
+          }
+          for (Daemon daemon : daemons) {
+            if (!daemon.away) {
+              network.after(
+                  (long) (random.nextDouble() * SECOND / 5), () -> daemon.connect(daemon.attached));
+            }
+          }
+        });
+  }
+
+  /**
+   * Removes the registration of a daemon, which keeps its share. Control VMs remember the daemon
+   * for a quiet period, also through a restart.
+   */
+  void unregister(Daemon daemon) {
+    network.after(
+        times.quietPeriodNanos(), () -> unregisteredDaemons.add(String.valueOf(daemon.index)));
+  }
+
+  void register(Daemon daemon) {
+    unregisteredDaemons.remove(String.valueOf(daemon.index));
+  }
+
+  private Set<String> registeredDaemons() {
+    return daemons.stream()
+        .map(daemon -> String.valueOf(daemon.index))
+        .filter(id -> !unregisteredDaemons.contains(id))
+        .collect(Collectors.toSet());
+  }
+
   Leader leader() {
     return leader;
   }
@@ -85,11 +215,15 @@
     private final SimulatedNetwork.Clock clock = network.new Clock(clockError);
     private final List<SimulatedNetwork.Connection> connections = new ArrayList<>();
     private final ShareOwner owner;
+    private final long term = ++lastTerm;
     private boolean isolated;
+    private boolean stopped;
+    private long issuingAtNanos = -1;
+    private final Set<String> seenRelays = new HashSet<>();
 
     Leader() {
       long elected = clock.now() - (quietAfterElection ? 0 : 100 * SECOND);
-      owner = new ShareOwner(ShareTimes.DEFAULT, this::send, elected);
+      owner = new ShareOwner(times, this::send, elected);
       owner.confirmLeadership(clock.now());
       owner.setAccounts(List.of(account), clock.now());
       for (int i = 0; i < 16; i++) {
@@ -113,9 +247,33 @@
       }
     }
 
+    /** Returns the true time at which the leader was first seen to issue shares, or -1. */
+    long issuingAtNanos() {
+      return issuingAtNanos;
+    }
+
+    private void endQuietPeriodIfReady() {
+      if (recovery == Recovery.REPORTS) {
+        owner.endQuietPeriodIfReady(registeredDaemons(), clock.now());
+      }
+      if (recovery == Recovery.CUT_OFF_RELAYS_IGNORED) {
+        owner.endQuietPeriodIfRelaysComplete(seenRelays, clock.now());
+      } else if (recovery != Recovery.TIME_ONLY) {
+        owner.endQuietPeriodIfRelaysComplete(
+            IntStream.range(0, relays.size()).mapToObj(String::valueOf).toList(), clock.now());
+      }
+      if (issuingAtNanos < 0 && !owner.isInQuietPeriod(clock.now())) {
+        issuingAtNanos = network.nowNanos();
+      }
+    }
+
     private void tick() {
+      if (stopped) {
+        return;
+      }
       if (!isolated) {
         owner.confirmLeadership(clock.now());
+        endQuietPeriodIfReady();
       }
       owner.onTick(clock.now());
       network.after(TICK_NANOS, this::tick);
@@ -130,6 +288,9 @@
     private Leader connectedLeader;
     private SimulatedNetwork.Connection uplink;
 
+    private final Set<Daemon> readyDaemons = new HashSet<>();
+    private long knownTerm;
+
     Relay(int index) {
       this.index = index;
       start();
@@ -137,15 +298,43 @@
     }
 
     private void start() {
-      relay = new ShareRelay(ShareTimes.DEFAULT, this::sendUp, this::sendDown);
+      disconnectDaemons();
+      relay = new ShareRelay(times, this::sendUp, this::sendDown);
+      relay.start(times.daemonLeaseNanos(), clock.now());
+    }
+
+    void stop() {
+      disconnect();
+      disconnectDaemons();
+      relay = new ShareRelay(times, message -> {}, (holder, message) -> {});
+    }
+
+    private void disconnectDaemons() {
+      daemons.stream().filter(daemon -> daemon.attached == this).forEach(Daemon::disconnect);
     }
 
     void connect(Leader target) {
+      if (recovery != Recovery.TIME_ONLY && target.term < knownTerm) {
+        // The relay's VM has learned of a later term and follows no earlier leader.
+        return;
+      }
+      knownTerm = target.term;
       disconnect();
       connectedLeader = target;
       uplink = network.new Connection((long) (MILLI * (0.5 + random.nextDouble())));
       target.connections.set(index, uplink);
       relay.onConnected(newSession(), clock.now());
+      long unknownNanos =
+          recovery == Recovery.RESTARTS_IGNORED ? 0 : relay.unknownSharesNanos(clock.now());
+      SimulatedNetwork.Connection connection = uplink;
+      uplink.send(
+          () -> {
+            if (connection.isOpen()) {
+              target.seenRelays.add(String.valueOf(index));
+              target.owner.onRelayReady(String.valueOf(index), unknownNanos, target.clock.now());
+            }
+          });
+      readyDaemons.forEach(this::sendReady);
     }
 
     void disconnect() {
@@ -157,9 +346,9 @@
 
     void restart(long downNanos) {
       disconnect();
-      List<Daemon> attached = daemons.stream().filter(d -> d.attached == this).toList();
+      List<Daemon> attached = daemons.stream().filter(d -> d.attached == this && !d.away).toList();
       attached.forEach(Daemon::disconnect);
-      relay = new ShareRelay(ShareTimes.DEFAULT, message -> {}, (holder, message) -> {});
+      relay = new ShareRelay(times, message -> {}, (holder, message) -> {});
       network.after(
           downNanos,
           () -> {
@@ -169,6 +358,19 @@
           });
     }
 
+    private void sendReady(Daemon daemon) {
+      Leader target = connectedLeader;
+      SimulatedNetwork.Connection connection = uplink;
+      if (connection != null) {
+        connection.send(
+            () -> {
+              if (connection.isOpen()) {
+                target.owner.onReady(String.valueOf(daemon.index));
+              }
+            });
+      }
+    }
+
     private void sendUp(ShareMessage message) {
       messages++;
       Leader target = connectedLeader;
@@ -202,30 +404,52 @@
     private ShareHolder holder;
     private Relay attached;
     private SimulatedNetwork.Connection uplink;
+    private boolean away;
 
     Daemon(int index) {
       this.index = index;
-      holder = new ShareHolder(ShareTimes.DEFAULT, this::sendUp);
+      holder = new ShareHolder(times, this::sendUp);
       network.after((long) (random.nextDouble() * TICK_NANOS), this::tick);
     }
 
     void connect(Relay target) {
+      if (away) {
+        return;
+      }
       disconnect();
       attached = target;
       uplink = network.new Connection((long) (MILLI * (0.2 + 0.5 * random.nextDouble())));
       holder.onConnected(newSession(), clock.now());
+      ShareRelay receiver = target.relay;
+      SimulatedNetwork.Connection connection = uplink;
+      // Statements that a daemon or relay is ready carry no session, and none of them is handled
+      // after its connection has closed.
+      uplink.send(
+          () -> {
+            if (target.relay == receiver && connection.isOpen()) {
+              target.readyDaemons.add(this);
+              target.sendReady(this);
+            }
+          });
+    }
+
+    /** Stops the process, which admits nothing and holds nothing until it connects again. */
+    void stop() {
+      disconnect();
+      holder = new ShareHolder(times, this::sendUp);
     }
 
     void disconnect() {
       if (uplink != null && uplink.isOpen()) {
         uplink.breakConnection();
+        attached.readyDaemons.remove(this);
         holder.onDisconnected(clock.now());
       }
     }
 
     void restart() {
       disconnect();
-      holder = new ShareHolder(ShareTimes.DEFAULT, this::sendUp);
+      holder = new ShareHolder(times, this::sendUp);
       connect(attached);
     }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -73,6 +73,8 @@
   private final Map<DaemonId, List<ShareFrame>> daemonReplies = new LinkedHashMap<>();
   private final Map<VmId, List<ShareFrame>> relayReplies = new LinkedHashMap<>();
   private final Set<DaemonId> readyDaemons = new LinkedHashSet<>();
+  private final Map<DaemonId, Long> attachments = new LinkedHashMap<>();
+  private long lastAttachment;
   private RelayServer relayServer;
   private Optional<ShareOwner> owner = Optional.empty();
   private long ownerTerm;
@@ -138,19 +140,27 @@
   @Override
   public void onAttached(DaemonId daemon) {
     // The daemon's first report opens a new session.
+    attachments.put(daemon, ++lastAttachment);
+    readyDaemons.remove(daemon);
   }
 
   @Override
   public void onDetached(DaemonId daemon) {
     // The daemon's share is reclaimed when its lease expires.
     readyDaemons.remove(daemon);
+    attachments.remove(daemon);
   }
 
   @Override
   public void onDaemonMessage(DaemonId daemon, byte[] message) {
     List<ShareFrame> batch = decode(message);
+    Long attachment = attachments.get(daemon);
     enqueueWork(
         () -> {
+          if (attachment == null || !attachment.equals(attachments.get(daemon))) {
+            // The daemon has left meanwhile, so a statement that it is ready may be untrue.
+            return;
+          }
           // Reply to every batch, even with an empty one: the daemon waits for it before the next.
           daemonReplies.computeIfAbsent(daemon, unused -> new ArrayList<>());
           batch.forEach(frame -> receiveFromDaemon(daemon, frame));
