Renew adopted shares only once no former leader may issue them

Cause: after two leader changes in a row, the second leader renewed a share that a relay out of reach of the first one still held, while the first one, isolated, had ended its own quiet period and issued that share again.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HolderState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HolderState.java
@@ -3,6 +3,9 @@
 /** What an owner has issued to one holder, and what the holder last reported. */
 final class HolderState {
 
+  /** How long a holder without a lease stays registered while its owner issues no leases. */
+  private static final long UNLEASED_HOLDER_RETENTION_NANOS = 1_000_000_000L;
+
   private final String holder;
   private final long session;
   private long sequence;
@@ -128,6 +131,14 @@
     expiresAtNanos = newExpiresAtNanos;
   }
 
+  /** Keeps the holder until the lease of another owner has ended. */
+  void retain(long remainingLeaseNanos, long nowNanos) {
+    renew(
+        nowNanos
+            + Math.max(
+                UNLEASED_HOLDER_RETENTION_NANOS, ShareTimes.expiryNanos(remainingLeaseNanos)));
+  }
+
   long expiresAtNanos() {
     return expiresAtNanos;
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RecoveryPeriod.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/RecoveryPeriod.java
@@ -25,12 +25,20 @@
  */
 final class RecoveryPeriod {
 
+  private final long formerLeaderEndNanos;
   private long endNanos;
   private final Set<String> readyHolders = new HashSet<>();
   private final Map<String, Long> relayCompleteAtNanos = new HashMap<>();
   private boolean reportMissed;
 
-  RecoveryPeriod(long endNanos) {
+  /**
+   * Creates the period of a new owner.
+   *
+   * @param formerLeaderEndNanos time from which no former leader issues or renews shares
+   * @param endNanos time from which no share of a former leader is held
+   */
+  RecoveryPeriod(long formerLeaderEndNanos, long endNanos) {
+    this.formerLeaderEndNanos = formerLeaderEndNanos;
     this.endNanos = endNanos;
   }
 
@@ -89,6 +97,16 @@
     }
   }
 
+  /**
+   * Returns whether adopted shares may be renewed. The former leader may just have ended its own
+   * period and issued again what a relay, out of its reach, still holds from the leader before it.
+   * If this owner renewed that share, both would be in use; the share's own lease ends before the
+   * former leader issues it again.
+   */
+  boolean mayRenew(long nowNanos) {
+    return !isActive(nowNanos) || nowNanos - formerLeaderEndNanos >= 0;
+  }
+
   boolean isActive(long nowNanos) {
     return nowNanos - endNanos < 0;
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareAllocator.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareAllocator.java
@@ -79,9 +79,6 @@
   /** Longest time for which an account counts as exhausted without a further message. */
   private static final double MAX_EXHAUSTED_SECONDS = 0.5;
 
-  /** How long a holder without a lease stays registered while its owner has no lease either. */
-  private static final long UNLEASED_HOLDER_RETENTION_NANOS = 1_000_000_000L;
-
   /**
    * Decides whether new requests of the account would wait for a token until their deadline without
    * getting one.
@@ -214,8 +211,8 @@
     spare.add(state.onReturned(report.returned()), nowNanos);
     state.onReport(report, nowNanos);
     if (leaseNanosAt.applyAsLong(nowNanos) <= 0) {
-      // The first grant after the owner obtains a lease replies to the report.
-      state.renew(nowNanos + UNLEASED_HOLDER_RETENTION_NANOS);
+      // The first grant after the owner may issue leases replies to the report.
+      state.retain(report.remainingLeaseNanos(), nowNanos);
       return true;
     }
     grant(
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
@@ -19,8 +19,9 @@
  * the relays. A new instance is created for each election.
  *
  * <p>It issues nothing during the quiet period after the election, in which it adopts the shares
- * that holders report, and sends nothing while its leadership is not confirmed. Together with the
- * leases this keeps an isolated former leader and its successor from issuing the same tokens.
+ * that holders report, and sends nothing while its leadership is not confirmed. Nor does it renew
+ * what it adopts while a former leader may still issue shares. Together with the leases this keeps
+ * an isolated former leader and its successor from issuing the same tokens.
  *
  * <p>Not safe for use by several threads. Times are monotonic nanoseconds of this process.
  */
@@ -45,7 +46,10 @@
       ShareTimes times, BiConsumer<String, ShareMessage> toHolder, long electedAtNanos) {
     this.times = Assert.notNull(times, "times");
     this.toHolder = Assert.notNull(toHolder, "toHolder");
-    recovery = new RecoveryPeriod(electedAtNanos + times.quietPeriodNanos());
+    recovery =
+        new RecoveryPeriod(
+            electedAtNanos + ShareTimes.expiryNanos(times.proofValidityNanos()),
+            electedAtNanos + times.quietPeriodNanos());
     unrecordedShareEndNanos = electedAtNanos + times.quietPeriodNanos();
     leadershipProvedAtNanos = electedAtNanos;
   }
@@ -230,7 +234,7 @@
                   account,
                   spare,
                   toHolder,
-                  now -> times.leaseNanos(),
+                  now -> recovery.mayRenew(now) ? times.leaseNanos() : 0,
                   ShareAllocator::exhaustionByBacklog,
                   times,
                   nowNanos),
