Remember removed relays and daemons through restarts

Cause: a leader that starts after a loss of power does not know a control VM that left the group, or a daemon whose registration was removed, just before; either may be cut off and still hold shares. Change: ShareHolderHistory keeps their names for a quiet period in a small file in the data folder, with the longest daemon lease that the former process issued.

--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/RecoveryBoundTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/RecoveryBoundTest.java
@@ -3,7 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.apache.commons.math3.random.Well19937c;
@@ -63,9 +65,16 @@
         .isEqualTo(0);
   }
 
+  @Test
+  void shareOfADaemonOutOfReachIsNotIssuedAgainAfterALossOfPower() {
+    assertThat(excess(runWithDaemonOutOfReach(Recovery.RELAY_REPORTS).admissions, RATE, BURST))
+        .isEqualTo(0);
+  }
+
   @Test
   void checkRejectsRelaysThatIgnoreTheirFormerProcesses() {
-    assertThat(totalExcess(Recovery.RESTARTS_IGNORED)).isGreaterThan(0);
+    assertThat(excess(runWithDaemonOutOfReach(Recovery.RESTARTS_IGNORED).admissions, RATE, BURST))
+        .isGreaterThan(0);
   }
 
   @Test
@@ -116,18 +125,18 @@
                   (long) (random.nextDouble() * 5 * SECOND),
                   () -> daemon.connect(daemon.attached()));
             }
-            case 4 -> cluster.losePower();
+            case 4 -> losePower(cluster, random);
             case 5 -> {
-              cluster.changeLeaderWithout(relay);
+              cluster.changeLeaderWithout(Set.of(relay));
               cluster.network.after(6 * SECOND, () -> relay.connect(cluster.leader()));
             }
             case 6 -> {
-              cluster.changeLeaderWithout(relay);
+              cluster.changeLeaderWithout(Set.of(relay));
               cluster.network.after(
                   (long) (random.nextDouble() * SECOND),
                   () ->
                       cluster.changeLeaderWithout(
-                          cluster.relays.get(random.nextInt(cluster.relays.size()))));
+                          Set.of(cluster.relays.get(random.nextInt(cluster.relays.size())))));
               cluster.network.after(6 * SECOND, () -> relay.connect(cluster.leader()));
             }
             case 7 -> {
@@ -140,6 +149,51 @@
         });
   }
 
+  private static void losePower(ShareCluster cluster, RandomGenerator random) {
+    Set<Daemon> outOfReach = new HashSet<>();
+    Set<Daemon> lost = new HashSet<>();
+    for (Daemon daemon : cluster.daemons) {
+      double choice = random.nextDouble();
+      if (choice < 0.25) {
+        outOfReach.add(daemon);
+      } else if (choice < 0.4) {
+        lost.add(daemon);
+      }
+      if (choice < 0.4 && random.nextBoolean()) {
+        cluster.network.after(8 * SECOND, () -> cluster.returnDaemon(daemon));
+      }
+    }
+    long startDelayNanos = (long) (random.nextDouble() * SECOND);
+    long electionDelayNanos = startDelayNanos + (long) (random.nextDouble() * SECOND / 2);
+    cluster.losePower(
+        outOfReach,
+        lost,
+        startDelayNanos,
+        electionDelayNanos,
+        electionDelayNanos + (long) (random.nextDouble() * SECOND / 2));
+  }
+
+  /** Runs a daemon with most of an overload, which keeps its share through a loss of power. */
+  private static ShareCluster runWithDaemonOutOfReach(Recovery recovery) {
+    RandomGenerator random = new Well19937c(7);
+    ShareCluster cluster = new ShareCluster(random, ACCOUNT, 3, 4, 0.0049, true, TIMES, recovery);
+    Daemon outOfReach = cluster.daemons.get(0);
+    arriveAt(cluster, random, List.of(outOfReach), 2 * RATE);
+    arriveAt(cluster, random, cluster.daemons, 2 * RATE);
+    cluster.network.runUntil(8 * SECOND);
+    cluster.losePower(Set.of(outOfReach), Set.of(), SECOND / 10, SECOND / 5, SECOND / 4);
+    cluster.network.runUntil(16 * SECOND);
+    return cluster;
+  }
+
+  private static void arriveAt(
+      ShareCluster cluster, RandomGenerator random, List<Daemon> daemons, double perSecond) {
+    daemons.get(random.nextInt(daemons.size())).request();
+    cluster.network.after(
+        (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1e9),
+        () -> arriveAt(cluster, random, daemons, perSecond));
+  }
+
   private static int excess(List<Long> admissions, double rate, double burst) {
     ExactBucket bucket = new ExactBucket(rate, burst);
     int excess = 0;
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ShareCluster.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ShareCluster.java
@@ -121,64 +121,62 @@
   }
 
   /**
-   * Elects a new leader that a relay does not follow; the relay stays with the former leader until
-   * it is connected again.
+   * Elects a new leader, which the relays follow within 0.2 s, except those that are cut off; they
+   * stay with the former leader until they are connected again.
    */
-  void changeLeaderWithout(Relay cutOff) {
+  void changeLeaderWithout(Set<Relay> cutOff) {
     Leader former = leader;
     former.isolated = true;
     leader = new Leader();
     Leader elected = leader;
     for (Relay relay : relays) {
-      if (relay != cutOff) {
+      if (!cutOff.contains(relay)) {
         network.after((long) (random.nextDouble() * SECOND / 5), () -> relay.connect(elected));
       }
     }
   }
 
   /**
-   * Stops the leader and all relays and daemons at once. Relays and daemons start again, except
-   * some daemons, and follow a new leader.
+   * Stops the leader and all relays and daemons at once. Relays start again, a leader is elected,
+   * and daemons return.
+   *
+   * @param outOfReach daemons that keep their power and their shares but don't return
+   * @param lost daemons that stop and don't return
    */
-  void losePower() {
+  void losePower(
+      Set<Daemon> outOfReach,
+      Set<Daemon> lost,
+      long startDelayNanos,
+      long electionDelayNanos,
+      long attachDelayNanos) {
     leader.stopped = true;
-    for (Relay relay : relays) {
-      relay.stop();
-    }
+    relays.forEach(Relay::stop);
     for (Daemon daemon : daemons) {
-      if (random.nextInt(4) == 0) {
-        // This daemon is out of reach but keeps its power and its shares.
+      if (outOfReach.contains(daemon)) {
         daemon.disconnect();
-        daemon.away = true;
       } else {
         daemon.stop();
-        daemon.away = random.nextInt(4) == 0;
-      }
-      if (daemon.away && random.nextBoolean()) {
-        network.after(
-            8 * SECOND,
-            () -> {
-              daemon.away = false;
-              daemon.connect(daemon.attached);
-            });
       }
+      daemon.away |= outOfReach.contains(daemon) || lost.contains(daemon);
     }
+    network.after(startDelayNanos, () -> relays.forEach(Relay::start));
     network.after(
-        (long) ((0.2 + random.nextDouble()) * SECOND),
+        electionDelayNanos,
         () -> {
           Leader elected = new Leader();
           leader = elected;
           for (Relay relay : relays) {
-            relay.start();
             network.after((long) (random.nextDouble() * SECOND / 5), () -> relay.connect(elected));
           }
-          for (Daemon daemon : daemons) {
-            if (!daemon.away) {
-              network.after(
-                  (long) (random.nextDouble() * SECOND / 5), () -> daemon.connect(daemon.attached));
-            }
-          }
         });
+    network.after(
+        attachDelayNanos, () -> daemons.forEach(daemon -> daemon.connect(daemon.attached)));
+  }
+
+  /** Lets a daemon that was out of reach or lost return. */
+  void returnDaemon(Daemon daemon) {
+    daemon.away = false;
+    daemon.connect(daemon.attached);
   }
 
   /**
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -81,7 +81,7 @@
             consensus,
             stateMachine.config(),
             consensus::committedMembership,
-            new RelayHistory(
+            new ShareHolderHistory(
                 settings.dataFolder(),
                 profile.shareTimes.quietPeriodNanos(),
                 profile.shareTimes.daemonLeaseNanos()),
@@ -148,6 +148,7 @@
   @Override
   void awaitResourcesReleased() throws InterruptedException {
     consensus.awaitStopped();
+    shares.awaitStopped();
   }
 
   private void bootstrap(BootstrapOperator operator) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -63,7 +63,7 @@
   private final ReplicatedLog replicatedLog;
   private final ConfigState config;
   private final Supplier<Membership> committedMembership;
-  private final RelayHistory history;
+  private final ShareHolderHistory history;
   private final WithheldRates withheldRates;
   private final ShareTimes times;
   private final double sharedBurstFraction;
@@ -96,7 +96,7 @@
       ReplicatedLog replicatedLog,
       ConfigState config,
       Supplier<Membership> committedMembership,
-      RelayHistory history,
+      ShareHolderHistory history,
       WithheldRates withheldRates,
       ControlProfile profile) {
     this.committedMembership = committedMembership;
@@ -132,9 +132,14 @@
     history.close();
   }
 
+  /** Sets the membership in force; may be called before {@link #start}. */
   void setMembership(Membership membership) {
     membersInForce = vmIds(membership);
-    history.setMembers(membersInForce, System.nanoTime());
+  }
+
+  /** Waits until the data folder is no longer written after {@link #stop}. */
+  void awaitStopped() throws InterruptedException {
+    history.awaitClosed();
   }
 
   @Override
@@ -216,13 +221,17 @@
    */
   private void issueSharesIfReady(ShareOwner current, long nowNanos) {
     if (leadershipConfirmed) {
-      current.endQuietPeriodIfReady(registeredDaemons(), nowNanos);
-      current.endQuietPeriodIfRelaysComplete(relays(nowNanos), nowNanos);
+      updateHistory(nowNanos);
+      current.endQuietPeriodIfReady(history.daemons(nowNanos), nowNanos);
+      current.endQuietPeriodIfRelaysComplete(history.relays(nowNanos), nowNanos);
     }
   }
 
-  private Set<String> relays(long nowNanos) {
-    return history.vms(nowNanos).stream().map(VmId::value).collect(Collectors.toSet());
+  private void updateHistory(long nowNanos) {
+    history.update(
+        membersInForce.stream().map(VmId::value).collect(Collectors.toSet()),
+        registeredDaemons(),
+        nowNanos);
   }
 
   /**
@@ -333,7 +342,7 @@
   private void tick() {
     scheduledTick = reactor.delayBackground(TICK_INTERVAL_MILLIS, this::tick);
     long nowNanos = System.nanoTime();
-    history.store(nowNanos);
+    updateHistory(nowNanos);
     updateOwner(nowNanos);
     connectToLeader(nowNanos);
     owner.ifPresent(current -> current.onTick(nowNanos));
@@ -368,7 +377,8 @@
     }
     ShareOwner current = owner.get();
     issueSharesIfReady(current, nowNanos);
-    withheldRates.update(current, ownerTerm, registeredDaemons(), relays(nowNanos), nowNanos);
+    withheldRates.update(
+        current, ownerTerm, history.daemons(nowNanos), history.relays(nowNanos), nowNanos);
     boolean floorsInUse = floorsInUse();
     if (!config.revision().equals(ownerConfigRevision) || floorsInUse != burstReservedForFloors) {
       ownerConfigRevision = config.revision();
