Wait for the last write before a test's folder is deleted

Cause: ShareHolderHistoryTest.removedNamesAreKeptForAQuietPeriod failed once when its folder was deleted during a write. Change: the test waits for the writer.

--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/runtime/ShareHolderHistoryTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/runtime/ShareHolderHistoryTest.java
@@ -33,8 +33,9 @@
   }
 
   @AfterEach
-  void close() {
+  void close() throws InterruptedException {
     history.close();
+    history.awaitClosed();
   }
 
   @Test
@@ -73,6 +74,7 @@
     restarted.open(0);
     restarted.update(Set.of("vm-1"), Set.of("b"), SECOND);
     restarted.close();
+    restarted.awaitClosed();
 
     assertThat(restarted.relays(2 * SECOND)).containsExactly("vm-1", "vm-2");
     assertThat(restarted.daemons(2 * SECOND)).containsExactly("a", "b");
