--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -12,11 +12,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.cornelspoke.coordination.consensus.Member;
+import org.cornelspoke.coordination.consensus.Membership;
 import org.cornelspoke.coordination.consensus.ReplicatedLog;
 import org.cornelspoke.coordination.quota.FloorRateLimiter;
 import org.cornelspoke.coordination.quota.ShareFrame;
 import org.cornelspoke.coordination.quota.ShareFrame.HolderReady;
+import org.cornelspoke.coordination.quota.ShareFrame.RelayReady;
 import org.cornelspoke.coordination.quota.ShareMessage;
 import org.cornelspoke.coordination.quota.ShareOwner;
 import org.cornelspoke.coordination.quota.ShareRelay;
@@ -54,12 +58,13 @@
   /** Minimum interval between batches to the owner; a twentieth of the maximum wait for a token. */
   private static final long MIN_BATCH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
-  private static final long WITHHELD_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   private final NioReactor reactor;
   private final VmId localVmId;
   private final ReplicatedLog replicatedLog;
   private final ConfigState config;
+  private final Supplier<Membership> committedMembership;
+  private final ShareHolderHistory history;
+  private final WithheldRates withheldRates;
   private final ShareTimes times;
   private final double sharedBurstFraction;
   private final ShareRelay shareRelay;
@@ -68,12 +73,13 @@
   private final Map<DaemonId, List<ShareFrame>> daemonReplies = new LinkedHashMap<>();
   private final Map<VmId, List<ShareFrame>> relayReplies = new LinkedHashMap<>();
   private final Set<DaemonId> readyDaemons = new LinkedHashSet<>();
+  private final Map<DaemonId, Long> attachments = new LinkedHashMap<>();
+  private long lastAttachment;
   private RelayServer relayServer;
   private Optional<ShareOwner> owner = Optional.empty();
-  private long withheldLoggedAtNanos;
-  private long issuingLoggedTerm = -1;
   private long ownerTerm;
   private boolean leadershipConfirmed;
+  private Set<VmId> membersInForce = Set.of();
   private Revision ownerConfigRevision = Revision.NONE;
   private boolean burstReservedForFloors = true;
   private int peakDaemonCount;
@@ -89,7 +95,13 @@
       VmId localVmId,
       ReplicatedLog replicatedLog,
       ConfigState config,
+      Supplier<Membership> committedMembership,
+      ShareHolderHistory history,
+      WithheldRates withheldRates,
       ControlProfile profile) {
+    this.committedMembership = committedMembership;
+    this.history = history;
+    this.withheldRates = withheldRates;
     this.times = profile.shareTimes;
     this.sharedBurstFraction = profile.sharedBurstFraction;
     this.reactor = reactor;
@@ -100,8 +112,15 @@
     this.shareRelay = new ShareRelay(times, ownerSender::add, this::sendToDaemon);
   }
 
-  void start(RelayServer relayServer) {
+  /**
+   * Starts to issue shares.
+   *
+   * @throws IOException if the history can't be read or written
+   */
+  void start(RelayServer relayServer) throws IOException {
     this.relayServer = relayServer;
+    history.open(System.nanoTime());
+    shareRelay.start(history.formerLeaseNanos(), System.nanoTime());
     this.leadershipCheckedAtNanos =
         System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(LEADERSHIP_CHECK_INTERVAL_MILLIS);
     tick();
@@ -110,24 +129,43 @@
   void stop() {
     scheduledTick.cancel();
     scheduledTurn.ifPresent(ScheduledRunnable::cancel);
+    history.close();
+  }
+
+  /** Sets the membership in force; may be called before {@link #start}. */
+  void setMembership(Membership membership) {
+    membersInForce = vmIds(membership);
+  }
+
+  /** Waits until the data folder is no longer written after {@link #stop}. */
+  void awaitStopped() throws InterruptedException {
+    history.awaitClosed();
   }
 
   @Override
   public void onAttached(DaemonId daemon) {
     // The daemon's first report opens a new session.
+    attachments.put(daemon, ++lastAttachment);
+    readyDaemons.remove(daemon);
   }
 
   @Override
   public void onDetached(DaemonId daemon) {
     // The daemon's share is reclaimed when its lease expires.
     readyDaemons.remove(daemon);
+    attachments.remove(daemon);
   }
 
   @Override
   public void onDaemonMessage(DaemonId daemon, byte[] message) {
     List<ShareFrame> batch = decode(message);
+    Long attachment = attachments.get(daemon);
     enqueueWork(
         () -> {
+          if (attachment == null || !attachment.equals(attachments.get(daemon))) {
+            // The daemon has left meanwhile, so a statement that it is ready may be untrue.
+            return;
+          }
           // Reply to every batch, even with an empty one: the daemon waits for it before the next.
           daemonReplies.computeIfAbsent(daemon, unused -> new ArrayList<>());
           batch.forEach(frame -> receiveFromDaemon(daemon, frame));
@@ -154,6 +192,7 @@
     enqueueWork(
         () ->
             currentOwner(System.nanoTime())
+                .filter(current -> isServed(relay))
                 .ifPresent(
                     current -> {
                       relayReplies.computeIfAbsent(relay, unused -> new ArrayList<>());
@@ -168,20 +207,46 @@
     } else if (frame instanceof HolderReady ready) {
       current.onReady(ready.holder());
       issueSharesIfReady(current, nowNanos);
+    } else if (frame instanceof RelayReady ready) {
+      current.onRelayReady(
+          relay.value(), TimeUnit.MILLISECONDS.toNanos(ready.unknownMillis()), nowNanos);
+      issueSharesIfReady(current, nowNanos);
     }
   }
 
   /**
-   * Ends the period without new shares once all registered daemons are ready. The registry of
-   * daemons is complete only after leadership is confirmed, which requires that all earlier log
-   * entries are applied.
+   * Ends the period without new shares once all registered daemons or all relays are ready. The
+   * registry of daemons and the membership are complete only after leadership is confirmed, which
+   * requires that all earlier log entries are applied.
    */
   private void issueSharesIfReady(ShareOwner current, long nowNanos) {
     if (leadershipConfirmed) {
-      current.endQuietPeriodIfReady(registeredDaemons(), nowNanos);
+      updateHistory(nowNanos);
+      current.endQuietPeriodIfReady(history.daemons(nowNanos), nowNanos);
+      current.endQuietPeriodIfRelaysComplete(history.relays(nowNanos), nowNanos);
     }
   }
 
+  private void updateHistory(long nowNanos) {
+    history.update(
+        membersInForce.stream().map(VmId::value).collect(Collectors.toSet()),
+        registeredDaemons(),
+        nowNanos);
+  }
+
+  /**
+   * Returns whether the owner serves a relay. An owner that served a VM whose addition to the group
+   * is not committed, or whose removal is appended, would issue shares to a relay that its
+   * successor does not wait for.
+   */
+  private boolean isServed(VmId relay) {
+    return membersInForce.contains(relay) && vmIds(committedMembership.get()).contains(relay);
+  }
+
+  private static Set<VmId> vmIds(Membership membership) {
+    return membership.members().stream().map(Member::vmId).collect(Collectors.toSet());
+  }
+
   private Set<String> registeredDaemons() {
     return relayServer.registeredDaemons().stream()
         .map(DaemonId::value)
@@ -277,6 +342,7 @@
   private void tick() {
     scheduledTick = reactor.delayBackground(TICK_INTERVAL_MILLIS, this::tick);
     long nowNanos = System.nanoTime();
+    updateHistory(nowNanos);
     updateOwner(nowNanos);
     connectToLeader(nowNanos);
     owner.ifPresent(current -> current.onTick(nowNanos));
@@ -306,11 +372,13 @@
 
   private void updateOwner(long nowNanos) {
     if (currentOwner(nowNanos).isEmpty()) {
+      withheldRates.onNotOwner();
       return;
     }
     ShareOwner current = owner.get();
     issueSharesIfReady(current, nowNanos);
-    logIssuingState(current, nowNanos);
+    withheldRates.update(
+        current, ownerTerm, history.daemons(nowNanos), history.relays(nowNanos), nowNanos);
     boolean floorsInUse = floorsInUse();
     if (!config.revision().equals(ownerConfigRevision) || floorsInUse != burstReservedForFloors) {
       ownerConfigRevision = config.revision();
@@ -331,21 +399,6 @@
     }
   }
 
-  private void logIssuingState(ShareOwner current, long nowNanos) {
-    boolean withheld = current.isInQuietPeriod(nowNanos);
-    if (withheld && nowNanos - withheldLoggedAtNanos >= WITHHELD_LOG_INTERVAL_NANOS) {
-      withheldLoggedAtNanos = nowNanos;
-      LOGGER.log(
-          Level.INFO,
-          "event=rate-shares-withheld term={0} missingDaemons={1}",
-          ownerTerm,
-          current.unreadyHolders(registeredDaemons()));
-    } else if (!withheld && issuingLoggedTerm != ownerTerm) {
-      issuingLoggedTerm = ownerTerm;
-      LOGGER.log(Level.INFO, "event=rate-shares-issued term={0}", ownerTerm);
-    }
-  }
-
   /**
    * Returns whether daemons admit requests on rate floors. Once the fleet has been too large for
    * floors they stay disabled, even if it shrinks; the daemons apply the same rule.
@@ -401,6 +454,10 @@
       lastSessionId = Math.max(lastSessionId + 1, wallClockMicros());
       ownerSender.clear();
       shareRelay.onConnected(lastSessionId, nowNanos);
+      ownerSender.add(
+          new RelayReady(
+              localVmId.value(),
+              TimeUnit.NANOSECONDS.toMillis(shareRelay.unknownSharesNanos(nowNanos)) + 1));
       List.copyOf(readyDaemons).forEach(daemon -> ownerSender.add(new HolderReady(daemon.value())));
     }
   }
