List the returns of small shares as known to fail

Cause: the test of scheduled retries played only loads at which return times are handed out; the target names no such limit.

Result: the test fails, no return time is handed out at these loads.

--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ScheduledReturnsTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ScheduledReturnsTest.java
@@ -7,6 +7,7 @@
 import org.cornelspoke.coordination.quota.ReturningCallers.Load;
 import org.cornelspoke.coordination.quota.ReturningCallers.Results;
 import org.cornelspoke.model.TrafficClass;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,6 +44,28 @@
         .isAtLeast(SERVED_RETURNS_FRACTION);
   }
 
+  /**
+   * Guards against accounts of many daemons whose callers are never told when to come back: below 20
+   * tokens per second at a daemon no return time is handed out. Known to fail, see KNOWN-RED.txt.
+   */
+  @Test
+  @Tag("known-red")
+  void callersOfSmallSharesThatReturnAsToldAreServed() {
+    for (double[] load : new double[][] {{60, 6}, {60, 12}, {120, 6}, {120, 12}}) {
+      Results results = new Results();
+      for (long seed = 1; seed <= 3; seed++) {
+        ReturningCallers callers = callers(seed, SCHEDULED, load[0], (int) load[1], 0);
+        callers.run(LOAD_NANOS);
+        results.add(callers.results(TrafficClass.INTERACTIVE));
+      }
+
+      assertThat(results.returned).isGreaterThan(0);
+      assertWithMessage("%s", results)
+          .that(results.returnedServedFraction())
+          .isAtLeast(SERVED_RETURNS_FRACTION);
+    }
+  }
+
   /**
    * Guards against callers that repeat at once and so take the tokens of those that wait, or get
    * more than they would without return times.
