Keep reports of relays until the leader may serve them

A new leader knows which members are committed only after the first entry of its term. Reports that relays sent before were dropped, the next ones didn't fit their sessions, and the rates were withheld until all leases had ended.

Change: DeferredBatches keeps the batches in order until the membership of their relay is known to be committed; a new term drops them. The field of the evacuation monitor has a name of its own.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -56,7 +56,7 @@
   private final ControlBackend backend;
   private final AdminServer admin;
   private final Optional<HttpServer> operatorServer;
-  private final EvacuationMonitor evacuations;
+  private final EvacuationMonitor evacuationMonitor;
   private boolean stopping;
 
   ControlRuntime(ControlSettings settings, ControlProfile profile) {
@@ -109,7 +109,7 @@
             .withHealth(this::health)
             .withBackend(new GroupAdminBackend(settings, consensus, stateMachine, backend))
             .build();
-    this.evacuations =
+    this.evacuationMonitor =
         new EvacuationMonitor(stateMachine.config(), metrics(), System::currentTimeMillis);
     this.operatorServer =
         profile.operatorAddress.map(
@@ -179,7 +179,7 @@
   }
 
   private void pollEvacuations() {
-    evacuations.onTick();
+    evacuationMonitor.onTick();
     control().delayBackground(EVACUATION_POLL_INTERVAL_MILLIS, this::pollEvacuations);
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -73,6 +73,7 @@
   private final Map<DaemonId, List<ShareFrame>> daemonReplies = new LinkedHashMap<>();
   private final Map<VmId, List<ShareFrame>> relayReplies = new LinkedHashMap<>();
   private final Set<DaemonId> readyDaemons = new LinkedHashSet<>();
+  private final DeferredBatches deferredBatches = new DeferredBatches();
   private final Map<DaemonId, Long> attachments = new LinkedHashMap<>();
   private long lastAttachment;
   private RelayServer relayServer;
@@ -192,14 +193,25 @@
     enqueueWork(
         () ->
             currentOwner(System.nanoTime())
-                .filter(current -> isServed(relay))
+                .filter(current -> membersInForce.contains(relay))
                 .ifPresent(
                     current -> {
-                      relayReplies.computeIfAbsent(relay, unused -> new ArrayList<>());
-                      batch.forEach(frame -> receiveAsOwner(current, relay, frame));
+                      deferredBatches.add(relay, batch);
+                      receiveDeferred(current, relay);
                     }));
   }
 
+  /** Handles the batches of a relay, unless its membership is not known to be committed yet. */
+  private void receiveDeferred(ShareOwner current, VmId relay) {
+    if (!isServed(relay)) {
+      return;
+    }
+    for (List<ShareFrame> batch : deferredBatches.remove(relay)) {
+      relayReplies.computeIfAbsent(relay, unused -> new ArrayList<>());
+      batch.forEach(frame -> receiveAsOwner(current, relay, frame));
+    }
+  }
+
   private void receiveAsOwner(ShareOwner current, VmId relay, ShareFrame frame) {
     long nowNanos = System.nanoTime();
     if (frame instanceof ShareMessage message) {
@@ -344,6 +356,8 @@
     long nowNanos = System.nanoTime();
     updateHistory(nowNanos);
     updateOwner(nowNanos);
+    owner.ifPresent(
+        current -> deferredBatches.relays().forEach(relay -> receiveDeferred(current, relay)));
     connectToLeader(nowNanos);
     owner.ifPresent(current -> current.onTick(nowNanos));
     shareRelay.onTick(nowNanos);
@@ -361,6 +375,7 @@
     } else if (owner.isEmpty() || ownerTerm != replicatedLog.term()) {
       owner = Optional.of(new ShareOwner(times, this::sendToRelay, nowNanos));
       ownerTerm = replicatedLog.term();
+      deferredBatches.clear();
       leadershipConfirmed = false;
       leadershipCheckedAtNanos =
           nowNanos - TimeUnit.MILLISECONDS.toNanos(LEADERSHIP_CHECK_INTERVAL_MILLIS);
