--- a/cornelspoke-bench/src/test/java/org/cornelspoke/bench/scenario/ScenarioRunTest.java
+++ b/cornelspoke-bench/src/test/java/org/cornelspoke/bench/scenario/ScenarioRunTest.java
@@ -4,7 +4,6 @@
 
 import org.cornelspoke.coordination.admission.LimitAlgorithm;
 import org.cornelspoke.model.TrafficClass;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against scenarios without effect and against failures of class 1 under overload. */
@@ -27,12 +26,8 @@
     assertThat(product.admissionsOverBound()).isEqualTo(0);
   }
 
-  /**
-   * Guards against distributing the tokens of an account over its rate without regard to class.
-   * Known to fail, see KNOWN-RED.txt.
-   */
+  /** Guards against distributing the tokens of an account over its rate without regard to class. */
   @Test
-  @Tag("known-red")
   void classOneReachesItsTargetInASlowDeepService() {
     Measurements product = run(Scenario.SLOW_DEEP_SERVICE, PRODUCT);
     assertThat(product.classRatio(TrafficClass.CRITICAL)).isAtLeast(0.99);
