--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ScheduledReturnsTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ScheduledReturnsTest.java
@@ -45,8 +45,9 @@
   }
 
   /**
-   * Guards against accounts of many daemons whose callers are never told when to come back: below 20
-   * tokens per second at a daemon no return time is handed out. Known to fail, see KNOWN-RED.txt.
+   * Guards against accounts of many daemons whose callers are never told when to come back: below
+   * 20 tokens per second at a daemon no return time is handed out. Known to fail, see
+   * KNOWN-RED.txt.
    */
   @Test
   @Tag("known-red")
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LearnedCapacityLinkTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LearnedCapacityLinkTest.java
@@ -69,7 +69,7 @@
   private static final class LearningGates implements GateFactory {
     @Override
     public UpstreamGate create(ServiceName service, int slots, long nowNanos) {
-      throw new UnsupportedOperationException();
+      throw new AssertionError("the daemon must create learning gates");
     }
 
     @Override
