--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/RecoverySharesTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/RecoverySharesTest.java
@@ -10,6 +10,7 @@
 import org.cornelspoke.coordination.quota.ShareCluster.Daemon;
 import org.cornelspoke.coordination.quota.ShareCluster.Recovery;
 import org.cornelspoke.state.config.Account;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -30,6 +31,8 @@
   private static final long LOST_NANOS = 10_000 * MILLI;
   private static final long START_DELAY_NANOS = 700 * MILLI;
   private static final long ELECTION_DELAY_NANOS = 2_000 * MILLI;
+  private static final long LATE_START_DELAY_NANOS = 2_300 * MILLI;
+  private static final long LATE_ELECTION_DELAY_NANOS = 2_500 * MILLI;
   private static final long FRESH_DELAY_NANOS = 2_800 * MILLI;
   private static final long RECOVERED_NANOS = LOST_NANOS + FRESH_DELAY_NANOS + 500 * MILLI;
 
@@ -61,18 +64,33 @@
     assertThat(cluster.leader().issuingAtNanos()).isAtMost(LOST_NANOS + 250 * MILLI);
   }
 
+  /**
+   * Guards against relays that restart so late that the leases of their former shares outlast the
+   * target: on a day with 26 machines they started up to 2.3 s after the loss of power. Known to
+   * fail, see KNOWN-RED.txt.
+   */
+  @Test
+  @Tag("known-red")
+  void requestsAreServedHalfASecondAfterALossOfPowerIfRelaysStartLate() {
+    assertThat(
+            refusedAfterLossOfPower(
+                Recovery.REPORTS, LATE_START_DELAY_NANOS, LATE_ELECTION_DELAY_NANOS))
+        .isEqualTo(0);
+  }
+
   private int refusedAfterLossOfPower(Recovery recovery) {
+    return refusedAfterLossOfPower(recovery, START_DELAY_NANOS, ELECTION_DELAY_NANOS);
+  }
+
+  private int refusedAfterLossOfPower(
+      Recovery recovery, long startDelayNanos, long electionDelayNanos) {
     ShareCluster cluster = newCluster(recovery);
     Daemon outOfReach = cluster.daemons.get(0);
     Daemon lost = cluster.daemons.get(5);
     arrive(cluster, cluster.daemons.stream().filter(d -> d != outOfReach && d != lost).toList());
     cluster.network.runUntil(LOST_NANOS);
     cluster.losePower(
-        Set.of(outOfReach),
-        Set.of(lost),
-        START_DELAY_NANOS,
-        ELECTION_DELAY_NANOS,
-        FRESH_DELAY_NANOS);
+        Set.of(outOfReach), Set.of(lost), startDelayNanos, electionDelayNanos, FRESH_DELAY_NANOS);
     cluster.network.runUntil(RECOVERED_NANOS);
     int refusedBefore = cluster.refused;
     cluster.network.runUntil(RECOVERED_NANOS + 8_000 * MILLI);
