--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -7,7 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -28,8 +28,10 @@
   private final BufferedWriter record;
   private final String network;
   private final int firstPort;
-  private final Map<String, Process> processes = new LinkedHashMap<>();
+  private final Map<String, Process> processes = new ConcurrentSkipListMap<>();
   private final List<String> seeds = new ArrayList<>();
+  private String grace = "6s";
+  private boolean closed;
 
   Fleet(Path recordFile, int coreCount) throws IOException {
     folder = Files.createTempDirectory("cornelspoke-review");
@@ -44,6 +46,11 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
   }
 
+  /** Sets the time between SIGTERM and SIGKILL; 6s unless set. */
+  void setGrace(String newGrace) {
+    grace = newGrace;
+  }
+
   String coreAddress(int index) {
     return network + (10 + index);
   }
@@ -80,13 +87,17 @@
     return (System.nanoTime() - startNanos) / 1_000_000;
   }
 
-  synchronized void record(String format, Object... values) {
-    try {
-      record.write(String.format("%8.3f ", nowMillis() / 1000.0) + String.format(format, values));
-      record.newLine();
-      record.flush();
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+  /** Writes a line to the record; lines of threads that outlive the run are dropped. */
+  void record(String format, Object... values) {
+    String line = String.format("%8.3f ", nowMillis() / 1000.0) + String.format(format, values);
+    synchronized (record) {
+      try {
+        record.write(line);
+        record.newLine();
+        record.flush();
+      } catch (IOException e) {
+        System.err.println(line);
+      }
     }
   }
 
@@ -103,9 +114,13 @@
 
   /** Starts the daemon beside a target of a service. */
   void startSidecar(int index, String service) throws IOException {
+    startSidecar(index, service, "zone-a");
+  }
+
+  void startSidecar(int index, String service, String zone) throws IOException {
     String ip = sidecarAddress(index);
     String settings =
-        common("sidecar", ip, true)
+        common("sidecar", ip, true).replace("zone = \"zone-a\"", "zone = \"" + zone + "\"")
             + "service = \"" + service + "\"\n"
             + "app_addr = \"" + ip + ":" + targetPort() + "\"\n"
             + "serves = [\"sidecar\"]\n"
@@ -130,6 +145,18 @@
     return processes.get(name).pid();
   }
 
+  /** Sends SIGTERM to a process. */
+  void terminate(String name) {
+    record("SIGTERM to %s", name);
+    processes.get(name).destroy();
+  }
+
+  /** Sends SIGKILL to a process. */
+  void kill(String name) {
+    record("SIGKILL to %s", name);
+    processes.get(name).destroyForcibly();
+  }
+
   /** Returns the names of the processes that have ended without a signal of this test. */
   List<String> ended() {
     return processes.entrySet().stream()
@@ -146,7 +173,9 @@
   @Override
   public void close() throws IOException {
     endAll();
-    record.close();
+    synchronized (record) {
+      record.close();
+    }
   }
 
   private String common(String type, String ip, boolean bootstrap) {
@@ -162,13 +191,16 @@
         + "heartbeat = \"1500ms\"\n";
   }
 
-  private static String tables(String addresses) {
-    return "[zones]\nzone-a = \"region-a\"\n"
+  private String tables(String addresses) {
+    return "[zones]\nzone-a = \"region-a\"\nzone-b = \"region-a\"\n"
         + "[listen_addrs]\n" + addresses
-        + "[bounds]\ngrace = \"6s\"\nretry_window = \"10s\"\nretry_slack = 49\n";
+        + "[bounds]\ngrace = \"" + grace + "\"\nretry_window = \"10s\"\nretry_slack = 49\n";
   }
 
-  private void start(String name, String role, String settings) throws IOException {
+  private synchronized void start(String name, String role, String settings) throws IOException {
+    if (closed) {
+      throw new IOException("the run is over");
+    }
     Path file = folder.resolve(name + ".toml");
     Files.writeString(file, settings);
     ProcessBuilder builder = new ProcessBuilder(run(role).split(" "));
@@ -208,7 +240,8 @@
     throw new IOException("no free ports");
   }
 
-  private void endAll() {
+  private synchronized void endAll() {
+    closed = true;
     processes.values().forEach(Process::destroyForcibly);
     for (Process process : processes.values()) {
       try {
