--- a/review/standins/GrowingConfiguration.java
+++ b/review/standins/GrowingConfiguration.java
@@ -11,7 +11,7 @@
 
   private static final int CORE_COUNT = 3;
   private static final int BASE_ROUTES = 12;
-  private static final int MORE_ROUTES = 2 * 1_636;
+  private static final int MORE_ROUTES = 3 * 1_300;
   private static final int CHANGES = 600;
   private static final long CHANGES_END_MILLIS = 90_000;
   private static final long RECOVERY_MILLIS = 15_000;
