Refuse requests that may outlast a stopping daemon

Cause: the edge stays open for nested calls while the local upstream has calls in flight, and any request that arrived meanwhile was handled as usual, whatever its deadline.

Change: GracefulStop decides by the deadline. A request that may outlast the stop is refused with 503, Retry-After and Connection: close before it runs, except before callers can know of the stop and for nested calls of running requests; these get a deadline before the end. Requests received in part at the end get the same 503.

Works because the deadline bounds every accepted request: a response exists before the links close.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
@@ -125,6 +125,16 @@
     }
   }
 
+  /**
+   * Sends a response to every request that has been received in part, and closes its connection.
+   * The handler is not called for these requests.
+   */
+  public void refuseIncomplete(HttpResponse response) {
+    for (HttpServerConnection connection : new ArrayList<>(connections)) {
+      connection.refuseIncomplete(response);
+    }
+  }
+
   /** Returns true if the last response has been sent on every open connection. */
   public boolean allConnectionsLingering() {
     return requestsInFlight == 0
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServerConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServerConnection.java
@@ -183,10 +183,20 @@
     }
   }
 
+  /** Refuses the request that is being received, if any, and closes the connection. */
+  void refuseIncomplete(HttpResponse response) {
+    if (state == State.BODY || (state == State.HEAD && in.size() > 0)) {
+      respondAndClose(response);
+    }
+  }
+
   private void refuse(HttpSyntaxException e) {
     server.onMalformed(e);
+    respondAndClose(HttpResponse.refusal(e.status(), e.reason(), Verdict.NOT_RUN, -1));
+  }
+
+  private void respondAndClose(HttpResponse response) {
     in.clear();
-    HttpResponse response = HttpResponse.refusal(e.status(), e.reason(), Verdict.NOT_RUN, -1);
     changeState(State.LINGERING);
     write(ResponseWriter.write(response, false, true, false), true);
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeDependencies.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeDependencies.java
@@ -6,4 +6,5 @@
     ForwardingDependencies forwarding,
     ParentCalls parents,
     Digests digests,
-    DecisionLog decisions) {}
+    DecisionLog decisions,
+    StopState stopState) {}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -110,13 +110,39 @@
     long now = System.nanoTime();
     if (now >= deadlineNanos) {
       refuse(RefusalReason.DEADLINE, DEFAULT_RETRY_MILLIS);
-    } else if (rateLimited) {
+      return;
+    }
+    Optional<GracefulStop> stop = dependencies.stopState().stop();
+    if (stop.isPresent()) {
+      if (!stop.get().accepts(deadlineNanos, isNestedInRunningRequest(), now)) {
+        refuse(RefusalReason.DRAINING, stop.get().retryAfterMillis(now));
+        return;
+      }
+      long lastDeadlineNanos = stop.get().lastDeadlineNanos();
+      if (lastDeadlineNanos - deadlineNanos < 0) {
+        deadlineNanos = lastDeadlineNanos;
+      }
+    }
+    if (rateLimited) {
       acquireToken(now);
     } else {
       claimOrForward();
     }
   }
 
+  /** Returns true if a request that runs at the local upstream makes this call. */
+  private boolean isNestedInRunningRequest() {
+    if (parentCallId != null) {
+      return dependencies.parents().get(parentCallId) != null;
+    }
+    return requestId != null
+        && collaborators
+            .dialect()
+            .parentRequestId(requestId)
+            .filter(dependencies.forwarding().upstreams()::isRunning)
+            .isPresent();
+  }
+
   /** Responds with a refusal; the request has not run. */
   void refuse(RefusalReason reason, long retryAfterMillis) {
     respondFromDaemon(reason, Verdict.NOT_RUN, retryAfterMillis);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -227,6 +227,14 @@
     }
   }
 
+  /** Returns true if the request has been sent to an upstream and has not ended. */
+  boolean isRunning(String requestId) {
+    return findRunning(
+            statistics ->
+                statistics.isRunning(requestId) ? Optional.of(requestId) : Optional.empty())
+        .isPresent();
+  }
+
   /** Returns the origin of a running request, or empty if the request is unknown. */
   Optional<RootOrigin> rootOf(String requestId) {
     return findRunning(statistics -> statistics.rootOf(requestId));
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/NestedCallStatistics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/NestedCallStatistics.java
@@ -73,6 +73,11 @@
         requestId, new RunningRequest(rootClass, ambiguous ? Optional.empty() : origin, callRooms));
   }
 
+  /** Returns true if the request has started and has not ended. */
+  boolean isRunning(String requestId) {
+    return running.containsKey(requestId);
+  }
+
   /** Returns the origin of a running request, or empty if it is unknown. */
   Optional<RootOrigin> rootOf(String requestId) {
     RunningRequest request = running.get(requestId);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -18,8 +18,11 @@
 import org.cornelspoke.coordination.retry.RetryThrottles;
 import org.cornelspoke.coordination.routing.TargetSelector;
 import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.model.Verdict;
 import org.cornelspoke.protocol.call.CallCodec;
 import org.cornelspoke.protocol.context.ContextSigner;
+import org.cornelspoke.transport.http.HttpResponse;
 import org.cornelspoke.transport.http.HttpServer;
 import org.cornelspoke.transport.link.LinkServer;
 import org.cornelspoke.util.Assert;
@@ -40,20 +43,6 @@
    */
   private static final long LAST_REQUEST_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** Time for peers and callers to read the final responses and close; see {@link HttpServer}. */
-  private static final long FINAL_RESPONSES_NANOS = TimeUnit.SECONDS.toNanos(2);
-
-  /**
-   * Fraction of the drain time during which a stopping daemon still accepts calls for its upstream.
-   */
-  private static final double SERVING_FRACTION = 0.5;
-
-  /**
-   * Maximum fraction of the stop timeout reserved for final responses, so that they do not prolong
-   * the stop.
-   */
-  private static final double FINAL_RESPONSES_FRACTION = 0.15;
-
   private final Collaborators collaborators;
   private final LocalUpstreams upstreams;
   private final PeerLinks links;
@@ -64,10 +53,10 @@
   private final Thread thread;
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private long lastSweepNanos = System.nanoTime();
+  private final StopState stopState = new StopState();
   private volatile boolean stopping;
-  private long drainEndNanos;
-  private long responsesEndNanos;
-  private long stopEndNanos;
+  private GracefulStop stop;
+  private long closeAtNanos;
 
   private TrafficDaemon(Collaborators collaborators) {
     this.collaborators = collaborators;
@@ -92,7 +81,12 @@
     EdgeHandler edgeHandler =
         new EdgeHandler(
             new EdgeDependencies(
-                collaborators, forwarding, parents, new Digests(), new DecisionLog(registry)),
+                collaborators,
+                forwarding,
+                parents,
+                new Digests(),
+                new DecisionLog(registry),
+                stopState),
             view,
             signer);
     this.edge =
@@ -214,15 +208,12 @@
     }
     stopping = true;
     long now = System.nanoTime();
-    drainEndNanos = now + TimeUnit.MILLISECONDS.toNanos(collaborators.settings().drainMillis());
-    stopEndNanos =
-        now + TimeUnit.MILLISECONDS.toNanos(collaborators.settings().stopTimeoutMillis());
-    long finalResponsesNanos =
-        Math.min(FINAL_RESPONSES_NANOS, (long) (FINAL_RESPONSES_FRACTION * (stopEndNanos - now)));
-    responsesEndNanos = stopEndNanos - finalResponsesNanos;
+    TrafficSettings settings = collaborators.settings();
+    stop = new GracefulStop(now, settings.drainMillis(), settings.stopTimeoutMillis());
+    stopState.begin(stop);
     edge.startClosing();
     local.startClosing();
-    long servingMillis = (long) (SERVING_FRACTION * collaborators.settings().drainMillis());
+    long servingMillis = TimeUnit.NANOSECONDS.toMillis(stop.leaveFleetAtNanos() - now);
     collaborators.reactor().delay(servingMillis, this::leaveFleet);
     awaitDrained();
   }
@@ -238,13 +229,14 @@
   }
 
   /**
-   * Waits until the upstream has no calls in flight. Requests are accepted until then, because the
+   * Waits until the upstream has no calls in flight. The edge listens until then, because the
    * upstream may still make nested calls; they go to other targets, and each response carries
-   * {@code Connection: close}.
+   * {@code Connection: close}. {@link GracefulStop} decides which requests are accepted.
    */
   private void awaitDrained() {
     long now = System.nanoTime();
-    if ((now >= drainEndNanos && upstreams.inFlight() == 0) || now >= responsesEndNanos) {
+    boolean drained = now - stop.drainEndNanos() >= 0 && upstreams.inFlight() == 0;
+    if (drained || now - stop.responsesEndNanos() >= 0) {
       edge.stopListening();
       local.stopListening();
       awaitResponses();
@@ -262,21 +254,40 @@
             && edge.allConnectionsLingering()
             && upstreams.inFlight() == 0
             && linkServer.isIdle();
-    if (allAnswered || now >= responsesEndNanos) {
-      stopEndNanos = Math.min(stopEndNanos, now + FINAL_RESPONSES_NANOS);
+    if (allAnswered) {
+      long finalResponsesEndNanos = now + GracefulStop.FINAL_RESPONSES_NANOS;
+      closeAtNanos =
+          finalResponsesEndNanos - stop.endNanos() < 0 ? finalResponsesEndNanos : stop.endNanos();
+      awaitClosed();
+    } else if (now - stop.responsesEndNanos() >= 0) {
+      edge.refuseIncomplete(incompleteRequestResponse(now));
+      closeAtNanos = stop.endNanos();
       awaitClosed();
     } else {
       collaborators.reactor().delay(STOP_POLL_INTERVAL_MILLIS, this::awaitResponses);
     }
   }
 
+  /** Returns the response to requests that have not been received completely; they never run. */
+  private HttpResponse incompleteRequestResponse(long nowNanos) {
+    return collaborators
+        .dialect()
+        .toHttpResponse(
+            new DaemonResponse(
+                RefusalReason.DRAINING,
+                Verdict.NOT_RUN,
+                null,
+                stop.retryAfterMillis(nowNanos),
+                -1));
+  }
+
   /**
    * Waits for callers and peers to close first, because closing a socket with unread bytes makes
    * the kernel discard a response.
    */
   private void awaitClosed() {
     boolean closed = edge.connectionCount() == 0 && linkServer.linkCount() == 0;
-    if (closed || System.nanoTime() >= stopEndNanos) {
+    if (closed || System.nanoTime() - closeAtNanos >= 0) {
       closeAll();
     } else {
       collaborators.reactor().delay(STOP_POLL_INTERVAL_MILLIS, this::awaitClosed);
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/GracefulStopTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/GracefulStopTest.java
@@ -181,6 +181,142 @@
     }
   }
 
+  /**
+   * Guards against a stopping daemon that passes on a request which may outlast it: at the end of
+   * the stop, the request was cut off while its upstream worked on it. A request that ends in time
+   * is still served.
+   */
+  @Test
+  void requestThatMayOutlastTheStopIsRefusedBeforeItRuns() throws Exception {
+    try (StandInUpstream busy = new StandInUpstream(untilStopped());
+        StandInUpstream deep = StandInUpstream.answering("deep")) {
+      TrafficDaemon stopping = startBeside(busy, 4_000);
+      fleet.startWith("b", "deep", deep);
+      TestFleet.await(() -> readyLinks("a") == 1);
+      try (RawClient holder = new RawClient(stopping.edgeAddress());
+          RawClient kept = new RawClient(stopping.edgeAddress())) {
+        holder.send(request("GET", "/open", ""));
+        TestFleet.await(() -> busy.requestHeads.size() == 1);
+        assertThat(kept.call(request("GET", "/deep", "", TestFleet.KEY)).status()).isEqualTo(200);
+        CompletableFuture<Void> stopped = stopping.stop();
+        TestFleet.await(() -> !stopping.isReady());
+        Thread.sleep(300);
+
+        assertRefused(kept.call(request("GET", "/deep", "", TestFleet.KEY)));
+        assertThat(kept.isClosedByServer()).isTrue();
+        assertRefused(
+            RawClient.once(stopping.edgeAddress(), request("POST", "/fees", "x", TestFleet.KEY)));
+        Response inTime =
+            RawClient.once(
+                stopping.edgeAddress(),
+                request("GET", "/deep", "", TestFleet.KEY, "Cornelspoke-Deadline-Millis: 1000"));
+        running.set(false);
+
+        assertThat(inTime.status()).isEqualTo(200);
+        assertThat(deep.requestHeads).hasSize(2);
+        assertThat(holder.read().status()).isEqualTo(200);
+        stopped.get(30, TimeUnit.SECONDS);
+      }
+    }
+  }
+
+  /**
+   * Guards against a request that is accepted after the stop has begun and then cut off without a
+   * response, because its deadline is later than the end of the stop.
+   */
+  @Test
+  void requestAcceptedEarlyInTheStopEndsWithAResponse() throws Exception {
+    long stopTimeoutMillis = 2_000;
+    try (StandInUpstream silent = new StandInUpstream(untilStopped())) {
+      TrafficDaemon edge = fleet.startWithStopTimes("a", 200, stopTimeoutMillis);
+      fleet.startWith("b", "deep", silent);
+      TestFleet.await(() -> readyLinks("a") == 1);
+      try (RawClient client = new RawClient(edge.edgeAddress())) {
+        CompletableFuture<Void> stopped = edge.stop();
+        TestFleet.await(() -> !edge.isReady());
+        Response response = client.call(request("GET", "/deep", "", TestFleet.KEY));
+
+        assertThat(response.status()).isEqualTo(504);
+        assertThat(response.verdict()).isEqualTo("may-have-run");
+        assertThat(response.header("Connection")).isEqualTo("close");
+        stopped.get(30, TimeUnit.SECONDS);
+        String handedMillis =
+            StandInUpstream.headerOf(silent.requestHeads.get(0), "Cornelspoke-Deadline-Millis");
+        assertThat(Long.parseLong(handedMillis)).isLessThan(stopTimeoutMillis);
+      } finally {
+        running.set(false);
+      }
+    }
+  }
+
+  /** Guards against an upload that is cut off without a response at the end of a stop. */
+  @Test
+  void uploadThatIsIncompleteAtTheEndIsRefused() throws Exception {
+    try (StandInUpstream upstream = StandInUpstream.answering("ok")) {
+      TrafficDaemon daemon = fleet.startWithStopTimes("a", 100, 1_500);
+      TestFleet.announce(daemon, "svc", upstream, 10);
+      try (RawClient client = new RawClient(daemon.edgeAddress())) {
+        client.send("POST /open HTTP/1.1\r\nHost: test\r\nContent-Length: 1000\r\n\r\nhalf");
+        CompletableFuture<Void> stopped = daemon.stop();
+
+        assertRefused(client.read());
+        stopped.get(30, TimeUnit.SECONDS);
+        assertThat(upstream.requestHeads).isEmpty();
+      }
+    }
+  }
+
+  /**
+   * Guards against responses that are lost because the daemon beside the upstream stops at the same
+   * time and closes the link to the edge under them.
+   */
+  @Test
+  void responseOfPeerThatStopsAtTheSameTimeIsDelivered() throws Exception {
+    try (StandInUpstream deep =
+        new StandInUpstream(
+            (head, body, socket) -> {
+              Thread.sleep(1_500);
+              StandInUpstream.respond(socket, 200, "deep");
+            })) {
+      TrafficDaemon edge = fleet.startWithStopTimes("a", 200, 3_000);
+      TrafficDaemon peer = fleet.startWithStopTimes("b", 200, 3_000);
+      TestFleet.announce(peer, "deep", deep, 10);
+      TestFleet.await(() -> readyLinks("a") == 1);
+      try (RawClient client = new RawClient(edge.edgeAddress())) {
+        client.send(request("POST", "/deep", "x", TestFleet.KEY));
+        TestFleet.await(() -> deep.requestHeads.size() == 1);
+        CompletableFuture<Void> edgeStopped = edge.stop();
+        CompletableFuture<Void> peerStopped = peer.stop();
+
+        assertThat(client.read().body()).isEqualTo("deep");
+        edgeStopped.get(30, TimeUnit.SECONDS);
+        peerStopped.get(30, TimeUnit.SECONDS);
+      }
+    }
+  }
+
+  private TrafficDaemon startBeside(StandInUpstream upstream, long stopTimeoutMillis)
+      throws IOException {
+    TrafficDaemon daemon = fleet.startWithStopTimes("a", 200, stopTimeoutMillis);
+    TestFleet.announce(daemon, "svc", upstream, 10);
+    return daemon;
+  }
+
+  private StandInUpstream.Script untilStopped() {
+    return (head, body, socket) -> {
+      TestFleet.await(() -> !running.get());
+      StandInUpstream.respond(socket, 200, "late");
+    };
+  }
+
+  private static void assertRefused(Response response) {
+    assertThat(response.status()).isEqualTo(503);
+    assertThat(response.reason()).isEqualTo("draining");
+    assertThat(response.verdict()).isEqualTo("not-run");
+    assertThat(response.header("Connection")).isEqualTo("close");
+    assertThat(Integer.parseInt(response.header("Retry-After"))).isAtLeast(1);
+  }
+
   private long readyLinks(String daemon) {
     return fleet.metrics.get(daemon).counter("link.ready").getCount();
   }
