Stop gracefully on SIGTERM during the start

Cause: the shutdown hook was registered after the start, but a daemon accepts requests before its start is complete, so SIGTERM in between ended the process with these requests.

Change: StopHook is registered before the start and stops the daemon once it has started. StopHookTest covers SIGTERM during the start and a failed start; the class is new, so the test has no run on the code before.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Main.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Main.java
@@ -94,15 +94,18 @@
   private int serve(DaemonSettings settings) {
     Logging.configure(settings.log());
     DaemonFactory.Daemon daemon;
+    StopHook stopHook = new StopHook();
+    // Registered first, because a daemon accepts requests before its start is complete.
+    Runtime.getRuntime().addShutdownHook(new Thread(stopHook, "shutdown"));
     try {
       daemon = factory.create(settings);
       daemon.start();
     } catch (Exception e) {
+      stopHook.onStartFailed();
       err.println("cornelspoked: start failed: " + e.getMessage());
       return EXIT_FAILED;
     }
-    // SIGTERM is the regular way to stop; the hook delays exit until the graceful shutdown is done.
-    Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "shutdown"));
+    stopHook.onStarted(daemon);
     try {
       daemon.awaitStop();
     } catch (InterruptedException e) {
