Limit the log of the control group by size

Recovered entries above 4 KiB stay on disk until they are applied or sent; committed entries are applied in portions. No format changes.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/LeaderState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/LeaderState.java
@@ -96,9 +96,10 @@
         if (progress.inflightAppends >= state.settings.maxInflightAppends()) {
           progress.inflightAppends--;
         }
-        if (progress.matchIndex < state.log.lastIndex()
-            && progress.nextIndex > state.log.lastIndex()) {
-          // All entries were sent but not acknowledged: an empty request detects lost ones.
+        boolean mustWaitForReplies =
+            progress.nextIndex > state.log.lastIndex() || !hasInflightCapacity(progress);
+        if (progress.matchIndex < state.log.lastIndex() && mustWaitForReplies) {
+          // Requests or replies may have been lost: an empty request detects that.
           sendAppend(response.from(), progress, List.of());
         }
       }
@@ -233,7 +234,7 @@
     }
     while (progress.mode == Progress.Mode.REPLICATE
         && progress.nextIndex <= state.log.lastIndex()
-        && progress.inflightAppends < state.settings.maxInflightAppends()) {
+        && hasInflightCapacity(progress)) {
       sendNext(to, progress);
     }
     boolean hasUnsentCommit =
@@ -243,6 +244,12 @@
     }
   }
 
+  private boolean hasInflightCapacity(Progress progress) {
+    return progress.inflightAppends < state.settings.maxInflightAppends()
+        && state.log.bytesBetween(progress.matchIndex, progress.nextIndex - 1)
+            < state.settings.maxInflightBytes();
+  }
+
   private void sendNext(MemberIdentity to, Progress progress) {
     if (progress.nextIndex - 1 < state.log.baseIndex()) {
       progress.mode = Progress.Mode.SNAPSHOT;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftLog.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftLog.java
@@ -7,14 +7,22 @@
 /** In-memory log: the entries after the base index, and the term at the base index. */
 final class RaftLog {
 
+  /** Encoded size of an entry without its data: term, kind and lengths, rounded up. */
+  private static final int ENTRY_OVERHEAD_BYTES = 20;
+
   private final List<LogEntry> entries = new ArrayList<>();
+
+  /** For each entry, the total size of all entries ever appended up to and including it. */
+  private final List<Long> endBytes = new ArrayList<>();
+
+  private long baseEndBytes;
   private long baseIndex;
   private long baseTerm;
 
   RaftLog(long baseIndex, long baseTerm, List<LogEntry> entries) {
     this.baseIndex = baseIndex;
     this.baseTerm = baseTerm;
-    this.entries.addAll(entries);
+    entries.forEach(this::append);
   }
 
   /** Returns the index of the entry before the first retained one. */
@@ -59,38 +67,78 @@
     if (entry.index() != lastIndex() + 1) {
       throw new IllegalStateException("entry " + entry + " does not follow " + lastIndex());
     }
+    endBytes.add(endBytesAt(lastIndex()) + sizeBytes(entry));
     entries.add(entry);
   }
 
   void truncateFrom(long index) {
     entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+    endBytes.subList(entries.size(), endBytes.size()).clear();
+  }
+
+  /**
+   * Returns the size of the retained entries after the first index, up to and including the second
+   * one.
+   */
+  long bytesBetween(long fromIndex, long toIndex) {
+    return endBytesAt(Math.max(toIndex, baseIndex)) - endBytesAt(Math.max(fromIndex, baseIndex));
+  }
+
+  /**
+   * Removes the entries that a durable snapshot covers, except the last ones in memory, which are
+   * kept for members that lag.
+   */
+  void compact(long snapshotIndex, RaftSettings settings) {
+    long firstKept = snapshotIndex - settings.trailingEntries();
+    long base = snapshotIndex;
+    while (base > Math.max(baseIndex, firstKept)
+        && !entry(base).isDataOnDisk()
+        && bytesBetween(base - 1, snapshotIndex) <= settings.trailingBytes()) {
+      base--;
+    }
+    removeUpTo(base);
+  }
+
+  /** Returns the index of the last entry whose data is on disk, or the base index. */
+  long lastIndexOnDisk() {
+    long index = lastIndex();
+    while (index > baseIndex && !entry(index).isDataOnDisk()) {
+      index--;
+    }
+    return index;
   }
 
   void removeUpTo(long index) {
     if (index > baseIndex) {
       baseTerm = termAt(index);
+      baseEndBytes = endBytesAt(index);
       entries.subList(0, (int) (index - baseIndex)).clear();
+      endBytes.subList(0, (int) (index - baseIndex)).clear();
       baseIndex = index;
     }
   }
 
   void reset(long index, long term) {
     entries.clear();
+    endBytes.clear();
     baseIndex = index;
     baseTerm = term;
   }
 
-  /** Returns the entries from the index on, at least one if any, up to about the given size. */
+  /**
+   * Returns the entries from the index on, at least one if any, up to about the given size. Their
+   * data is in memory.
+   */
   List<LogEntry> slice(long from, int maxBytes) {
     List<LogEntry> result = new ArrayList<>();
     long bytes = 0;
     for (long i = from; i <= lastIndex(); i++) {
       LogEntry entry = entry(i);
-      bytes += entry.data().length + ENTRY_OVERHEAD_BYTES;
+      bytes += sizeBytes(entry);
       if (!result.isEmpty() && bytes > maxBytes) {
         break;
       }
-      result.add(entry);
+      result.add(entry.withDataInMemory());
     }
     return result;
   }
@@ -114,6 +162,11 @@
     return index;
   }
 
-  /** Encoded size of an entry without its data: term, kind and lengths, rounded up. */
-  private static final int ENTRY_OVERHEAD_BYTES = 20;
+  private long endBytesAt(long index) {
+    return index == baseIndex ? baseEndBytes : endBytes.get((int) (index - baseIndex - 1));
+  }
+
+  private static long sizeBytes(LogEntry entry) {
+    return (long) entry.dataBytes() + ENTRY_OVERHEAD_BYTES;
+  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
@@ -180,9 +180,7 @@
     }
     if (snapshotSequence > 0 && sequence >= snapshotSequence) {
       snapshotSequence = 0;
-      state.log.removeUpTo(
-          Math.max(
-              state.log.baseIndex(), state.snapshot.index() - state.settings.trailingEntries()));
+      state.log.compact(state.snapshot.index(), state.settings);
     }
     advanceCommit();
   }
@@ -200,9 +198,10 @@
   }
 
   /**
-   * Appends a command if this member leads.
+   * Appends a command if this member leads and its disk keeps up.
    *
-   * @return the index, or empty if this member does not lead
+   * @return the index, or empty if this member does not lead or has {@link
+   *     RaftSettings#maxUnsyncedBytes} that are not synced
    * @throws IllegalArgumentException if the command is larger than {@link
    *     RaftSettings#MAX_COMMAND_BYTES}
    */
@@ -210,7 +209,8 @@
     Assert.isTrue(
         command.length <= RaftSettings.MAX_COMMAND_BYTES,
         "command must be at most " + RaftSettings.MAX_COMMAND_BYTES + " bytes");
-    if (role != Role.LEADER) {
+    long unsyncedBytes = state.log.bytesBetween(state.outbox.durableIndex(), state.log.lastIndex());
+    if (role != Role.LEADER || unsyncedBytes >= state.settings.maxUnsyncedBytes()) {
       return OptionalLong.empty();
     }
     return OptionalLong.of(state.append(EntryKind.COMMAND, command).index());
@@ -267,9 +267,16 @@
     state.snapshot =
         new Snapshot(index, state.log.termAt(index), state.memberships.at(index).encode(), data);
     state.memberships.compactUpTo(index);
+    // Storing the snapshot deletes the files that hold the data of these entries.
+    state.log.removeUpTo(Math.min(index, state.log.lastIndexOnDisk()));
     snapshotSequence = state.outbox.persistSnapshot(state.snapshot, false);
   }
 
+  /** Returns true while the snapshot of the last {@link #onSnapshotTaken} is not durable. */
+  public boolean isSnapshotPending() {
+    return snapshotSequence > 0;
+  }
+
   /** Returns the messages to send now. */
   public List<RaftMessage> takeMessages() {
     if (role == Role.LEADER) {
@@ -292,15 +299,25 @@
     return taken;
   }
 
-  /** Returns the entries that were committed since the last call, in order. */
+  /**
+   * Returns the entries that were committed since the last call, in order, up to about {@link
+   * RaftSettings#maxApplyBytes}. Further calls return the rest.
+   */
   public List<LogEntry> takeCommitted() {
+    long from = deliveredIndex;
     List<LogEntry> entries = new ArrayList<>();
-    while (deliveredIndex < state.commitIndex) {
+    while (deliveredIndex < state.commitIndex
+        && state.log.bytesBetween(from, deliveredIndex) < state.settings.maxApplyBytes()) {
       entries.add(state.log.entry(++deliveredIndex));
     }
     return entries;
   }
 
+  /** Returns true if {@link #takeCommitted} has further entries to return. */
+  public boolean hasCommitted() {
+    return deliveredIndex < state.commitIndex;
+  }
+
   /** Returns the read results since the last call. */
   public List<ReadResult> takeReadResults() {
     List<ReadResult> taken = List.copyOf(readResults);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/Disk.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/Disk.java
@@ -1,14 +1,17 @@
 package org.cornelspoke.state.log;
 
 import java.io.Closeable;
+import java.io.EOFException;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 
 /**
  * File operations that the log needs, on a single folder. File content is durable after {@link
  * File#sync}; creation, renaming and deletion are durable after {@link #syncFolder}.
  *
- * <p>Not thread-safe; used by one thread at a time.
+ * <p>Not thread-safe; used by one thread at a time, except {@link #read(String, long, int)}, which
+ * another thread may call meanwhile.
  */
 public interface Disk extends Closeable {
 
@@ -18,6 +21,19 @@
   /** Reads a file completely. */
   byte[] read(String name) throws IOException;
 
+  /**
+   * Reads a range of a file.
+   *
+   * @throws EOFException if the file ends before the range does
+   */
+  default byte[] read(String name, long offset, int length) throws IOException {
+    byte[] content = read(name);
+    if (offset + length > content.length) {
+      throw new EOFException(name + " ends before " + (offset + length));
+    }
+    return Arrays.copyOfRange(content, (int) offset, (int) offset + length);
+  }
+
   /**
    * Creates an empty file.
    *
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileDisk.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileDisk.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.state.log;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -64,6 +65,19 @@
     return Files.readAllBytes(folder.resolve(name));
   }
 
+  @Override
+  public byte[] read(String name, long offset, int length) throws IOException {
+    ByteBuffer buffer = ByteBuffer.allocate(length);
+    try (FileChannel channel = FileChannel.open(folder.resolve(name), StandardOpenOption.READ)) {
+      while (buffer.hasRemaining()) {
+        if (channel.read(buffer, offset + buffer.position()) < 0) {
+          throw new EOFException(name + " ends before " + (offset + length));
+        }
+      }
+    }
+    return buffer.array();
+  }
+
   @Override
   public File create(String name) throws IOException {
     FileChannel channel =
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogRecovery.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogRecovery.java
@@ -1,14 +1,19 @@
 package org.cornelspoke.state.log;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
-/** Reads a data folder without modifying it and determines which data is intact. */
+/**
+ * Reads a data folder without modifying it and determines which data is intact. Only small entries
+ * are kept in memory, because the log may be larger than the heap.
+ */
 final class LogRecovery {
 
   private final Disk disk;
+  private final int maxDataBytesInMemory;
   private final List<LogEntry> entries = new ArrayList<>();
   private final List<LogStorage.SegmentInfo> sealedSegments = new ArrayList<>();
   private List<Long> segmentNumbers = List.of();
@@ -18,8 +23,14 @@
   private long lastSegmentMaxIndex;
   private boolean logDiscarded;
 
-  LogRecovery(Disk disk) {
+  /**
+   * Creates a recovery that has not read anything yet.
+   *
+   * @param maxDataBytesInMemory data size of entries above which the data stays on disk
+   */
+  LogRecovery(Disk disk, int maxDataBytesInMemory) {
     this.disk = disk;
+    this.maxDataBytesInMemory = maxDataBytesInMemory;
   }
 
   void read() throws IOException {
@@ -129,7 +140,8 @@
       if (offset == 0) {
         RecordPayloads.checkSegmentHeader(payload, number);
       } else {
-        maxIndex = Math.max(maxIndex, replay(name, offset, RecordPayloads.unpackEntries(payload)));
+        List<LogEntry> recordEntries = unpackEntries(number, offset, payload);
+        maxIndex = Math.max(maxIndex, replay(name, offset, recordEntries));
       }
       offset += RecordFormat.HEADER_BYTES + payload.length;
     }
@@ -141,6 +153,40 @@
     }
   }
 
+  private List<LogEntry> unpackEntries(long segmentNumber, int offset, byte[] payload)
+      throws IOException {
+    List<LogEntry> unpacked = RecordPayloads.unpackEntries(payload);
+    int recordBytes = RecordFormat.HEADER_BYTES + payload.length;
+    for (int i = 0; i < unpacked.size(); i++) {
+      LogEntry entry = unpacked.get(i);
+      // The data of a membership is needed to restore the members.
+      if (entry.dataBytes() > maxDataBytesInMemory && entry.kind() == EntryKind.COMMAND) {
+        int position = i;
+        Disk source = disk;
+        unpacked.set(
+            i,
+            entry.withDataOnDisk(
+                () -> readData(source, segmentNumber, offset, recordBytes, position)));
+      }
+    }
+    return unpacked;
+  }
+
+  private static byte[] readData(
+      Disk disk, long segmentNumber, int offset, int recordBytes, int position) {
+    String name = FileNames.segment(segmentNumber);
+    try {
+      byte[] record = disk.read(name, offset, recordBytes);
+      byte[] payload = RecordFormat.decodeAt(segmentNumber, record, offset);
+      if (payload == null) {
+        throw new DamagedStorageException(name, offset, "checksum does not match");
+      }
+      return RecordPayloads.unpackEntries(payload).get(position).data();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private long replay(String name, int offset, List<LogEntry> recordEntries) throws IOException {
     long firstIndex = recordEntries.get(0).index();
     long nextIndex = entries.isEmpty() ? firstIndex : entries.get(entries.size() - 1).index() + 1;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogStorage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogStorage.java
@@ -25,9 +25,12 @@
  */
 public final class LogStorage implements Closeable {
 
+  /** Default maximum data size of recovered entries that are kept in memory. */
+  private static final int MAX_RECOVERED_DATA_BYTES = 4 << 10;
+
   private final Disk disk;
   private final long segmentBytes;
-  private final RecoveredLog recovered;
+  private RecoveredLog recovered;
   private final Deque<SegmentInfo> sealedSegments = new ArrayDeque<>();
   private final MemberIdentity identity;
   private Disk.File activeSegment;
@@ -41,11 +44,12 @@
   /** A segment to which no more records are appended, with its highest log index. */
   record SegmentInfo(long number, long maxIndex) {}
 
-  private LogStorage(Disk disk, long segmentBytes, Supplier<MemberIdentity> newIdentity)
+  private LogStorage(
+      Disk disk, long segmentBytes, int maxRecoveredDataBytes, Supplier<MemberIdentity> newIdentity)
       throws IOException {
     this.disk = disk;
     this.segmentBytes = segmentBytes;
-    LogRecovery recovery = new LogRecovery(disk);
+    LogRecovery recovery = new LogRecovery(disk, maxRecoveredDataBytes);
     recovery.read();
     FileNames.deleteTemporary(disk);
     if (recovery.meta() == null) {
@@ -85,12 +89,31 @@
    */
   public static LogStorage open(Disk disk, long segmentBytes, Supplier<MemberIdentity> newIdentity)
       throws IOException {
+    return open(disk, segmentBytes, MAX_RECOVERED_DATA_BYTES, newIdentity);
+  }
+
+  /**
+   * Opens a folder like {@link #open(Disk, long, Supplier)}.
+   *
+   * @param maxRecoveredDataBytes data size of recovered entries above which the data stays on disk
+   */
+  public static LogStorage open(
+      Disk disk, long segmentBytes, int maxRecoveredDataBytes, Supplier<MemberIdentity> newIdentity)
+      throws IOException {
     Assert.isTrue(segmentBytes > 0, "segmentBytes must be positive");
-    return new LogStorage(disk, segmentBytes, newIdentity);
+    Assert.isTrue(maxRecoveredDataBytes >= 0, "maxRecoveredDataBytes must not be negative");
+    return new LogStorage(disk, segmentBytes, maxRecoveredDataBytes, newIdentity);
   }
 
-  /** Returns the data that the folder contained when it was opened. */
+  /**
+   * Returns the data that the folder contained when it was opened.
+   *
+   * @throws IllegalStateException if a snapshot has replaced it
+   */
   public RecoveredLog recovered() {
+    if (recovered == null) {
+      throw new IllegalStateException("a snapshot has replaced the recovered data");
+    }
     return recovered;
   }
 
@@ -179,6 +202,7 @@
   }
 
   private void writeSnapshot(Snapshot snapshot) throws IOException {
+    recovered = null;
     String name = FileNames.snapshot(snapshot.index());
     replaceFile(
         name, RecordFormat.encode(snapshot.index(), 0, RecordPayloads.packSnapshot(snapshot)));
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/RecordFormat.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/RecordFormat.java
@@ -28,6 +28,15 @@
 
   /** Returns the payload of the record at the offset, or null if no intact record starts there. */
   static byte[] decode(long fileNumber, byte[] file, int offset) {
+    return decode(fileNumber, file, offset, offset);
+  }
+
+  /** Returns the payload of a record that was read from the file offset, or null if damaged. */
+  static byte[] decodeAt(long fileNumber, byte[] record, long fileOffset) {
+    return decode(fileNumber, record, 0, fileOffset);
+  }
+
+  private static byte[] decode(long fileNumber, byte[] file, int offset, long fileOffset) {
     if (file.length - offset < HEADER_BYTES) {
       return null;
     }
@@ -40,7 +49,7 @@
     if (length < 0 || length > file.length - start) {
       return null;
     }
-    if (header.getInt() != checksum(fileNumber, offset, file, start, length)) {
+    if (header.getInt() != checksum(fileNumber, fileOffset, file, start, length)) {
       return null;
     }
     return Arrays.copyOfRange(file, start, start + length);
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftNodeTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftNodeTest.java
@@ -3,15 +3,18 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.google.common.collect.Range;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.apache.commons.math3.random.Well19937c;
 import org.cornelspoke.coordination.consensus.RaftMessage.AppendRequest;
 import org.cornelspoke.coordination.consensus.RaftMessage.AppendResponse;
 import org.cornelspoke.coordination.consensus.RaftMessage.Heartbeat;
 import org.cornelspoke.coordination.consensus.RaftMessage.HeartbeatResponse;
 import org.cornelspoke.coordination.consensus.RaftMessage.PreVoteResponse;
+import org.cornelspoke.coordination.consensus.RaftMessage.SnapshotRequest;
 import org.cornelspoke.coordination.consensus.RaftMessage.VoteRequest;
 import org.cornelspoke.coordination.consensus.RaftMessage.VoteResponse;
 import org.cornelspoke.model.Endpoint;
@@ -171,6 +174,89 @@
     assertThrows(IllegalArgumentException.class, () -> node.propose(large));
   }
 
+  /**
+   * Guards against a leader that buffers dozens of large entries for each member that does not
+   * reply, until its heap is full.
+   */
+  @Test
+  void inFlightEntriesAreLimitedBySize() {
+    RaftNode node = leader();
+    node.receive(new AppendResponse(B, SELF, 2, true, 2, 0, 0), LATER);
+    for (int i = 0; i < 30; i++) {
+      assertThat(node.propose(new byte[500_000])).isNotEqualTo(OptionalLong.empty());
+    }
+    long bytes =
+        node.takeMessages().stream()
+            .filter(message -> message instanceof AppendRequest && message.to().equals(B))
+            .flatMap(message -> ((AppendRequest) message).entries().stream())
+            .mapToLong(entry -> entry.data().length)
+            .sum();
+
+    assertThat(bytes).isGreaterThan(0);
+    assertThat(bytes).isAtMost(5L << 20);
+  }
+
+  /**
+   * Guards against a log that keeps large entries in memory after a snapshot because their number
+   * is small.
+   */
+  @Test
+  void entriesKeptAfterASnapshotAreLimitedBySize() {
+    RaftNode node = leader();
+    for (int i = 0; i < 30; i++) {
+      node.propose(new byte[500_000]);
+    }
+    persistAll(node);
+    long last = node.lastIndex();
+    node.receive(new AppendResponse(B, SELF, 2, true, last, 0, 0), LATER);
+    while (node.hasCommitted()) {
+      node.takeCommitted();
+    }
+    node.onSnapshotTaken(last, new byte[100]);
+    persistAll(node);
+    node.takeMessages();
+    node.receive(new AppendResponse(C, SELF, 2, false, 2, 2, 0), LATER);
+
+    assertThat(
+            node.takeMessages().stream()
+                .filter(message -> message.to().equals(C))
+                .map(Object::getClass))
+        .contains(SnapshotRequest.class);
+  }
+
+  /** Guards against applying a long log at once, during which heartbeats are not answered. */
+  @Test
+  void committedEntriesAreDeliveredInPortions() {
+    RaftNode node = leader();
+    for (int i = 0; i < 30; i++) {
+      node.propose(new byte[500_000]);
+    }
+    persistAll(node);
+    node.receive(new AppendResponse(B, SELF, 2, true, node.lastIndex(), 0, 0), LATER);
+    int delivered = 0;
+    while (node.hasCommitted()) {
+      int count = node.takeCommitted().size();
+      assertThat(count).isIn(Range.closed(1, 12));
+      delivered += count;
+    }
+
+    // The first membership and the no-op of the leader's term precede the commands.
+    assertThat(delivered).isEqualTo(32);
+  }
+
+  /** Guards against a log that grows without bound in memory while the leader's disk stalls. */
+  @Test
+  void leaderWhoseDiskStallsRefusesFurtherProposals() {
+    RaftNode node = leader();
+    int accepted = 0;
+    while (accepted < 1_000 && node.propose(new byte[500_000]).isPresent()) {
+      accepted++;
+    }
+    assertThat(accepted).isLessThan(40);
+    persistAll(node);
+    assertThat(node.propose(new byte[1]).isPresent()).isTrue();
+  }
+
   private RaftNode leader() {
     RaftNode node = member(SELF, B, C);
     node.tick(LATER);
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedVm.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedVm.java
@@ -26,6 +26,9 @@
 
   private static final int SNAPSHOT_INTERVAL = 15;
 
+  /** Below the size of a command, so that recovered commands are read from disk. */
+  private static final int MAX_RECOVERED_DATA_BYTES = 4;
+
   final VmId vmId;
   final Endpoint address;
   final FakeDisk disk;
@@ -67,7 +70,7 @@
   void start() {
     incarnation++;
     try {
-      storage = LogStorage.open(disk, 300, this::newIdentity);
+      storage = LogStorage.open(disk, 300, MAX_RECOVERED_DATA_BYTES, this::newIdentity);
     } catch (DamagedStorageException e) {
       throw new IllegalStateException(vmId + " cannot start", e);
     } catch (IOException e) {
@@ -77,7 +80,16 @@
     }
     RaftSettings settings =
         new RaftSettings(
-            SimulatedCluster.HEARTBEAT, SimulatedCluster.ELECTION_TIMEOUT, 200, 4, 64, 5);
+            SimulatedCluster.HEARTBEAT,
+            SimulatedCluster.ELECTION_TIMEOUT,
+            200,
+            4,
+            400,
+            64,
+            5,
+            110,
+            2_000,
+            60);
     node =
         new RaftNode(
             settings, storage.recovered(), new Well19937c(random.nextLong()), cluster.now());
@@ -171,6 +183,10 @@
     }
     node.takeRestore().ifPresent(this::restore);
     node.takeCommitted().forEach(this::apply);
+    if (node.hasCommitted()) {
+      int scheduledIncarnation = incarnation;
+      cluster.after(1, () -> continueApplying(scheduledIncarnation));
+    }
     node.takeReadResults().forEach(this::finishRead);
     if (applied - lastSnapshot >= SNAPSHOT_INTERVAL) {
       lastSnapshot = applied;
@@ -181,6 +197,12 @@
     }
   }
 
+  private void continueApplying(int scheduledIncarnation) {
+    if (incarnation == scheduledIncarnation) {
+      step();
+    }
+  }
+
   /** Pauses or resumes writes and syncs. */
   void pauseDisk(boolean paused) {
     diskPaused = paused;
@@ -238,7 +260,9 @@
     cluster.checker.checkRestored(this);
   }
 
-  private void apply(LogEntry entry) {
+  private void apply(LogEntry committed) {
+    // The checker keeps the entries for longer than the files exist.
+    LogEntry entry = committed.withDataInMemory();
     applied = entry.index();
     if (entry.kind() == EntryKind.COMMAND) {
       state.add(ByteBuffer.wrap(entry.data()).getLong());
--- a/cornelspoke-core/src/test/java/org/cornelspoke/state/log/LogStorageTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/state/log/LogStorageTest.java
@@ -267,6 +267,42 @@
     }
   }
 
+  /**
+   * Guards against a start that reads a log of large entries into memory: the control VM ran out of
+   * heap again after each restart.
+   */
+  @Test
+  void dataOfLargeRecoveredEntriesStaysOnDisk() throws Exception {
+    List<LogEntry> written = new ArrayList<>();
+    LogStorage storage = open(20_000);
+    for (int i = 1; i <= 12; i++) {
+      byte[] data = new byte[i % 3 == 0 ? 10 : 5_000 + i];
+      Arrays.fill(data, (byte) i);
+      written.add(new LogEntry(i, 1, EntryKind.COMMAND, data));
+    }
+    write(storage, written.subList(0, 3));
+    for (int i = 3; i < 12; i++) {
+      write(storage, written.subList(i, i + 1));
+    }
+    LogStorage reopened = open(20_000);
+    List<LogEntry> recovered = reopened.recovered().entries();
+    write(reopened, entries(13, 1, 1));
+
+    assertThat(recovered).isEqualTo(written);
+    for (LogEntry entry : recovered) {
+      assertThat(entry.isDataOnDisk()).isEqualTo(entry.index() % 3 != 0);
+    }
+  }
+
+  /** Guards against a storage that keeps the recovered snapshot in memory while it is open. */
+  @Test
+  void recoveredDataIsReleasedWithTheNextSnapshot() throws Exception {
+    LogStorage storage = open(LARGE_SEGMENT);
+    write(storage, entries(1, 2, 1));
+    storage.saveSnapshot(snapshot(2, 1));
+    assertThrows(IllegalStateException.class, storage::recovered);
+  }
+
   private LogStorage open(long segmentBytes) throws IOException {
     return LogStorage.open(disk, segmentBytes, () -> MemberIdentity.seeded(++identitySeed));
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.commons.math3.random.Well19937c;
 import org.cornelspoke.coordination.consensus.Member;
@@ -56,6 +57,9 @@
 
   private static final long MAINTENANCE_INTERVAL_TICKS = 2;
 
+  /** Delay before further committed entries are applied, in which other events are handled. */
+  private static final long APPLY_PAUSE_MILLIS = 1;
+
   private final NioReactor reactor;
   private final VmId vmId;
   private final Endpoint peerAddress;
@@ -72,13 +76,13 @@
   private final boolean mayFormGroup;
   private final boolean automaticMembership;
   private final Consumer<Membership> membershipListener;
+  private final SnapshotSchedule snapshots;
   private ConsensusMetrics metrics;
   private DiskWriter writer;
   private PeerConnections connections;
   private RaftNode node;
   private GroupUpkeep upkeep;
   private long appliedIndex;
-  private long snapshotIndex;
   private long nextCallId;
   private long tickCount;
   private boolean outputsScheduled;
@@ -94,6 +98,7 @@
     this.stateMachine = Assert.notNull(builder.stateMachine, "stateMachine");
     this.diskOpener = builder.diskOpener;
     this.settings = builder.settings;
+    this.snapshots = new SnapshotSchedule(settings);
     this.metricRegistry = builder.metricRegistry;
     this.peers = Map.copyOf(builder.peers);
     this.mayFormGroup = builder.mayFormGroup;
@@ -244,12 +249,9 @@
 
   /** Returns the current members; match indexes are known on the leader only. */
   public List<MemberStatus> members() {
-    return node.membership().members().stream().map(this::status).toList();
-  }
-
-  private MemberStatus status(Member member) {
-    boolean leads = node.leader().filter(member.identity()::equals).isPresent();
-    return new MemberStatus(member, node.matchIndex(member.identity()), leads);
+    return node.membership().members().stream()
+        .map(member -> MemberStatus.of(member, node))
+        .toList();
   }
 
   /**
@@ -311,7 +313,7 @@
     }
     runGuarded(() -> node.tick(System.nanoTime()));
     if (tickCount++ % MAINTENANCE_INTERVAL_TICKS == 0) {
-      pending.expire(nowMillis());
+      pending.expire(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
       connections.maintain();
       upkeep.tick(System.nanoTime());
       metrics.publish(node.term(), node.commitIndex(), appliedIndex, node.electionCount());
@@ -367,17 +369,22 @@
     for (ReadResult result : node.takeReadResults()) {
       pending.onReadResult(result.requestId(), result.confirmed(), result.index());
     }
-    if (running && appliedIndex - snapshotIndex >= settings.entriesBetweenSnapshots()) {
-      snapshotIndex = appliedIndex;
-      node.onSnapshotTaken(appliedIndex, stateMachine.snapshot());
+    // A pending snapshot is still being written, and a second one would only be queued.
+    if (running && snapshots.isDue() && !node.isSnapshotPending()) {
+      byte[] snapshot = stateMachine.snapshot();
+      snapshots.onSnapshot(appliedIndex, snapshot.length);
+      node.onSnapshotTaken(appliedIndex, snapshot);
       node.takePersistRequests().forEach(writer::submit);
     }
+    if (running && node.hasCommitted()) {
+      reactor.delay(APPLY_PAUSE_MILLIS, this::processOutputs);
+    }
   }
 
   private void restore(Snapshot snapshot) {
     stateMachine.restore(snapshot.data());
     appliedIndex = snapshot.index();
-    snapshotIndex = snapshot.index();
+    snapshots.onSnapshot(appliedIndex, snapshot.data().length);
     pending.onRestored(appliedIndex);
   }
 
@@ -387,6 +394,7 @@
             ? stateMachine.apply(entry.index(), entry.data())
             : new byte[0];
     appliedIndex = entry.index();
+    snapshots.onApplied(entry);
     pending.onApplied(entry, result);
   }
 
@@ -401,11 +409,7 @@
   }
 
   private long deadlineMillis() {
-    return nowMillis() + settings.requestTimeoutMillis();
-  }
-
-  private static long nowMillis() {
-    return System.nanoTime() / 1_000_000;
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) + settings.requestTimeoutMillis();
   }
 
   private final class PeerEvents implements PeerConnections.Listener {
@@ -503,11 +507,6 @@
     }
   }
 
-  /** Opens a data folder. */
-  interface DiskOpener {
-    Disk open(Path folder) throws IOException;
-  }
-
   /** Builder of {@link ConsensusService}. */
   public static final class Builder {
     private final NioReactor reactor;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/DiskWriter.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/DiskWriter.java
@@ -102,7 +102,7 @@
       }
       for (LogEntry entry : request.entries()) {
         batch.add(entry);
-        batchBytes += entry.data().length;
+        batchBytes += entry.dataBytes();
       }
       if (request.hardState().isPresent()) {
         storage.saveHardState(request.hardState().get());
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -38,6 +38,9 @@
  */
 public final class RelayServer {
 
+  /** Unsent bytes above which a daemon is sent no further updates until its next query. */
+  private static final int MAX_PENDING_UPDATE_BYTES = 1 << 20;
+
   private static final System.Logger LOGGER = System.getLogger(RelayServer.class.getName());
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final long TICK_INTERVAL_MILLIS = 100;
@@ -398,7 +401,8 @@
     IdentityHashMap<ControlMessage, byte[]> encoded = new IdentityHashMap<>();
     for (RelaySession session : sessions.sessions()) {
       FrameConnection connection = connections.get(session);
-      if (connection == null) {
+      // A daemon that reads slowly receives the rest as one update with its next query.
+      if (connection == null || connection.pendingBytes() > MAX_PENDING_UPDATE_BYTES) {
         continue;
       }
       for (ControlMessage message : sessions.takePendingUpdates(session)) {
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FaultyDisk.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FaultyDisk.java
@@ -54,6 +54,11 @@
     return disk.read(name);
   }
 
+  @Override
+  public byte[] read(String name, long offset, int length) throws IOException {
+    return disk.read(name, offset, length);
+  }
+
   @Override
   public File create(String name) throws IOException {
     File file = disk.create(name);
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/RunningVm.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/RunningVm.java
@@ -41,6 +41,11 @@
   final ConsensusService service;
 
   RunningVm(VmId vmId, Path folder, Map<VmId, Endpoint> addresses) throws Exception {
+    this(vmId, folder, addresses, SETTINGS);
+  }
+
+  RunningVm(VmId vmId, Path folder, Map<VmId, Endpoint> addresses, ConsensusSettings settings)
+      throws Exception {
     this.vmId = vmId;
     reactor.keepAlive(true);
     this.thread = new Thread(reactor, vmId + "-control");
@@ -52,7 +57,7 @@
             .withStateMachine(new ListState())
             .withDiskOpener(path -> new FaultyDisk(new FileDisk(path), faults))
             .withMetrics(metrics)
-            .withSettings(SETTINGS);
+            .withSettings(settings);
     addresses.forEach(
         (id, address) -> {
           if (!id.equals(vmId)) {
