Accept configurations larger than a log entry

Callers saw: a valid configuration whose command exceeds 900,000 bytes (about 0.6 MB of JSON and more, with many routes) was answered 503 at each attempt, without a reason.

Cause: a command has to fit into one frame between members, and one that doesn't was retried until the time-out.

Change: commands above the limit are compressed; smaller ones keep their form, which members of the build before can read. One that is too large even then is refused at once with 413 and its size. A text of the configuration may have up to 16 MiB in the state.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/CommandCodec.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/CommandCodec.java
@@ -15,6 +15,14 @@
   private static final int COMPLETE_CLAIM = 4;
   private static final int RELEASE_CLAIM = 5;
 
+  private static final int COMPRESSED = 6;
+
+  /**
+   * Size above which a command is compressed. Earlier versions accept no larger command and cannot
+   * read compressed ones, so all members must run this version before one is proposed.
+   */
+  private static final int MAX_PLAIN_BYTES = 900_000;
+
   private static final int REGISTER = 1;
   private static final int DRAIN = 2;
   private static final int REMOVE = 3;
@@ -27,8 +35,17 @@
 
   private CommandCodec() {}
 
-  /** Encodes a command. */
+  /** Encodes a command, compressed if it is large. */
   public static byte[] encode(ControlCommand command) {
+    byte[] plain = encodePlain(command);
+    if (plain.length <= MAX_PLAIN_BYTES) {
+      return plain;
+    }
+    MessageWriter out = new MessageWriter().array(3).number(COMPRESSED).number(plain.length);
+    return out.bytes(Compression.compress(plain)).toByteArray();
+  }
+
+  private static byte[] encodePlain(ControlCommand command) {
     MessageWriter out = new MessageWriter();
     if (command instanceof ControlCommand.Change change) {
       out.array(2).number(CHANGE);
@@ -105,6 +122,16 @@
   private static ControlCommand readCommand(MessageReader in) {
     int size = in.arraySize();
     int type = in.integer();
+    if (type == COMPRESSED && size == 3) {
+      int plainBytes = in.integer();
+      byte[] plain = Compression.decompress(in.bytes(), plainBytes);
+      return MessageReader.decode(
+          plain, nested -> readPlainCommand(nested, nested.arraySize(), nested.integer()));
+    }
+    return readPlainCommand(in, size, type);
+  }
+
+  private static ControlCommand readPlainCommand(MessageReader in, int size, int type) {
     int expectedSize =
         switch (type) {
           case CHANGE, REGISTRY_BATCH -> 2;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/MessageWriter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/codec/MessageWriter.java
@@ -23,7 +23,7 @@
   public static final int MAX_TEXT_CHARS = 16_384;
 
   /** Maximum length of a byte array. */
-  public static final int MAX_BYTES = 1 << 20;
+  public static final int MAX_BYTES = 16 << 20;
 
   private final MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
 
@@ -64,7 +64,7 @@
    * @throws IllegalArgumentException if the array is longer than {@link #MAX_BYTES}
    */
   public MessageWriter bytes(byte[] value) {
-    Assert.isTrue(value.length <= MAX_BYTES, "bytes must be at most 1 MiB");
+    Assert.isTrue(value.length <= MAX_BYTES, "bytes must be at most 16 MiB");
     return write(
         () -> {
           packer.packBinaryHeader(value.length);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/ControlBackend.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/ControlBackend.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
+import org.cornelspoke.coordination.consensus.RaftSettings;
 import org.cornelspoke.coordination.consensus.ReplicatedLog;
 import org.cornelspoke.coordination.dissemination.DaemonStatus;
 import org.cornelspoke.model.OperatorId;
@@ -76,11 +77,17 @@
    *
    * @param deadlineNanos monotonic time after which the promise fails with {@link
    *     ProposalFailedException}, which tells whether the change may still be accepted
-   * @throws IllegalArgumentException if a text of the change exceeds the length limit of a command
+   * @throws IllegalArgumentException if the change or one of its texts exceeds the size limit of a
+   *     command; the change has no effect
    */
   public Promise<ChangeResult> submit(ChangeRequest request, long deadlineNanos) {
+    byte[] command = CommandCodec.encode(new ControlCommand.Change(request));
+    Assert.isTrue(
+        command.length <= RaftSettings.MAX_COMMAND_BYTES,
+        "the change is too large: %d bytes when compressed, at most %d"
+            .formatted(command.length, RaftSettings.MAX_COMMAND_BYTES));
     return retryingLog
-        .propose(CommandCodec.encode(new ControlCommand.Change(request)), deadlineNanos)
+        .propose(command, deadlineNanos)
         .map(result -> ((ControlResult.Changed) CommandCodec.decodeResult(result)).result());
   }
 
