Bound the memory of endless responses per daemon

Reported by other operators: a faulty target sent bytes without end, and the machine that had called it ran out of memory.

Found here: heads, chunk lines, trailers, interim and surplus responses were bounded already (UpstreamPoolTest), and so was the sum of incomplete bodies, but per upstream process instead of per daemon, and only after a buffer had been copied to one of twice the size: a body of 33 MB claimed 100 MB for a moment, of a heap of 160 MB.

Change: all upstreams of a daemon share one limit (ResponseMemory), and a body grows by segments of 1 MiB.

No process was seen to end for this reason.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/BodyReader.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/BodyReader.java
@@ -1,12 +1,18 @@
 package org.cornelspoke.transport.http;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import org.cornelspoke.model.RefusalReason;
 
 /** Reads one message body up to a size limit. */
 final class BodyReader {
 
   private static final int INITIAL_BYTES = 64 << 10;
+
+  /** Size from which on a body grows by further segments instead of copies of twice the size. */
+  private static final int MAX_SEGMENT_BYTES = 1 << 20;
+
   private static final int MAX_CHUNK_LINE_BYTES = 256;
   private static final int MAX_SIZE_DIGITS = 7;
   private static final byte[] EMPTY_BODY = new byte[0];
@@ -23,8 +29,10 @@
   private final boolean chunked;
   private final boolean untilClose;
   private State state;
-  private byte[] body;
-  private int size;
+  private final List<byte[]> fullSegments = new ArrayList<>();
+  private byte[] segment;
+  private int segmentSize;
+  private int fullBytes;
   private int remaining;
   private int trailerBytes;
 
@@ -35,7 +43,7 @@
     this.remaining = remaining;
     this.maxBytes = maxBytes;
     // Does not allocate the whole length at once: a peer may announce a body and never send it.
-    this.body =
+    this.segment =
         remaining == 0 && !chunked && !untilClose ? EMPTY_BODY : new byte[initialSize(remaining)];
   }
 
@@ -90,30 +98,43 @@
 
   /** Returns the number of bytes allocated for the body so far. */
   int reservedBytes() {
-    return body.length;
+    return fullBytes + segment.length;
   }
 
   /** Returns the bytes read so far. */
   byte[] body() {
-    return size == body.length ? body : Arrays.copyOf(body, size);
+    if (fullSegments.isEmpty()) {
+      return segmentSize == segment.length ? segment : Arrays.copyOf(segment, segmentSize);
+    }
+    byte[] body = new byte[size()];
+    int offset = 0;
+    for (byte[] full : fullSegments) {
+      System.arraycopy(full, 0, body, offset, full.length);
+      offset += full.length;
+    }
+    System.arraycopy(segment, 0, body, offset, segmentSize);
+    return body;
+  }
+
+  private int size() {
+    return fullBytes + segmentSize;
   }
 
   private boolean readData(ReadBuffer in) throws HttpSyntaxException {
-    int count = untilClose ? in.size() : Math.min(remaining, in.size());
-    if (count == 0) {
+    int available = untilClose ? in.size() : Math.min(remaining, in.size());
+    if (available == 0) {
       return false;
     }
-    if (size + count > maxBytes) {
+    if (size() + available > maxBytes) {
       throw tooLarge();
     }
-    if (size + count > body.length) {
-      int newCapacity = Math.max(size + count, body.length * 2);
-      int maxCapacity = chunked || untilClose ? maxBytes : size + remaining;
-      body = Arrays.copyOf(body, Math.min(newCapacity, maxCapacity));
+    if (segmentSize == segment.length) {
+      addCapacity(available);
     }
-    System.arraycopy(in.array(), in.head(), body, size, count);
+    int count = Math.min(available, segment.length - segmentSize);
+    System.arraycopy(in.array(), in.head(), segment, segmentSize, count);
     in.consume(count);
-    size += count;
+    segmentSize += count;
     remaining -= count;
     if (!untilClose && remaining == 0) {
       state = chunked ? State.CHUNK_DATA_END : State.DONE;
@@ -121,6 +142,23 @@
     return true;
   }
 
+  /**
+   * Makes room after the last segment is full. The memory of a body never exceeds its size by more
+   * than a segment, because copies of a large body would count several times.
+   */
+  private void addCapacity(int available) {
+    int maxCapacity = chunked || untilClose ? maxBytes - fullBytes : segmentSize + remaining;
+    if (segment.length >= MAX_SEGMENT_BYTES) {
+      fullSegments.add(segment);
+      fullBytes += segment.length;
+      segment = new byte[Math.min(MAX_SEGMENT_BYTES, maxCapacity - segmentSize)];
+      segmentSize = 0;
+    } else {
+      int newCapacity = Math.max(segmentSize + available, segment.length * 2);
+      segment = Arrays.copyOf(segment, Math.min(newCapacity, maxCapacity));
+    }
+  }
+
   private boolean readChunkSize(ReadBuffer in) throws HttpSyntaxException {
     int length = lineLength(in, MAX_CHUNK_LINE_BYTES);
     if (length < 0) {
@@ -138,7 +176,7 @@
     if (digits == 0 || (digits < length && in.array()[in.head() + digits] != ';')) {
       throw HttpSyntaxException.malformed("chunk size is malformed");
     }
-    if (value > maxBytes - size) {
+    if (value > maxBytes - size()) {
       throw tooLarge();
     }
     in.consume(length + 2);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
@@ -150,7 +150,7 @@
   private void updateReservedBytes(int bytes) {
     int changeBytes = bytes - reservedBytes;
     reservedBytes = bytes;
-    pool.onReservedBytesChanged(changeBytes);
+    pool.responseMemory().onChange(this, changeBytes);
   }
 
   @Override
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamPool.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamPool.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
@@ -40,9 +39,6 @@
    */
   private static final long MIN_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
 
-  /** Fraction of the heap that incomplete responses of the upstream may occupy. */
-  private static final double RESERVED_HEAP_FRACTION = 0.25;
-
   private static final SocketSettings SOCKET_SETTINGS =
       SocketSettings.builder().withTcpNoDelay(true).build();
 
@@ -55,12 +51,9 @@
   private final Counter surplusCloses;
   private final Counter idleDataCloses;
   private final Counter connectionsOpened;
-  private final Counter abortedResponses;
+  private final ResponseMemory responseMemory;
   private int maxConnections;
   private int connecting;
-  private long maxReservedBytes =
-      (long) (Runtime.getRuntime().maxMemory() * RESERVED_HEAP_FRACTION);
-  private long reservedBytes;
   private boolean closed;
 
   /**
@@ -69,6 +62,7 @@
    * @param maxBodyBytes largest response body
    * @param maxConnections limit up to which spare connections are opened in advance; exchanges
    *     beyond it still get a connection, because the gate limits their number
+   * @param responseMemory memory of incomplete responses, shared by all pools of the daemon
    */
   public UpstreamPool(
       NioReactor reactor,
@@ -76,7 +70,9 @@
       int maxBodyBytes,
       int maxConnections,
       ResponsePolicy responsePolicy,
+      ResponseMemory responseMemory,
       MetricRegistry metrics) {
+    this.responseMemory = Assert.notNull(responseMemory, "responseMemory");
     this.responsePolicy = Assert.notNull(responsePolicy, "responsePolicy");
     this.reactor = Assert.notNull(reactor, "reactor");
     this.address = upstream.toSocketAddress();
@@ -84,7 +80,6 @@
     this.maxConnections = maxConnections;
     this.surplusCloses = metrics.counter("upstream.surplus-closes");
     this.idleDataCloses = metrics.counter("upstream.idle-data-closes");
-    this.abortedResponses = metrics.counter("upstream.answers-given-up");
     this.connectionsOpened = metrics.counter("upstream.connections-opened");
   }
 
@@ -101,12 +96,6 @@
     maxConnections = connectionLimit;
   }
 
-  /** Sets the memory limit of incomplete responses; a quarter of the heap by default. */
-  public void setMaxReservedBytes(long bytes) {
-    Assert.isTrue(bytes > 0, "bytes must be positive");
-    maxReservedBytes = bytes;
-  }
-
   /** Sends a request. */
   public UpstreamExchange send(UpstreamRequest request, UpstreamExchange.Listener listener) {
     UpstreamExchange exchange = new UpstreamExchange(request, listener);
@@ -148,18 +137,8 @@
     idleConnections.remove(connection);
   }
 
-  /**
-   * Tracks the memory of incomplete responses and aborts the largest one if the limit is exceeded:
-   * a faulty upstream may send endless responses on many connections at once.
-   */
-  void onReservedBytesChanged(long changeBytes) {
-    reservedBytes += changeBytes;
-    if (changeBytes > 0 && reservedBytes > maxReservedBytes) {
-      abortedResponses.inc();
-      openConnections.stream()
-          .max(Comparator.comparingInt(UpstreamConnection::reservedBytes))
-          .ifPresent(UpstreamConnection::abort);
-    }
+  ResponseMemory responseMemory() {
+    return responseMemory;
   }
 
   void onSurplusData() {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamPoolTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/UpstreamPoolTest.java
@@ -40,6 +40,7 @@
   private final MetricRegistry metrics = new MetricRegistry();
   private final LinkedBlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
   private ServerSocket server;
+  private final ResponseMemory responseMemory = new ResponseMemory(metrics);
   private UpstreamPool pool;
 
   @BeforeEach
@@ -275,7 +276,7 @@
   void memoryOfIncompleteBodiesIsBounded() throws Exception {
     onReactor(
         () -> {
-          pool.setMaxReservedBytes(4 * MAX_BODY_BYTES);
+          responseMemory.setMaxBytes(4 * MAX_BODY_BYTES);
           return null;
         });
     List<CompletableFuture<CallResult>> results = new ArrayList<>();
@@ -307,6 +308,34 @@
     }
   }
 
+  /** Guards against several faulty upstreams of a daemon that each use the memory for one. */
+  @Test
+  @Timeout(60)
+  void memoryOfIncompleteBodiesIsSharedByAllUpstreams() throws Exception {
+    onReactor(
+        () -> {
+          responseMemory.setMaxBytes(2 * MAX_BODY_BYTES);
+          return null;
+        });
+    UpstreamPool first = pool;
+    List<CompletableFuture<CallResult>> results = new ArrayList<>();
+    List<Socket> sockets = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      pool = i % 2 == 0 ? first : newPool(server.getLocalPort());
+      results.add(send("GET"));
+      Socket socket = accepted.take();
+      readRequest(socket);
+      sockets.add(socket);
+      daemonThread(() -> writeIncompleteBody(socket, MAX_BODY_BYTES / 2));
+    }
+    while (failedAndAbortedCounts(results)[0] < results.size() - 4) {
+      Thread.sleep(10);
+    }
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
   /** Returns the number of failed exchanges and of aborted responses, read at the same time. */
   private long[] failedAndAbortedCounts(List<CompletableFuture<CallResult>> results)
       throws Exception {
@@ -375,6 +404,7 @@
         MAX_BODY_BYTES,
         0,
         new DefaultResponsePolicy(),
+        responseMemory,
         metrics);
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -20,6 +20,7 @@
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.registry.TargetState;
 import org.cornelspoke.state.view.FleetView;
+import org.cornelspoke.transport.http.ResponseMemory;
 import org.cornelspoke.transport.http.UpstreamPool;
 
 /** Manages the local upstreams of this daemon, their leases and their registrations. */
@@ -33,6 +34,7 @@
   /** Withdrawn upstreams that still have calls in flight. */
   private final Set<LocalUpstream> withdrawnUpstreams = new HashSet<>();
 
+  private final ResponseMemory responseMemory;
   private Endpoint linkEndpoint;
   private Optional<Preset> preset = Optional.empty();
 
@@ -44,6 +46,7 @@
 
   LocalUpstreams(Collaborators collaborators) {
     this.collaborators = collaborators;
+    this.responseMemory = new ResponseMemory(collaborators.metrics().registry());
     this.linkEndpoint = collaborators.settings().linkAddress();
   }
 
@@ -312,6 +315,7 @@
             collaborators.settings().maxBodyBytes(),
             announcement.slots(),
             collaborators.dialect().answerPolicy(),
+            responseMemory,
             collaborators.metrics().registry());
     pool.warmUp();
     LocalUpstream upstream =
