Add a soak of the configuration with real processes

Change: bench configuration-soak runs the programs of the deploy file under seeded signals, restarts and replacements of control VMs, and judges answers and reads by the acknowledged versions.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/Main.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/Main.java
@@ -11,6 +11,7 @@
 import org.cornelspoke.bench.slopes.SlopesCommand;
 import org.cornelspoke.bench.soak.SoakCheckCommand;
 import org.cornelspoke.bench.soak.SoakScheduleCommand;
+import org.cornelspoke.bench.soak.process.ConfigurationSoakCommand;
 import org.cornelspoke.bench.upstream.UpstreamCommand;
 
 /** Entry point of the bench program: selects a command by its first argument. */
@@ -32,7 +33,8 @@
         new ScenariosCommand(),
         new SlopesCommand(),
         new SoakScheduleCommand(),
-        new SoakCheckCommand());
+        new SoakCheckCommand(),
+        new ConfigurationSoakCommand());
   }
 
   /** Runs the command that the arguments select and exits with its code. */
--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/soak/process/ConfigurationSoakCommand.java
@@ -0,0 +1,77 @@
+package org.cornelspoke.bench.soak.process;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+import org.cornelspoke.bench.BenchCommand;
+import org.cornelspoke.bench.deployment.FreePorts;
+
+/**
+ * Runs the programs of the deploy file as real processes under a seeded sequence of faults and
+ * judges the configuration in force. Needs the build of the deploy file; runs in the repository.
+ */
+@Parameters(commandDescription = "Change the configuration of real processes under faults")
+public final class ConfigurationSoakCommand implements BenchCommand {
+
+  private static final int MAX_PRINTED = 20;
+
+  @Parameter(names = "--seed", description = "seed of the faults")
+  private long seed = 1;
+
+  @Parameter(names = "--seconds", description = "time during which the configuration is changed")
+  private int seconds = 60;
+
+  @Parameter(names = "--core", description = "number of control VMs")
+  private int coreCount = 5;
+
+  @Parameter(names = "--sidecars", description = "number of upstreams with a daemon")
+  private int sidecarCount = 6;
+
+  @Parameter(names = "--routes", description = "further routes of each configuration")
+  private int moreRoutes;
+
+  @Parameter(names = "--busy", description = "threads that use the processor meanwhile")
+  private int busyThreads;
+
+  @Parameter(names = "--calm", description = "signal no process")
+  private boolean calm;
+
+  @Parameter(names = "--replace", description = "replace control VMs by empty ones")
+  private boolean replacements;
+
+  @Parameter(names = "--folder", description = "folder for settings, data and logs")
+  private String folderName = "target/configuration-soak";
+
+  @Override
+  public String name() {
+    return "configuration-soak";
+  }
+
+  @Override
+  public int run() throws Exception {
+    // Requests select their route by this header, which the client restricts by default.
+    System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    Path folder =
+        Files.createTempDirectory(
+            Files.createDirectories(Path.of(folderName).toAbsolutePath()), "seed-" + seed + "-");
+    int ports = FreePorts.find(1, new Random(seed ^ System.nanoTime())).get(0);
+    SoakOptions options =
+        new SoakOptions(
+            seed, seconds, coreCount, sidecarCount, moreRoutes, busyThreads, !calm, replacements);
+    try (ConfigurationSoak soak = new ConfigurationSoak(options, ports, folder)) {
+      Runtime.getRuntime().addShutdownHook(new Thread(soak::close));
+      List<String> violations = soak.run();
+      new TreeMap<>(soak.counts())
+          .forEach((kind, count) -> System.out.println(kind + ": " + count));
+      System.out.print(soak.sizes());
+      violations.stream().limit(MAX_PRINTED).forEach(System.out::println);
+      System.out.println(
+          "seed " + seed + ": " + violations.size() + " violations; logs in " + folder);
+      return violations.isEmpty() ? 0 : 1;
+    }
+  }
+}
--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/soak/process/SoakMachine.java
@@ -0,0 +1,10 @@
+package org.cornelspoke.bench.soak.process;
+
+import java.nio.file.Path;
+
+/**
+ * One machine of the soak.
+ *
+ * @param service service of the upstream on the machine; empty for a control VM
+ */
+record SoakMachine(String name, String ip, String service, Path dataFolder) {}
--- /dev/null
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/soak/process/SoakProcesses.java
@@ -0,0 +1,91 @@
+package org.cornelspoke.bench.soak.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Starts, signals and ends the processes of a soak. Thread-safe. */
+final class SoakProcesses implements AutoCloseable {
+
+  private static final Path DEPLOY_FILE = Path.of("deploy/system.toml");
+  private static final long EXIT_TIMEOUT_SECONDS = 8;
+  private static final int MAX_SEEDS = 3;
+
+  private final Path folder;
+  private final int ports;
+  private volatile List<String> seeds = List.of();
+  private final Map<String, Process> processes = new ConcurrentHashMap<>();
+
+  SoakProcesses(Path folder, int ports, List<SoakMachine> core) {
+    this.folder = folder;
+    this.ports = ports;
+    setCore(core);
+  }
+
+  /** Sets the control VMs of which processes that start later are told. */
+  void setCore(List<SoakMachine> core) {
+    seeds =
+        core.stream()
+            .limit(MAX_SEEDS)
+            .map(machine -> PlatformWire.controlAddress(machine.ip(), ports))
+            .toList();
+  }
+
+  void start(SoakMachine machine, boolean bootstrap) throws IOException {
+    Path settings = folder.resolve(machine.name() + ".toml");
+    Files.writeString(settings, PlatformWire.settings(machine, seeds, bootstrap, ports));
+    String role = machine.service().isEmpty() ? "control" : "traffic";
+    ProcessBuilder builder = new ProcessBuilder(List.of(command(role).split(" ", -1)));
+    builder.environment().put(PlatformWire.SETTINGS_VARIABLE, settings.toString());
+    builder.redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile(machine.name()).toFile()));
+    processes.put(machine.name(), builder.start());
+  }
+
+  Path logFile(String name) {
+    return folder.resolve(name + ".log");
+  }
+
+  /** Sends a signal, for example {@code TERM}, {@code KILL}, {@code STOP} or {@code CONT}. */
+  void signal(String name, String signal) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + signal, Long.toString(processes.get(name).pid()))
+        .inheritIO()
+        .start()
+        .waitFor();
+  }
+
+  boolean isRunning(String name) {
+    return processes.get(name).isAlive();
+  }
+
+  long pid(String name) {
+    return processes.get(name).pid();
+  }
+
+  void awaitExit(String name) throws InterruptedException {
+    if (!processes.get(name).waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+      processes.get(name).destroyForcibly().waitFor();
+    }
+  }
+
+  @Override
+  public void close() {
+    processes.values().forEach(Process::destroyForcibly);
+  }
+
+  private static String command(String role) throws IOException {
+    Matcher matcher =
+        Pattern.compile("\\[roles\\." + role + "\\]\\s*run = \"([^\"]+)\"")
+            .matcher(Files.readString(DEPLOY_FILE));
+    if (!matcher.find()) {
+      throw new IOException(DEPLOY_FILE + " has no role " + role);
+    }
+    return matcher.group(1);
+  }
+}
