Try each relay once before any of them again

Cause: RelaySelector took the first relay in order whose hold-down was over, and each failure lengthened the pause up to 2 s, more than the hold-down of the first relays; the live ones behind them had no turn. Above 256 relays, new ones were ignored.

Change: relays are tried in rounds, members of the group first, one former member a round; only the pause between rounds grows. The list of members that relays send tells which are former; their numbers are used again.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/RelaySelector.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/RelaySelector.java
@@ -1,89 +1,176 @@
 package org.cornelspoke.coordination.dissemination;
 
 import java.util.Arrays;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
- * Selects the relay to connect to: after a backoff, the first one in settings order that is not
- * held down. A relay is held down for some time after each failure.
+ * Selects the relay to connect to. After a failure, the relays are tried in rounds: each member of
+ * the control group once, and one of the former members. A member that has failed recently comes
+ * after the others of its round; otherwise the order of the settings counts. Only the pause between
+ * rounds grows, so that a relay that can be reached is tried within one round, however many others
+ * have failed.
  */
 final class RelaySelector {
 
-  /** Spreads the reconnects of a lost relay's daemons over time. */
-  private static final long INITIAL_BACKOFF_NANOS = 100_000_000L;
+  /** Maximum pause between two attempts of a round; spreads the reconnects of a lost relay. */
+  private static final long ATTEMPT_PAUSE_NANOS = 100_000_000L;
 
   /** Keeps the recovery time after the loss of all relays below 5 s. */
-  private static final long MAX_BACKOFF_NANOS = 2_000_000_000L;
+  private static final long MAX_ROUND_PAUSE_NANOS = 2_000_000_000L;
 
   private static final long INITIAL_HOLD_DOWN_NANOS = 1_000_000_000L;
   private static final long MAX_HOLD_DOWN_NANOS = 30_000_000_000L;
   private static final int MAX_DOUBLINGS = 8;
+  private static final int NONE = -1;
 
   private final RandomGenerator random;
-  private long[] heldDownUntilNanos;
-  private boolean[] heldDown;
-  private int[] failureCounts;
-  private int consecutiveFailures;
-  private boolean backingOff;
-  private long backoffEndNanos;
+  private Relay[] relays;
+  private long attempts;
+  private int failedRounds;
+  private boolean formerTried;
+  private boolean pausing;
+  private long pauseEndNanos;
+
+  /** What is known of one relay. */
+  private static final class Relay {
+    boolean member = true;
+    boolean triedInRound;
+    boolean heldDown;
+    long heldDownUntilNanos;
+    int failureCount;
+    long lastAttempt;
+  }
 
   RelaySelector(int relayCount, RandomGenerator random) {
     this.random = random;
-    this.heldDownUntilNanos = new long[relayCount];
-    this.heldDown = new boolean[relayCount];
-    this.failureCounts = new int[relayCount];
+    this.relays = new Relay[0];
+    setRelayCount(relayCount);
   }
 
   /** Sets the number of relays; it never decreases, and new relays are added at the end. */
   void setRelayCount(int relayCount) {
-    if (relayCount > heldDown.length) {
-      heldDownUntilNanos = Arrays.copyOf(heldDownUntilNanos, relayCount);
-      heldDown = Arrays.copyOf(heldDown, relayCount);
-      failureCounts = Arrays.copyOf(failureCounts, relayCount);
+    int previousCount = relays.length;
+    if (relayCount > previousCount) {
+      relays = Arrays.copyOf(relays, relayCount);
+      for (int i = previousCount; i < relayCount; i++) {
+        relays[i] = new Relay();
+      }
+    }
+  }
+
+  /** Sets which relays belong to members of the control group; all others are former members. */
+  void setMembers(Set<Integer> members) {
+    for (int i = 0; i < relays.length; i++) {
+      relays[i].member = members.contains(i);
+    }
+  }
+
+  /** Returns the former member that was tried least recently, or -1 if there is none. */
+  int oldestFormer() {
+    int oldest = NONE;
+    for (int i = 0; i < relays.length; i++) {
+      if (!relays[i].member
+          && (oldest == NONE || relays[i].lastAttempt < relays[oldest].lastAttempt)) {
+        oldest = i;
+      }
     }
+    return oldest;
+  }
+
+  /** Forgets what is known of a relay, because its number now stands for another one. */
+  void reset(int relay) {
+    relays[relay] = new Relay();
   }
 
-  /** Holds down a failed relay and starts the backoff. */
+  /** Holds down a failed relay and starts the pause before the next attempt. */
   void onFailure(int relay, long nowNanos) {
-    failureCounts[relay]++;
-    heldDown[relay] = true;
-    heldDownUntilNanos[relay] =
+    Relay failed = relays[relay];
+    failed.failureCount++;
+    failed.heldDown = true;
+    failed.heldDownUntilNanos =
         nowNanos
             + withJitter(
                 exponentialDelay(
-                    INITIAL_HOLD_DOWN_NANOS, failureCounts[relay], MAX_HOLD_DOWN_NANOS));
-    consecutiveFailures++;
-    backingOff = true;
-    backoffEndNanos =
-        nowNanos
-            + withJitter(
-                exponentialDelay(INITIAL_BACKOFF_NANOS, consecutiveFailures, MAX_BACKOFF_NANOS));
+                    INITIAL_HOLD_DOWN_NANOS, failed.failureCount, MAX_HOLD_DOWN_NANOS));
+    markTried(relay);
+    long pauseNanos = ATTEMPT_PAUSE_NANOS;
+    if (nextInRound(nowNanos) == NONE) {
+      startRound();
+      failedRounds++;
+      pauseNanos = exponentialDelay(ATTEMPT_PAUSE_NANOS, failedRounds, MAX_ROUND_PAUSE_NANOS);
+    }
+    pausing = true;
+    pauseEndNanos = nowNanos + withJitter(pauseNanos);
   }
 
-  /** Resets the backoff and hold-down of a relay that has sent a usable freshness proof. */
+  /** Ends the round, and the hold-down of a relay that has sent a usable freshness proof. */
   void onSuccess(int relay) {
-    failureCounts[relay] = 0;
-    heldDown[relay] = false;
-    consecutiveFailures = 0;
-    backingOff = false;
+    relays[relay].failureCount = 0;
+    relays[relay].heldDown = false;
+    failedRounds = 0;
+    pausing = false;
+    startRound();
   }
 
-  /** Returns the index of the relay to connect to, or -1 during the backoff. */
+  /** Returns the number of the relay to connect to, or -1 during a pause. */
   int next(long nowNanos) {
-    if (backingOff && nowNanos - backoffEndNanos < 0) {
-      return -1;
+    if (pausing && nowNanos - pauseEndNanos < 0) {
+      return NONE;
+    }
+    int next = nextInRound(nowNanos);
+    if (next == NONE) {
+      startRound();
+      next = nextInRound(nowNanos);
     }
-    int earliest = 0;
-    for (int relay = 0; relay < heldDown.length; relay++) {
-      if (!heldDown[relay] || nowNanos - heldDownUntilNanos[relay] >= 0) {
-        return relay;
+    return next;
+  }
+
+  /** Returns the first member in the order of the settings that is not held down, or -1. */
+  int preferred(long nowNanos) {
+    for (int i = 0; i < relays.length; i++) {
+      if (relays[i].member && !isHeldDown(relays[i], nowNanos)) {
+        return i;
+      }
+    }
+    return NONE;
+  }
+
+  private int nextInRound(long nowNanos) {
+    int heldDown = NONE;
+    for (int i = 0; i < relays.length; i++) {
+      Relay relay = relays[i];
+      if (!relay.member || relay.triedInRound) {
+        continue;
       }
-      if (heldDownUntilNanos[relay] - heldDownUntilNanos[earliest] < 0) {
-        earliest = relay;
+      if (!isHeldDown(relay, nowNanos)) {
+        return i;
       }
+      if (heldDown == NONE || relay.lastAttempt < relays[heldDown].lastAttempt) {
+        heldDown = i;
+      }
+    }
+    if (heldDown == NONE && !formerTried) {
+      return oldestFormer();
     }
-    // If all relays are held down, waiting longer would only prolong an outage of the whole group.
-    return earliest;
+    return heldDown;
+  }
+
+  private void markTried(int relay) {
+    relays[relay].lastAttempt = ++attempts;
+    relays[relay].triedInRound = true;
+    formerTried |= !relays[relay].member;
+  }
+
+  private void startRound() {
+    formerTried = false;
+    for (Relay relay : relays) {
+      relay.triedInRound = false;
+    }
+  }
+
+  private static boolean isHeldDown(Relay relay, long nowNanos) {
+    return relay.heldDown && nowNanos - relay.heldDownUntilNanos < 0;
   }
 
   private static long exponentialDelay(long initial, int attempt, long max) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ViewTracker.java
@@ -141,6 +141,25 @@
     relaySelector.setRelayCount(relayCount);
   }
 
+  /** Sets the numbers of the relays of the control group's members; others are former members. */
+  public void setMembers(Set<Integer> members) {
+    relaySelector.setMembers(members);
+  }
+
+  /**
+   * Frees the number of a former member's relay for another relay.
+   *
+   * @return the number, or empty if there is no former member
+   */
+  public OptionalInt reuseRelay() {
+    int former = relaySelector.oldestFormer();
+    if (former < 0 || former == currentRelay) {
+      return OptionalInt.empty();
+    }
+    relaySelector.reset(former);
+    return OptionalInt.of(former);
+  }
+
   /** Records that the connection failed, was lost, or was closed because the relay is unusable. */
   public void onDisconnected(long nowNanos) {
     if (currentRelay >= 0) {
@@ -157,7 +176,7 @@
     if (!connected || nowNanos - connectedAtNanos < requiredStayNanos) {
       return false;
     }
-    int preferred = relaySelector.next(nowNanos);
+    int preferred = relaySelector.preferred(nowNanos);
     return preferred >= 0 && preferred < currentRelay;
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,7 @@
 import org.cornelspoke.model.CallId;
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.model.DataCentreId;
+import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
 import org.cornelspoke.protocol.control.ControlCodec;
@@ -128,12 +130,30 @@
     tick();
   }
 
-  /** Adds a relay after the known ones, unless it is already known. */
+  /**
+   * Adds a relay, unless it is already known. If too many are known, it takes the place of one that
+   * has left the control group.
+   */
   public void addRelay(InetSocketAddress relay) {
-    if (!relays.contains(relay) && relays.size() < MAX_RELAYS) {
+    if (relays.contains(relay)) {
+      return;
+    }
+    if (relays.size() < MAX_RELAYS) {
       relays.add(relay);
       tracker.setRelayCount(relays.size());
+    } else {
+      tracker.reuseRelay().ifPresent(number -> relays.set(number, relay));
+    }
+  }
+
+  private void setMembers(ControlMessage.Relays members) {
+    Set<Integer> numbers = new HashSet<>();
+    for (Endpoint endpoint : members.endpoints()) {
+      InetSocketAddress address = endpoint.toSocketAddress();
+      addRelay(address);
+      numbers.add(relays.indexOf(address));
     }
+    tracker.setMembers(numbers);
   }
 
   /** Closes the connection. The last view remains available and becomes stale. */
@@ -293,7 +313,7 @@
     } else if (message instanceof ControlMessage.ClaimEndReply reply) {
       pendingClaims.onEndReply(reply);
     } else if (message instanceof ControlMessage.Relays relayList) {
-      relayList.endpoints().forEach(endpoint -> addRelay(endpoint.toSocketAddress()));
+      setMembers(relayList);
     } else if (message instanceof ControlMessage.ShareEnvelope share) {
       shareListener.ifPresent(listener -> listener.onMessage(share.content()));
     } else {
