Show the configuration in force of a daemon in its metrics

Cause: nothing told from outside which revision a daemon uses, how old its proof of freshness is, or whether it has a relay, so cases of an old configuration could not be told apart.

Change: three gauges of traffic daemons.

Evidence: PlatformEndToEndTest.metricsTellTheConfigurationInForce (new metrics, no run on the code before).

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.runtime;
 
+import com.codahale.metrics.Gauge;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
@@ -99,6 +100,7 @@
                     profile.readinessApi.apply(daemon::isReady),
                     metrics(),
                     "readiness"));
+    registerControlMetrics();
     this.admin =
         AdminServer.builder(control(), settings.adminAddress())
             .withMetrics(metrics())
@@ -146,6 +148,21 @@
     control().delayBackground(RELAY_POLL_INTERVAL_MILLIS, this::pollRelays);
   }
 
+  /** Registers which configuration is in force, and whether it is proven to be current. */
+  private void registerControlMetrics() {
+    Gauge<Long> revision = () -> controlClient.current().revision().number();
+    Gauge<Long> freshnessAgeMillis =
+        () ->
+            controlClient
+                .freshnessAgeNanos(System.nanoTime())
+                .map(TimeUnit.NANOSECONDS::toMillis)
+                .orElse(-1L);
+    Gauge<Integer> attached = () -> controlClient.isAttached() ? 1 : 0;
+    metrics().registerGauge("control.revision", revision);
+    metrics().registerGauge("control.freshness-age-millis", freshnessAgeMillis);
+    metrics().registerGauge("control.attached", attached);
+  }
+
   private void sweepReadinessServer() {
     readinessServer.orElseThrow().closeTimedOutConnections(System.nanoTime());
     control().delayBackground(READINESS_SWEEP_INTERVAL_MILLIS, this::sweepReadinessServer);
