--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/soak/process/SoakProcesses.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/soak/process/SoakProcesses.java
@@ -60,12 +60,13 @@
         .waitFor();
   }
 
-  boolean isRunning(String name) {
-    return processes.get(name).isAlive();
-  }
-
-  long pid(String name) {
-    return processes.get(name).pid();
+  /** Returns the peak resident memory of a process as the system reports it. */
+  String peakMemory(String name) throws IOException {
+    return Files.readAllLines(Path.of("/proc/" + processes.get(name).pid() + "/status")).stream()
+        .filter(line -> line.startsWith("VmHWM"))
+        .map(line -> line.replaceAll("\\s+", " "))
+        .findFirst()
+        .orElse("VmHWM unknown");
   }
 
   void awaitExit(String name) throws InterruptedException {
