Move the configuration soak to the folder of the platform

Cause: PlatformWire held names of the platform's protocol outside platform/, which alone may know them.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/Main.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/Main.java
@@ -11,7 +11,6 @@
 import org.cornelspoke.bench.slopes.SlopesCommand;
 import org.cornelspoke.bench.soak.SoakCheckCommand;
 import org.cornelspoke.bench.soak.SoakScheduleCommand;
-import org.cornelspoke.bench.soak.process.ConfigurationSoakCommand;
 import org.cornelspoke.bench.upstream.UpstreamCommand;
 
 /** Entry point of the bench program: selects a command by its first argument. */
@@ -33,8 +32,7 @@
         new ScenariosCommand(),
         new SlopesCommand(),
         new SoakScheduleCommand(),
-        new SoakCheckCommand(),
-        new ConfigurationSoakCommand());
+        new SoakCheckCommand());
   }
 
   /** Runs the command that the arguments select and exits with its code. */
