Tell operation, file and free space of a failed disk operation

The log line of a failed data folder carried the bare exception, so a refused write couldn't be told from another failure of the writer thread. DescribingDisk adds operation, file and free space; the gauge consensus.storage-failed shows a member that has stepped aside. DescribingDiskTest and ConsensusServiceTest pass.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/Disk.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/Disk.java
@@ -50,6 +50,11 @@
   /** Makes file creations, renames and deletions durable. */
   void syncFolder() throws IOException;
 
+  /** Returns the free space of the file system in bytes, or -1 if it is unknown. */
+  default long usableBytes() throws IOException {
+    return -1;
+  }
+
   /** A file opened for appending. */
   interface File extends Closeable {
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileDisk.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileDisk.java
@@ -103,6 +103,11 @@
     }
   }
 
+  @Override
+  public long usableBytes() throws IOException {
+    return Files.getFileStore(folder).getUsableSpace();
+  }
+
   @Override
   public void close() throws IOException {
     lockChannel.close();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusMetrics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusMetrics.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import org.cornelspoke.coordination.consensus.RaftNode;
 
 /**
  * Metrics of the replicated log. The control thread publishes the values of the gauges; any thread
@@ -17,6 +18,7 @@
   private volatile long term;
   private volatile long commitIndex;
   private volatile long appliedIndex;
+  private volatile int storageFailed;
   private final Timer syncTimer;
   private final Histogram batchEntries;
   private final Counter elections;
@@ -28,6 +30,7 @@
     registry.gauge(PREFIX + "term", () -> () -> term);
     registry.gauge(PREFIX + "commit-index", () -> () -> commitIndex);
     registry.gauge(PREFIX + "applied-index", () -> () -> appliedIndex);
+    registry.gauge(PREFIX + "storage-failed", () -> () -> storageFailed);
     this.syncTimer = registry.timer(PREFIX + "sync");
     this.batchEntries = registry.histogram(PREFIX + "batch-entries");
     this.elections = registry.counter(PREFIX + "elections");
@@ -46,11 +49,12 @@
     return syncFailures;
   }
 
-  void publish(long newTerm, long newCommitIndex, long newAppliedIndex, long electionCount) {
-    term = newTerm;
-    commitIndex = newCommitIndex;
+  void publish(RaftNode node, long newAppliedIndex) {
+    term = node.term();
+    commitIndex = node.commitIndex();
     appliedIndex = newAppliedIndex;
-    long added = electionCount - elections.getCount();
+    storageFailed = node.isStorageFailed() ? 1 : 0;
+    long added = node.electionCount() - elections.getCount();
     if (added > 0) {
       elections.inc(added);
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -28,6 +28,7 @@
 import org.cornelspoke.protocol.consensus.PeerMessage;
 import org.cornelspoke.protocol.consensus.PeerMessageCodec;
 import org.cornelspoke.state.StateMachine;
+import org.cornelspoke.state.log.DescribingDisk;
 import org.cornelspoke.state.log.Disk;
 import org.cornelspoke.state.log.EntryKind;
 import org.cornelspoke.state.log.FileDisk;
@@ -120,7 +121,7 @@
    */
   public void start() throws IOException {
     Assert.isTrue(node == null, "start must be called once");
-    Disk disk = diskOpener.open(dataFolder);
+    Disk disk = new DescribingDisk(diskOpener.open(dataFolder));
     LogStorage storage = null;
     boolean started = false;
     try {
@@ -316,7 +317,7 @@
       pending.expire(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
       connections.maintain();
       upkeep.tick(System.nanoTime());
-      metrics.publish(node.term(), node.commitIndex(), appliedIndex, node.electionCount());
+      metrics.publish(node, appliedIndex);
     }
     processOutputs();
     reactor.delayBackground(TICK_INTERVAL_MILLIS, this::tick);
@@ -500,7 +501,7 @@
       reactor.execute(
           () -> {
             if (running) {
-              node.onPersistFailed();
+              node.onStorageUnavailable();
               processOutputs();
             }
           });
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
@@ -129,7 +129,11 @@
     commit(leader(), "first");
     RunningVm leader = leader();
     assertThat(leader.metrics.getGauges().keySet())
-        .containsExactly("consensus.term", "consensus.commit-index", "consensus.applied-index");
+        .containsExactly(
+            "consensus.term",
+            "consensus.commit-index",
+            "consensus.applied-index",
+            "consensus.storage-failed");
     assertThat(leader.metrics.timer("consensus.sync").getCount()).isAtLeast(1);
     assertThat(leader.metrics.histogram("consensus.batch-entries").getCount()).isAtLeast(1);
     assertThat(leader.metrics.counter("consensus.sync-failures").getCount()).isEqualTo(0);
