Reproduce the group without a quorum after disks failed in turn

FailedDiskTest lets the disks of three of five VMs refuse syncs one at a time, each until its log writer has noticed, and then asks for a commit. It fails: nothing is committed within 20 s, all services run and all disks are sound.

--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
@@ -0,0 +1,106 @@
+package org.cornelspoke.daemon.consensus;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.VmId;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Runs five services in one JVM with real sockets and with disks that refuse writes for a while.
+ */
+class FailedDiskTest {
+
+  private static final int VM_COUNT = 5;
+  private static final long RECOVERY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
+  private static final long RETRY_DELAY_MILLIS = 10;
+
+  private final Map<VmId, Endpoint> addresses = new TreeMap<>(Comparator.comparing(VmId::value));
+  private final Map<VmId, RunningVm> vms = new TreeMap<>(Comparator.comparing(VmId::value));
+  private int commandCount;
+  @TempDir private Path folder;
+
+  @BeforeEach
+  void startAll() throws Exception {
+    List<ServerSocket> reserved = new ArrayList<>();
+    for (int i = 1; i <= VM_COUNT; i++) {
+      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      reserved.add(socket);
+      addresses.put(new VmId("control-" + i), new Endpoint("127.0.0.1", socket.getLocalPort()));
+    }
+    for (ServerSocket socket : reserved) {
+      socket.close();
+    }
+    for (VmId vmId : addresses.keySet()) {
+      vms.put(vmId, new RunningVm(vmId, folder.resolve(vmId.value()), addresses));
+    }
+  }
+
+  @AfterEach
+  void stopAll() throws Exception {
+    for (RunningVm vm : vms.values()) {
+      vm.stop();
+    }
+  }
+
+  @Tag("known-red")
+  @Test
+  void groupCommitsAfterTheDisksOfAMajorityHaveFailedOneAtATime() throws Exception {
+    List<RunningVm> all = List.copyOf(vms.values());
+    assertThat(commit(all.get(0))).isTrue();
+    for (RunningVm failing : all.subList(0, VM_COUNT / 2 + 1)) {
+      failing.faults.setFailing(true);
+      RunningVm sound = all.get(VM_COUNT - 1);
+      assertThat(commitUntil(sound, () -> syncFailures(failing) > 0)).isTrue();
+      failing.faults.setFailing(false);
+    }
+    for (RunningVm vm : all) {
+      assertThat(commit(vm)).isTrue();
+      assertThat(vm.readCurrent()).contains("command-" + commandCount);
+    }
+  }
+
+  private interface Condition {
+    boolean holds() throws Exception;
+  }
+
+  /** Commits commands until the condition holds; returns false if that takes too long. */
+  private boolean commitUntil(RunningVm vm, Condition condition) throws Exception {
+    long startNanos = System.nanoTime();
+    while (!condition.holds()) {
+      if (!commit(vm) || System.nanoTime() - startNanos >= RECOVERY_TIMEOUT_NANOS) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean commit(RunningVm vm) throws Exception {
+    commandCount++;
+    long startNanos = System.nanoTime();
+    while (System.nanoTime() - startNanos < RECOVERY_TIMEOUT_NANOS) {
+      if (vm.propose("command-" + commandCount).startsWith("committed")) {
+        return true;
+      }
+      Thread.sleep(RETRY_DELAY_MILLIS);
+    }
+    return false;
+  }
+
+  private static long syncFailures(RunningVm vm) {
+    return vm.metrics.counter("consensus.sync-failures").getCount();
+  }
+}
