Open the log again after a failed write or sync

Three disks that failed in turn ended the quorum.

Cause: a failure that may pass was taken for final. PersistRequestExecutor keeps the requests that are not reported as durable; after a failure it opens the folder anew, which rewrites what was not synced, and repeats them in order. Until then the member follows the leader, but neither leads, votes nor acknowledges. Pauses grow from 0.1 s to 2 s and are drawn at random.

Since the requests are repeated from memory, term, vote and applied state never go back, and nothing counts as durable before its own sync has succeeded.

--- a/cornelspoke-bench/src/main/java/org/cornelspoke/bench/consensus/BenchVm.java
+++ b/cornelspoke-bench/src/main/java/org/cornelspoke/bench/consensus/BenchVm.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutionException;
 import org.cornelspoke.coordination.consensus.RaftSettings;
 import org.cornelspoke.daemon.consensus.ConsensusService;
+import org.cornelspoke.daemon.consensus.ConsensusServiceBuilder;
 import org.cornelspoke.daemon.consensus.ConsensusSettings;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
@@ -33,7 +34,7 @@
     reactor.keepAlive(true);
     this.thread = new Thread(reactor, vmId + "-control");
     thread.setDaemon(true);
-    ConsensusService.Builder builder =
+    ConsensusServiceBuilder builder =
         ConsensusService.builder(reactor)
             .withVm(vmId, addresses.get(vmId))
             .withDataFolder(folder)
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/Outbox.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/Outbox.java
@@ -109,13 +109,6 @@
     return durableSequence >= hardStateSequence;
   }
 
-  /** Discards all messages and persist requests that were not taken yet. */
-  void clear() {
-    deferred.clear();
-    messages.clear();
-    persistRequests.clear();
-  }
-
   List<RaftMessage> takeMessages() {
     List<RaftMessage> taken = messages;
     messages = new ArrayList<>();
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
@@ -127,15 +127,12 @@
   /** Advances the clock. */
   public void tick(long nowNanos) {
     state.nowNanos = nowNanos;
-    if (storageFailed) {
-      return;
-    }
     state.persistAppended();
     if (role == Role.LEADER) {
       if (!leaderState.tick()) {
         becomeFollower(state.term, null);
       }
-    } else if (nowNanos - electionDeadlineNanos >= 0) {
+    } else if (!storageFailed && nowNanos - electionDeadlineNanos >= 0) {
       startPreVote();
     }
   }
@@ -143,7 +140,7 @@
   /** Handles a message. Messages for another identity are dropped. */
   public void receive(RaftMessage message, long nowNanos) {
     state.nowNanos = nowNanos;
-    if (storageFailed || !message.to().equals(state.self)) {
+    if (!message.to().equals(state.self) || (storageFailed && isElectionMessage(message))) {
       return;
     }
     state.persistAppended();
@@ -170,9 +167,6 @@
 
   /** Reports that all persist requests up to the sequence number are durable. */
   public void onPersisted(long sequence) {
-    if (storageFailed) {
-      return;
-    }
     state.persistAppended();
     state.outbox.onPersisted(sequence);
     if (role == Role.CANDIDATE && state.outbox.isHardStateDurable()) {
@@ -186,15 +180,19 @@
   }
 
   /**
-   * Reports that a write or sync failed. The member steps down as leader and no longer votes or
-   * acknowledges.
+   * Reports that a write or sync failed and will be repeated. Until {@link #onStorageAvailable} the
+   * member follows the leader without leading or voting; it acknowledges nothing that is not
+   * durable.
    */
-  public void onPersistFailed() {
-    if (!storageFailed) {
-      becomeFollower(state.term, null);
-      state.outbox.clear();
-      storageFailed = true;
-    }
+  public void onStorageUnavailable() {
+    storageFailed = true;
+    becomeFollower(state.term, leader);
+  }
+
+  /** Reports that the requests that failed have been carried out. */
+  public void onStorageAvailable() {
+    resetElectionTimer();
+    storageFailed = false;
   }
 
   /**
@@ -375,11 +373,18 @@
     return electionCount;
   }
 
-  /** Returns true after {@link #onPersistFailed}. */
+  /** Returns true from {@link #onStorageUnavailable} until {@link #onStorageAvailable}. */
   public boolean isStorageFailed() {
     return storageFailed;
   }
 
+  private static boolean isElectionMessage(RaftMessage message) {
+    return message instanceof PreVoteRequest
+        || message instanceof PreVoteResponse
+        || message instanceof VoteRequest
+        || message instanceof VoteResponse;
+  }
+
   private void dispatch(RaftMessage message) {
     if (message instanceof VoteRequest m) {
       onVoteRequest(m);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogStorage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogStorage.java
@@ -45,12 +45,10 @@
   record SegmentInfo(long number, long maxIndex) {}
 
   private LogStorage(
-      Disk disk, long segmentBytes, int maxRecoveredDataBytes, Supplier<MemberIdentity> newIdentity)
+      Disk disk, long segmentBytes, LogRecovery recovery, Supplier<MemberIdentity> newIdentity)
       throws IOException {
     this.disk = disk;
     this.segmentBytes = segmentBytes;
-    LogRecovery recovery = new LogRecovery(disk, maxRecoveredDataBytes);
-    recovery.read();
     FileNames.deleteTemporary(disk);
     if (recovery.meta() == null) {
       this.identity = newIdentity.get();
@@ -102,7 +100,28 @@
       throws IOException {
     Assert.isTrue(segmentBytes > 0, "segmentBytes must be positive");
     Assert.isTrue(maxRecoveredDataBytes >= 0, "maxRecoveredDataBytes must not be negative");
-    return new LogStorage(disk, segmentBytes, maxRecoveredDataBytes, newIdentity);
+    LogRecovery recovery = new LogRecovery(disk, maxRecoveredDataBytes);
+    recovery.read();
+    return new LogStorage(disk, segmentBytes, recovery, newIdentity);
+  }
+
+  /**
+   * Opens the folder of a member again, after a failure in the same process.
+   *
+   * @param identity identity of the member
+   * @throws DamagedStorageException if the folder has another identity or none, or if data before
+   *     the last record is damaged; the folder is not modified
+   * @throws IOException if the folder cannot be read or written
+   */
+  public static LogStorage reopen(Disk disk, long segmentBytes, MemberIdentity identity)
+      throws IOException {
+    Assert.isTrue(segmentBytes > 0, "segmentBytes must be positive");
+    LogRecovery recovery = new LogRecovery(disk, MAX_RECOVERED_DATA_BYTES);
+    recovery.read();
+    if (recovery.meta() == null || !recovery.meta().identity().equals(identity)) {
+      throw new DamagedStorageException(FileNames.META, 0, "the identity " + identity + " is gone");
+    }
+    return new LogStorage(disk, segmentBytes, recovery, () -> identity);
   }
 
   /**
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -7,7 +7,6 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.security.SecureRandom;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,6 +22,7 @@
 import org.cornelspoke.coordination.consensus.RaftSettings;
 import org.cornelspoke.coordination.consensus.ReadResult;
 import org.cornelspoke.coordination.consensus.ReplicatedLog;
+import org.cornelspoke.coordination.retry.Backoff;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.protocol.consensus.PeerMessage;
@@ -31,7 +31,6 @@
 import org.cornelspoke.state.log.DescribingDisk;
 import org.cornelspoke.state.log.Disk;
 import org.cornelspoke.state.log.EntryKind;
-import org.cornelspoke.state.log.FileDisk;
 import org.cornelspoke.state.log.LogEntry;
 import org.cornelspoke.state.log.LogStorage;
 import org.cornelspoke.state.log.MemberIdentity;
@@ -44,8 +43,8 @@
  *
  * <p>On the first start the VM with the smallest id forms the group once it is connected to all VMs
  * of the settings and all their data folders are empty. A wiped VM therefore never forms a second
- * group; an operator adds it as a learner, or with {@link Builder#withAutomaticMembership} the
- * leader does.
+ * group; an operator adds it as a learner, or with {@link
+ * ConsensusServiceBuilder#withAutomaticMembership} the leader does.
  *
  * <p>All methods must be called on the control thread, except {@link #awaitStopped}.
  */
@@ -91,7 +90,7 @@
   private Membership knownMembership = Membership.EMPTY;
   private Optional<VmId> knownLeader = Optional.empty();
 
-  private ConsensusService(Builder builder) {
+  ConsensusService(ConsensusServiceBuilder builder) {
     this.reactor = Assert.notNull(builder.reactor, "reactor");
     this.vmId = Assert.notNull(builder.vmId, "vmId");
     this.peerAddress = Assert.notNull(builder.peerAddress, "peerAddress");
@@ -110,8 +109,8 @@
   }
 
   /** Returns a builder for a service on the event loop. */
-  public static Builder builder(NioReactor reactor) {
-    return new Builder(reactor);
+  public static ConsensusServiceBuilder builder(NioReactor reactor) {
+    return new ConsensusServiceBuilder(reactor);
   }
 
   /**
@@ -148,7 +147,18 @@
       }
     }
     metrics = new ConsensusMetrics(metricRegistry);
-    writer = new DiskWriter(vmId + "-log-writer", disk, storage, metrics, new DiskWriterEvents());
+    writer =
+        new DiskWriter(
+            vmId + "-log-writer",
+            disk,
+            storage,
+            settings,
+            new Backoff(
+                TimeUnit.MILLISECONDS.toNanos(settings.storageRetryBaseMillis()),
+                TimeUnit.MILLISECONDS.toNanos(settings.storageRetryMaxMillis()),
+                new Well19937c(random.nextLong())),
+            metrics,
+            new DiskWriterEvents());
     writer.start();
     // The random start value keeps replies to calls made before a restart from being matched.
     nextCallId = random.nextLong() >>> 1;
@@ -194,8 +204,6 @@
       reactor.post(() -> listener.onNotAppended("the service is not running"));
     } else if (command.length > RaftSettings.MAX_COMMAND_BYTES) {
       reactor.post(() -> listener.onNotAppended("the command is too large"));
-    } else if (node.isStorageFailed()) {
-      reactor.post(() -> listener.onNotAppended("the data folder of this VM has failed"));
     } else if (!localOperations.proposeIfLeader(command, listener)) {
       forwardProposal(command, listener);
     }
@@ -486,115 +494,38 @@
 
     @Override
     public void onPersisted(long sequence) {
-      reactor.execute(
-          () -> {
-            if (running) {
-              runGuarded(() -> node.onPersisted(sequence));
-              processOutputs();
-            }
-          });
+      executeWhileRunning(() -> node.onPersisted(sequence));
     }
 
     @Override
-    public void onFailed(IOException cause) {
-      LOG.log(System.Logger.Level.ERROR, "data folder failed; stepping down as leader", cause);
-      reactor.execute(
-          () -> {
-            if (running) {
-              node.onStorageUnavailable();
-              processOutputs();
-            }
-          });
-    }
-  }
-
-  /** Builder of {@link ConsensusService}. */
-  public static final class Builder {
-    private final NioReactor reactor;
-    private final Map<VmId, Endpoint> peers = new HashMap<>();
-    private VmId vmId;
-    private Endpoint peerAddress;
-    private Path dataFolder;
-    private StateMachine stateMachine;
-    private DiskOpener diskOpener = FileDisk::new;
-    private ConsensusSettings settings = ConsensusSettings.DEFAULT;
-    private MetricRegistry metricRegistry = new MetricRegistry();
-    private boolean mayFormGroup = true;
-    private boolean automaticMembership;
-    private Consumer<Membership> membershipListener = membership -> {};
-
-    private Builder(NioReactor reactor) {
-      this.reactor = reactor;
+    public void onUnavailable(IOException cause) {
+      LOG.log(
+          System.Logger.Level.ERROR,
+          "data folder refuses writes; this member steps aside until they succeed again",
+          cause);
+      executeWhileRunning(node::onStorageUnavailable);
     }
 
-    /** Sets this VM's id and the address at which the other control VMs connect to it. */
-    public Builder withVm(VmId id, Endpoint address) {
-      this.vmId = id;
-      this.peerAddress = address;
-      return this;
-    }
-
-    /** Adds another control VM of the settings. */
-    public Builder withPeer(VmId id, Endpoint address) {
-      peers.put(id, address);
-      return this;
-    }
-
-    /** Sets whether an empty VM may form a group with the other VMs of the settings. */
-    public Builder withGroupFormation(boolean allowed) {
-      this.mayFormGroup = allowed;
-      return this;
-    }
-
-    /** Sets whether the leader adds connected VMs and removes the members that they replace. */
-    public Builder withAutomaticMembership(boolean automatic) {
-      this.automaticMembership = automatic;
-      return this;
-    }
-
-    /** Sets the listener that receives each new membership on the control thread. */
-    public Builder withMembershipListener(Consumer<Membership> listener) {
-      this.membershipListener = listener;
-      return this;
-    }
-
-    /** Sets the folder that holds log, vote, identity and snapshots. */
-    public Builder withDataFolder(Path folder) {
-      this.dataFolder = folder;
-      return this;
-    }
-
-    /** Replaces the disk access in tests of slow and failing disks. */
-    Builder withDiskOpener(DiskOpener opener) {
-      this.diskOpener = opener;
-      return this;
-    }
-
-    /** Sets the state machine to which committed commands are applied. */
-    public Builder withStateMachine(StateMachine machine) {
-      this.stateMachine = machine;
-      return this;
-    }
-
-    /** Replaces the default settings. */
-    public Builder withSettings(ConsensusSettings newSettings) {
-      this.settings = newSettings;
-      return this;
+    @Override
+    public void onAvailable() {
+      LOG.log(System.Logger.Level.INFO, "data folder accepts writes again");
+      executeWhileRunning(node::onStorageAvailable);
     }
 
-    /** Sets the registry for the metrics whose names start with {@code consensus.}. */
-    public Builder withMetrics(MetricRegistry registry) {
-      this.metricRegistry = registry;
-      return this;
+    @Override
+    public void onEnded(Throwable cause) {
+      LOG.log(System.Logger.Level.ERROR, "the log writer has ended; this member stops", cause);
+      executeWhileRunning(ConsensusService.this::stop);
     }
 
-    /**
-     * Creates the service.
-     *
-     * @throws IllegalArgumentException if a required value is missing
-     */
-    public ConsensusService build() {
-      return new ConsensusService(this);
+    private void executeWhileRunning(Runnable action) {
+      reactor.execute(
+          () -> {
+            if (running) {
+              runGuarded(action);
+              processOutputs();
+            }
+          });
     }
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusSettings.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusSettings.java
@@ -13,13 +13,23 @@
  * @param segmentBytes log file size after which a new file is created
  * @param requestTimeoutMillis time after which a proposal is reported as unknown and a read as
  *     unavailable
+ * @param storageRetryBaseMillis upper bound of the pause after the first failed write or sync,
+ *     which is drawn at random and doubles with each failed attempt to open the log again
+ * @param storageRetryMaxMillis largest upper bound of these pauses
  */
 public record ConsensusSettings(
     RaftSettings raft,
     int entriesBetweenSnapshots,
     long bytesBetweenSnapshots,
     long segmentBytes,
-    long requestTimeoutMillis) {
+    long requestTimeoutMillis,
+    long storageRetryBaseMillis,
+    long storageRetryMaxMillis) {
+
+  private static final long DEFAULT_STORAGE_RETRY_BASE_MILLIS = 100;
+
+  /** Shorter than the time after which a client of the administration API gives up. */
+  private static final long DEFAULT_STORAGE_RETRY_MAX_MILLIS = 2_000;
 
   private static final long DEFAULT_BYTES_BETWEEN_SNAPSHOTS = 16L << 20;
 
@@ -27,7 +37,7 @@
   public static final ConsensusSettings DEFAULT =
       new ConsensusSettings(RaftSettings.DEFAULT, 10_000, 16 << 20, 5_000);
 
-  /** Creates settings with the default size between snapshots. */
+  /** Creates settings with the default size between snapshots and the default retry pauses. */
   public ConsensusSettings(
       RaftSettings raft,
       int entriesBetweenSnapshots,
@@ -41,6 +51,23 @@
         requestTimeoutMillis);
   }
 
+  /** Creates settings with the default retry pauses. */
+  public ConsensusSettings(
+      RaftSettings raft,
+      int entriesBetweenSnapshots,
+      long bytesBetweenSnapshots,
+      long segmentBytes,
+      long requestTimeoutMillis) {
+    this(
+        raft,
+        entriesBetweenSnapshots,
+        bytesBetweenSnapshots,
+        segmentBytes,
+        requestTimeoutMillis,
+        DEFAULT_STORAGE_RETRY_BASE_MILLIS,
+        DEFAULT_STORAGE_RETRY_MAX_MILLIS);
+  }
+
   /** Checks the values. */
   public ConsensusSettings {
     Assert.notNull(raft, "raft");
@@ -48,5 +75,9 @@
     Assert.isTrue(bytesBetweenSnapshots > 0, "bytesBetweenSnapshots must be positive");
     Assert.isTrue(segmentBytes > 0, "segmentBytes must be positive");
     Assert.isTrue(requestTimeoutMillis > 0, "requestTimeoutMillis must be positive");
+    Assert.isTrue(storageRetryBaseMillis > 0, "storageRetryBaseMillis must be positive");
+    Assert.isTrue(
+        storageRetryMaxMillis >= storageRetryBaseMillis,
+        "storageRetryMaxMillis must be at least storageRetryBaseMillis");
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/DiskWriter.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/DiskWriter.java
@@ -1,55 +1,78 @@
 package org.cornelspoke.daemon.consensus;
 
-import com.codahale.metrics.Timer;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.cornelspoke.coordination.consensus.PersistRequest;
+import org.cornelspoke.coordination.consensus.PersistRequestExecutor;
+import org.cornelspoke.coordination.retry.Backoff;
+import org.cornelspoke.state.log.DamagedStorageException;
 import org.cornelspoke.state.log.Disk;
-import org.cornelspoke.state.log.LogEntry;
 import org.cornelspoke.state.log.LogStorage;
+import org.cornelspoke.state.log.MemberIdentity;
 
 /**
- * Executes persist requests on its own thread. Consecutive queued entries are written as one record
- * with one sync. The storage is confined to this thread, which closes it when it ends.
+ * Executes persist requests on its own thread. After a failed write or sync it opens the log again
+ * until that succeeds, with growing pauses, and repeats the requests that are not durable. The
+ * storage is confined to this thread, which closes it when it ends.
  */
 final class DiskWriter {
 
   private static final System.Logger LOG = System.getLogger(DiskWriter.class.getName());
 
-  /** Size limit of a batch, so that progress is reported while a large backlog is synced. */
-  private static final long MAX_RECORD_BYTES = 4 << 20;
-
   /** Receives the results on the writer thread. */
   interface Listener {
+
+    /** Reports that all requests up to the sequence number are durable. */
     void onPersisted(long sequence);
 
-    void onFailed(IOException cause);
+    /** Reports that a request failed, once until {@link #onAvailable}. */
+    void onUnavailable(IOException cause);
+
+    /** Reports that the requests that failed, and all submitted meanwhile, are durable. */
+    void onAvailable();
+
+    /** Reports that the thread ends before it was stopped, because repeating does not help. */
+    void onEnded(Throwable cause);
   }
 
-  /** Unblocks the thread so that it sees {@link #stopped}. */
+  /** Unblocks the thread so that it sees {@link #stopSignal}. */
   private static final PersistRequest STOP =
       new PersistRequest(0, Optional.empty(), List.of(), Optional.empty(), false);
 
   private final Disk disk;
-  private final LogStorage storage;
+  private final PersistRequestExecutor executor;
+  private final Backoff retryPause;
   private final ConsensusMetrics metrics;
   private final Listener listener;
   private final BlockingQueue<PersistRequest> queue = new LinkedBlockingQueue<>();
-  private final List<LogEntry> batch = new ArrayList<>();
+  private final CountDownLatch stopSignal = new CountDownLatch(1);
   private final Thread thread;
-  private volatile boolean stopped;
-  private long batchBytes;
+  private int failedAttempts;
 
   DiskWriter(
-      String name, Disk disk, LogStorage storage, ConsensusMetrics metrics, Listener listener) {
+      String name,
+      Disk disk,
+      LogStorage storage,
+      ConsensusSettings settings,
+      Backoff retryPause,
+      ConsensusMetrics metrics,
+      Listener listener) {
     this.disk = disk;
-    this.storage = storage;
+    this.retryPause = retryPause;
     this.metrics = metrics;
     this.listener = listener;
+    MemberIdentity identity = storage.recovered().identity();
+    this.executor =
+        new PersistRequestExecutor(
+            storage,
+            () -> LogStorage.reopen(disk, settings.segmentBytes(), identity),
+            new ExecutorEvents());
     this.thread = new Thread(this::run, name);
     thread.setDaemon(true);
   }
@@ -64,7 +87,7 @@
 
   /** Requests a stop after the write in progress; the thread then releases the folder. */
   void stop() {
-    stopped = true;
+    stopSignal.countDown();
     queue.add(STOP);
   }
 
@@ -74,77 +97,83 @@
   }
 
   private void run() {
-    List<PersistRequest> requests = new ArrayList<>();
+    Throwable endCause = null;
     try {
-      while (!stopped) {
-        write(requests);
-        requests.clear();
-        requests.add(queue.take());
-        queue.drainTo(requests);
+      while (!isStopped()) {
+        takeRequests();
+        execute();
       }
     } catch (InterruptedException e) {
-      stopped = true;
-    } catch (IOException | RuntimeException e) {
-      if (!stopped) {
-        metrics.syncFailures().inc();
-        listener.onFailed(e instanceof IOException io ? io : new IOException(e));
-      }
+      endCause = e;
+    } catch (DamagedStorageException e) {
+      endCause = e;
+    } catch (Error e) {
+      endCause = e;
+      throw e;
     } finally {
       close();
-    }
-  }
-
-  private void write(List<PersistRequest> requests) throws IOException {
-    long lastSequence = 0;
-    for (PersistRequest request : requests) {
-      if (!continuesBatch(request)) {
-        flush(lastSequence);
-      }
-      for (LogEntry entry : request.entries()) {
-        batch.add(entry);
-        batchBytes += entry.dataBytes();
-      }
-      if (request.hardState().isPresent()) {
-        storage.saveHardState(request.hardState().get());
+      if (endCause != null && !isStopped()) {
+        listener.onEnded(endCause);
       }
-      if (request.snapshot().isPresent() && request.installed()) {
-        storage.installSnapshot(request.snapshot().get());
-      } else if (request.snapshot().isPresent()) {
-        storage.saveSnapshot(request.snapshot().get());
-      }
-      lastSequence = request.sequence();
     }
-    flush(lastSequence);
   }
 
-  private boolean continuesBatch(PersistRequest request) {
-    return !request.entries().isEmpty()
-        && batchBytes < MAX_RECORD_BYTES
-        && (batch.isEmpty()
-            || request.entries().get(0).index() == batch.get(batch.size() - 1).index() + 1);
+  /** Takes the submitted requests; waits for them, or for the next attempt after a failure. */
+  private void takeRequests() throws InterruptedException {
+    List<PersistRequest> requests = new ArrayList<>();
+    if (failedAttempts == 0) {
+      requests.add(queue.take());
+    } else {
+      stopSignal.await(retryPause.delayNanos(failedAttempts - 1), TimeUnit.NANOSECONDS);
+    }
+    queue.drainTo(requests);
+    requests.stream().filter(request -> !request.equals(STOP)).forEach(executor::submit);
   }
 
-  private void flush(long sequence) throws IOException {
-    if (!batch.isEmpty()) {
-      try (Timer.Context ignored = metrics.syncTimer().time()) {
-        storage.append(batch);
-        storage.sync();
-      }
-      metrics.batchEntries().update(batch.size());
-      batch.clear();
-      batchBytes = 0;
+  private void execute() throws DamagedStorageException {
+    if (isStopped()) {
+      return;
     }
-    if (sequence > 0) {
-      listener.onPersisted(sequence);
+    try {
+      executor.execute();
+      if (failedAttempts > 0) {
+        failedAttempts = 0;
+        listener.onAvailable();
+      }
+    } catch (DamagedStorageException e) {
+      throw e;
+    } catch (IOException | RuntimeException e) {
+      metrics.syncFailures().inc();
+      if (failedAttempts++ == 0) {
+        listener.onUnavailable(e instanceof IOException io ? io : new IOException(e));
+      }
     }
   }
 
+  private boolean isStopped() {
+    return stopSignal.getCount() == 0;
+  }
+
   private void close() {
     try {
-      storage.close();
+      executor.close();
       disk.close();
     } catch (IOException e) {
       LOG.log(System.Logger.Level.WARNING, "data folder was not closed cleanly", e);
     }
   }
+
+  private final class ExecutorEvents implements PersistRequestExecutor.Listener {
+
+    @Override
+    public void onPersisted(long sequence) {
+      listener.onPersisted(sequence);
+    }
+
+    @Override
+    public void onSynced(int entryCount, long durationNanos) {
+      metrics.syncTimer().update(durationNanos, TimeUnit.NANOSECONDS);
+      metrics.batchEntries().update(entryCount);
+    }
+  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -13,6 +13,7 @@
 import org.cornelspoke.daemon.admin.AdminServer;
 import org.cornelspoke.daemon.admin.Health;
 import org.cornelspoke.daemon.consensus.ConsensusService;
+import org.cornelspoke.daemon.consensus.ConsensusServiceBuilder;
 import org.cornelspoke.daemon.relay.ControlBackend;
 import org.cornelspoke.daemon.relay.RelayServer;
 import org.cornelspoke.daemon.settings.BootstrapOperator;
@@ -63,7 +64,7 @@
     super(settings.vmId().value());
     this.settings = settings;
     this.profile = profile;
-    ConsensusService.Builder builder =
+    ConsensusServiceBuilder builder =
         ConsensusService.builder(control())
             .withVm(settings.vmId(), settings.peerAddress())
             .withDataFolder(settings.dataFolder())
