--- a/cornelspoke-core/src/main/java/org/cornelspoke/util/TimerWheel.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/util/TimerWheel.java
@@ -46,7 +46,11 @@
     return timer;
   }
 
-  /** Advances the wheel to the given time and runs all tasks that are due. */
+  /**
+   * Advances the wheel to the given time and runs all tasks that are due.
+   *
+   * @throws RuntimeException the first exception of a task, after the other tasks have run
+   */
   public void advance(long nowNanos) {
     long nowTick = Math.floorDiv(nowNanos, tickNanos);
     if (size == 0) {
@@ -54,9 +58,13 @@
       return;
     }
     long firstTick = Math.max(currentTick + 1, nowTick - buckets.length + 1);
+    RuntimeException failure = null;
     for (long tick = firstTick; tick <= nowTick; tick++) {
       currentTick = tick;
-      runBucket((int) Math.floorMod(tick, (long) buckets.length), nowTick);
+      failure = runBucket((int) Math.floorMod(tick, (long) buckets.length), nowTick, failure);
+    }
+    if (failure != null) {
+      throw failure;
     }
   }
 
@@ -65,18 +73,29 @@
     return size;
   }
 
-  private void runBucket(int bucket, long nowTick) {
+  /** Returns the given failure, or the first one of a task if there is none yet. */
+  private RuntimeException runBucket(int bucket, long nowTick, RuntimeException earlierFailure) {
+    RuntimeException failure = earlierFailure;
     Timer timer = buckets[bucket];
     while (timer != null) {
       if (timer.tick <= nowTick) {
         timer.cancel();
-        timer.task.run();
+        try {
+          timer.task.run();
+        } catch (RuntimeException e) {
+          if (failure == null) {
+            failure = e;
+          } else {
+            failure.addSuppressed(e);
+          }
+        }
         // The task may have modified the bucket, so restart the iteration.
         timer = buckets[bucket];
       } else {
         timer = timer.next;
       }
     }
+    return failure;
   }
 
   /** Handle of a scheduled task. */
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -273,7 +273,16 @@
     if (!running) {
       return;
     }
-    long nowNanos = nanoClock.getAsLong();
+    try {
+      maintainLink(nanoClock.getAsLong());
+      pendingClaims.onTick();
+    } finally {
+      long delayMillis = isAttached() ? TICK_INTERVAL_MILLIS : DETACHED_TICK_INTERVAL_MILLIS;
+      nextTick = reactor.delayBackground(delayMillis, this::tick);
+    }
+  }
+
+  private void maintainLink(long nowNanos) {
     if (link != null && tracker.mustLeave(nowNanos)) {
       LOGGER.log(Level.INFO, "leaving relay {0}: it does not renew freshness", link.address);
       link.close();
@@ -293,9 +302,6 @@
       lastQueryAtNanos = nowNanos;
       send(tracker.nextQuery(nowNanos));
     }
-    pendingClaims.onTick();
-    long delayMillis = isAttached() ? TICK_INTERVAL_MILLIS : DETACHED_TICK_INTERVAL_MILLIS;
-    nextTick = reactor.delayBackground(delayMillis, this::tick);
   }
 
   private void send(ControlMessage message) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Timers.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Timers.java
@@ -35,12 +35,15 @@
   }
 
   private void tick() {
-    wheel.advance(System.nanoTime());
-    tickListener.run();
-    if (wheel.size() > 0) {
-      reactor.delay(TICK_MILLIS, this::tick);
-    } else {
-      ticking = false;
+    try {
+      wheel.advance(System.nanoTime());
+      tickListener.run();
+    } finally {
+      if (wheel.size() > 0) {
+        reactor.delay(TICK_MILLIS, this::tick);
+      } else {
+        ticking = false;
+      }
     }
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -189,6 +189,8 @@
   }
 
   private void housekeeping() {
+    // Scheduled first, so that an exception does not end the housekeeping.
+    collaborators.reactor().delayBackground(HOUSEKEEPING_INTERVAL_MILLIS, this::housekeeping);
     long now = System.nanoTime();
     view.get();
     upstreams.onTick(now);
@@ -199,7 +201,6 @@
       linkServer.closeSilentLinks(now);
     }
     links.onTick(now);
-    collaborators.reactor().delayBackground(HOUSEKEEPING_INTERVAL_MILLIS, this::housekeeping);
   }
 
   private void beginStop() {
