--- a/cornelspoke-core/src/test/java/org/cornelspoke/util/TimerWheelTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/util/TimerWheelTest.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.util;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -65,4 +66,23 @@
     wheel.advance(20);
     assertThat(ran).containsExactly("later");
   }
+
+  @Test
+  void exceptionOfATaskDoesNotDelayOtherTasks() {
+    TimerWheel wheel = new TimerWheel(10, 8, 0);
+    List<Integer> ran = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      int number = i;
+      wheel.schedule(
+          20,
+          () -> {
+            ran.add(number);
+            throw new IllegalStateException("task " + number);
+          });
+    }
+    IllegalStateException thrown =
+        assertThrows(IllegalStateException.class, () -> wheel.advance(20));
+    assertThat(ran).containsExactly(0, 1, 2);
+    assertThat(thrown.getSuppressed()).hasLength(2);
+  }
 }
