Refuse a response head that contains another head

A refusal that an upstream repeated and cut short ran into the head of the next response: callers were told 'not run' for a request that the upstream had run, under the status of the cut head and the request id of the whole one.

The rest of a status line or header line took in the next status line as its text. The parser now refuses a head with a status line (HTTP/1.x and three digits) after its first one; a cut between two lines was malformed before. The request fails with may-have-run.

Evidence: FaultyUpstreamTest.cutRefusalBeforeTheResponseRefusesNothing failed before the change at 13 bytes (mvn test -pl cornelspoke-core -Dtest=FaultyUpstreamTest); packages transport and protocol.call pass with it, 96 tests.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HeadParser.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HeadParser.java
@@ -109,17 +109,43 @@
     check(bytes[from + 8] == ' ', "status line has no status");
     int status = 0;
     for (int i = from + 9; i < from + 12; i++) {
-      check(bytes[i] >= '0' && bytes[i] <= '9', "status is not a number");
+      check(isDigit(bytes[i]), "status is not a number");
       status = status * 10 + bytes[i] - '0';
     }
     check(status >= 100, "status is below 100");
     check(lineEnd - from == 12 || bytes[from + 12] == ' ', "status has more than three digits");
+    // A cut head would lend its status and headers to the head after it.
+    check(!containsStatusLine(bytes, from + 12, from + length), "head contains another head");
     Headers headers = parseHeaders(bytes, lineEnd + 2, from + length - 2);
     Framing framing = Framing.of(headers);
     boolean keepAlive = http11 ? !framing.close : framing.keepAlive && !framing.close;
     return new ResponseHead(status, headers, framing.contentLength, framing.chunked, keepAlive);
   }
 
+  /** Returns true if the bytes contain {@code HTTP/1.x NNN}. */
+  private static boolean containsStatusLine(byte[] bytes, int from, int to) {
+    for (int i = from; i + 12 <= to; i++) {
+      if (bytes[i] == 'H'
+          && bytes[i + 1] == 'T'
+          && bytes[i + 2] == 'T'
+          && bytes[i + 3] == 'P'
+          && bytes[i + 4] == '/'
+          && bytes[i + 5] == '1'
+          && bytes[i + 6] == '.'
+          && bytes[i + 8] == ' '
+          && isDigit(bytes[i + 9])
+          && isDigit(bytes[i + 10])
+          && isDigit(bytes[i + 11])) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean isDigit(byte b) {
+    return b >= '0' && b <= '9';
+  }
+
   private static boolean parseVersion(byte[] bytes, int space, int end) throws HttpSyntaxException {
     int start = space + 1;
     check(
--- a/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/FaultyUpstreamTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/FaultyUpstreamTest.java
@@ -119,6 +119,22 @@
     }
   }
 
+  /** Guards against a cut refusal that merges with the next head into a refusal of its request. */
+  @Test
+  void cutRefusalBeforeTheResponseRefusesNothing() throws Exception {
+    String repeated = response(503, "q1", "");
+    for (int length = 1; length < repeated.length(); length++) {
+      Socket socket = serveFirst(response(200, "q1", "ok"));
+      CompletableFuture<CallResult> result = send("q2");
+      readRequest(socket);
+      write(socket, repeated.substring(0, length) + response(200, "q2", "ok"));
+      assertWithMessage("%s bytes", length)
+          .that(result.get(20, TimeUnit.SECONDS))
+          .isEqualTo(MAY_HAVE_RUN);
+      socket.close();
+    }
+  }
+
   /** Repeats a refusal on its connection when the next request has arrived there. */
   private void assertRepeatedRefusalIsIgnored(String refusal, String nextId) throws Exception {
     CompletableFuture<CallResult> first = send("q1");
