--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogStorage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogStorage.java
@@ -19,7 +19,8 @@
  * atomically and without overwriting bytes.
  *
  * <p>After a failed write or sync the state of the files is unknown, and all later calls fail.
- * Reopening the folder reads the surviving data back and rewrites the last segment.
+ * Opening the folder reads the surviving data back and rewrites the last segment, the snapshot,
+ * term and vote, since the files read may exist in the page cache only.
  *
  * <p>Not thread-safe; used by one thread at a time.
  */
@@ -50,13 +51,9 @@
     this.disk = disk;
     this.segmentBytes = segmentBytes;
     FileNames.deleteTemporary(disk);
-    if (recovery.meta() == null) {
-      this.identity = newIdentity.get();
-      saveHardState(HardState.INITIAL);
-    } else {
-      this.identity = recovery.meta().identity();
-    }
+    this.identity = recovery.meta() == null ? newIdentity.get() : recovery.meta().identity();
     HardState hardState = recovery.meta() == null ? HardState.INITIAL : recovery.meta().hardState();
+    rewriteMetaAndSnapshot(hardState, recovery.snapshot());
     this.recovered =
         new RecoveredLog(
             identity,
@@ -222,9 +219,8 @@
 
   private void writeSnapshot(Snapshot snapshot) throws IOException {
     recovered = null;
+    replaceSnapshot(snapshot);
     String name = FileNames.snapshot(snapshot.index());
-    replaceFile(
-        name, RecordFormat.encode(snapshot.index(), 0, RecordPayloads.packSnapshot(snapshot)));
     for (String existing : disk.list()) {
       if (FileNames.isSnapshot(existing) && existing.compareTo(name) < 0) {
         disk.delete(existing);
@@ -233,6 +229,12 @@
     disk.syncFolder();
   }
 
+  private void replaceSnapshot(Snapshot snapshot) throws IOException {
+    replaceFile(
+        FileNames.snapshot(snapshot.index()),
+        RecordFormat.encode(snapshot.index(), 0, RecordPayloads.packSnapshot(snapshot)));
+  }
+
   /** Syncs the folder after each deletion so that a crash cannot leave a gap between segments. */
   private void deleteSegmentsCoveredBySnapshot(long index) throws IOException {
     while (!sealedSegments.isEmpty() && sealedSegments.peek().maxIndex() <= index) {
@@ -249,6 +251,18 @@
     }
   }
 
+  /**
+   * Writes term, vote and snapshot to new files, before anything that the snapshot covers is
+   * deleted. After a failed sync of the folder the files read may have their names in the page
+   * cache only.
+   */
+  private void rewriteMetaAndSnapshot(HardState hardState, Snapshot snapshot) throws IOException {
+    saveHardState(hardState);
+    if (snapshot != null) {
+      replaceSnapshot(snapshot);
+    }
+  }
+
   /**
    * Writes the intact prefix of the last segment to a new file. The bytes read may exist in the
    * page cache only, because the process stopped before a sync or a sync failed; a later sync of
--- a/cornelspoke-core/src/test/java/org/cornelspoke/state/log/FakeDisk.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/state/log/FakeDisk.java
@@ -6,15 +6,18 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
  * In-memory disk that simulates crashes. A crash keeps the synced bytes of each file, a random
  * prefix of the unsynced bytes, possibly with a damaged tail, and a random prefix of the unsynced
- * folder operations.
+ * folder operations. What a failed sync was to make durable is lost even if a later sync of the
+ * same file or folder succeeds, unless it is written or renamed anew.
  */
 public final class FakeDisk implements Disk {
 
@@ -24,6 +27,9 @@
   private final List<TreeMap<String, Content>> unsyncedFolderStates = new ArrayList<>();
   private int operationsUntilCrash = Integer.MAX_VALUE;
   private int syncsUntilFailure = Integer.MAX_VALUE;
+  private final Set<Integer> failingOperations = new HashSet<>();
+  private final Map<String, Content> lostRenames = new HashMap<>();
+  private long capacityBytes = Long.MAX_VALUE;
   private int generation;
   private int operations;
 
@@ -39,6 +45,7 @@
   private static final class Content {
     byte[] bytes = new byte[0];
     int syncedLength;
+    int syncableLength = Integer.MAX_VALUE;
   }
 
   public FakeDisk(long seed) {
@@ -55,8 +62,28 @@
     syncsUntilFailure = syncCount;
   }
 
-  /** Cancels scheduled crashes and sync failures. */
+  /**
+   * Fails one operation after the given number of further operations: an append writes a random
+   * part, a sync makes nothing durable, and every other operation has no effect.
+   */
+  public void failOperationAfter(int operationCount) {
+    failingOperations.add(operations + operationCount + 1);
+  }
+
+  /** Limits the total size of the files in bytes; the append that exceeds it writes a part. */
+  public void limitCapacity(long bytes) {
+    capacityBytes = bytes;
+  }
+
+  /** Returns the total size of the files in bytes. */
+  public long usedBytes() {
+    return files.values().stream().mapToLong(content -> content.bytes.length).sum();
+  }
+
+  /** Cancels scheduled crashes and failures, and the limit of the capacity. */
   public void clearFaults() {
+    failingOperations.clear();
+    capacityBytes = Long.MAX_VALUE;
     operationsUntilCrash = Integer.MAX_VALUE;
     syncsUntilFailure = Integer.MAX_VALUE;
   }
@@ -80,6 +107,7 @@
             survivingFiles.put(name, copies.computeIfAbsent(content, this::contentAfterCrash)));
     files = survivingFiles;
     durableFiles = new TreeMap<>(files);
+    lostRenames.clear();
   }
 
   /** Simulates a crash followed by replacement with an empty disk. */
@@ -153,9 +181,24 @@
 
   @Override
   public void syncFolder() throws IOException {
-    countOperation();
-    failScheduledSync();
-    durableFiles = new TreeMap<>(files);
+    try {
+      countOperation();
+      failScheduledSync();
+    } catch (IOException e) {
+      recordLostRenames();
+      throw e;
+    }
+    TreeMap<String, Content> synced = new TreeMap<>(files);
+    lostRenames.entrySet().removeIf(lost -> files.get(lost.getKey()) != lost.getValue());
+    for (String name : lostRenames.keySet()) {
+      Content former = durableFiles.get(name);
+      if (former == null) {
+        synced.remove(name);
+      } else {
+        synced.put(name, former);
+      }
+    }
+    durableFiles = synced;
     unsyncedFolderStates.clear();
   }
 
@@ -181,6 +224,15 @@
     unsyncedFolderStates.add(new TreeMap<>(files));
   }
 
+  private void recordLostRenames() {
+    files.forEach(
+        (name, content) -> {
+          if (durableFiles.get(name) != content) {
+            lostRenames.put(name, content);
+          }
+        });
+  }
+
   private Content find(String name) throws IOException {
     Content content = files.get(name);
     if (content == null) {
@@ -194,6 +246,9 @@
     if (operationsUntilCrash-- <= 0) {
       throw new CrashException();
     }
+    if (failingOperations.contains(operations)) {
+      throw new IOException("simulated failure of operation " + operations);
+    }
   }
 
   private void failScheduledSync() throws IOException {
@@ -215,19 +270,32 @@
     public void append(byte[] bytes) throws IOException {
       checkOpen();
       int oldLength = content.bytes.length;
-      boolean crashes = operationsUntilCrash <= 0;
-      int written = crashes ? random.nextInt(bytes.length + 1) : bytes.length;
+      boolean isFull = usedBytes() + bytes.length > capacityBytes;
+      boolean fails =
+          operationsUntilCrash <= 0 || isFull || failingOperations.contains(operations + 1);
+      int written = fails ? random.nextInt(bytes.length + 1) : bytes.length;
+      if (isFull) {
+        written = (int) Math.max(0, capacityBytes - usedBytes());
+      }
       content.bytes = Arrays.copyOf(content.bytes, oldLength + written);
       System.arraycopy(bytes, 0, content.bytes, oldLength, written);
       countOperation();
+      if (isFull) {
+        throw new IOException("simulated full disk");
+      }
     }
 
     @Override
     public void sync() throws IOException {
       checkOpen();
-      countOperation();
-      failScheduledSync();
-      content.syncedLength = content.bytes.length;
+      try {
+        countOperation();
+        failScheduledSync();
+      } catch (IOException e) {
+        content.syncableLength = Math.min(content.syncableLength, content.syncedLength);
+        throw e;
+      }
+      content.syncedLength = Math.min(content.bytes.length, content.syncableLength);
     }
 
     @Override
