Tell the current name of a renamed file in disk failures

Operators saw "syncing log-2.tmp failed" for a file that has been log-2 since it was opened, because DescribingDisk kept the name of its creation.

It now follows renames of open files. DescribingDiskTest.exceptionTellsTheCurrentNameOfARenamedFile failed before ("appending 3 bytes to log-1.tmp failed") and passes.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/DescribingDisk.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/DescribingDisk.java
@@ -1,13 +1,16 @@
 package org.cornelspoke.state.log;
 
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.cornelspoke.util.Assert;
 
 /** Adds the operation, the file and the free space to the exceptions of another disk. */
 public final class DescribingDisk implements Disk {
 
   private final Disk disk;
+  private final Map<String, DescribingFile> openFiles = new HashMap<>();
 
   /** Wraps a disk, which is closed together with this one. */
   public DescribingDisk(Disk disk) {
@@ -31,12 +34,20 @@
 
   @Override
   public File create(String name) throws IOException {
-    return new DescribingFile(name, describe("creating " + name, () -> disk.create(name)));
+    DescribingFile file =
+        new DescribingFile(name, describe("creating " + name, () -> disk.create(name)));
+    openFiles.put(name, file);
+    return file;
   }
 
   @Override
   public void rename(String from, String to) throws IOException {
     describeAction("renaming " + from + " to " + to, () -> disk.rename(from, to));
+    DescribingFile file = openFiles.remove(from);
+    if (file != null) {
+      file.name = to;
+      openFiles.put(to, file);
+    }
   }
 
   @Override
@@ -94,8 +105,8 @@
 
   private final class DescribingFile implements File {
 
-    private final String name;
     private final File file;
+    private String name;
 
     DescribingFile(String name, File file) {
       this.name = name;
@@ -114,6 +125,7 @@
 
     @Override
     public void close() throws IOException {
+      openFiles.remove(name, this);
       describeAction("closing " + name, file::close);
     }
   }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/state/log/DescribingDiskTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/state/log/DescribingDiskTest.java
@@ -23,4 +23,16 @@
             "syncing log-1 failed with an unknown number of bytes usable: "
                 + "java.io.IOException: simulated sync failure");
   }
+
+  /** Guards against log lines that name a temporary file which no longer exists. */
+  @Test
+  void exceptionTellsTheCurrentNameOfARenamedFile() throws IOException {
+    FakeDisk fake = new FakeDisk(1);
+    DescribingDisk disk = new DescribingDisk(fake);
+    Disk.File file = disk.create("log-1.tmp");
+    disk.rename("log-1.tmp", "log-1");
+    fake.failOperationAfter(0);
+    IOException failed = assertThrows(DiskOperationException.class, () -> file.append(new byte[3]));
+    assertThat(failed).hasMessageThat().startsWith("appending 3 bytes to log-1 failed");
+  }
 }
