Wait for a data folder that refuses writes at the start

A control VM whose disk was full or read-only when its process started ended with exit code 1: ConsensusService.start took each IOException of the opening for final. Restarted on a full disk, a VM was lost to the group until its supervisor tried again, without health or status.

Now a damaged folder, a folder in use and an address in use alone end the start. Other failures are repeated by FolderOpening on a thread of its own, with the pauses of the log writer. Meanwhile the VM listens but doesn't connect to the others, has no leader and no members, and refuses proposals and reads with the cause; /healthz tells it, and the administration API answers 503 in place of 401, since no operator is known yet. The history of the rate shares is read once the folder is open; until then an owner waits for the whole quiet period.

The answers of the administration API in that state have no test yet.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileDisk.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileDisk.java
@@ -25,7 +25,8 @@
   /**
    * Creates the folder if it does not exist and locks it until {@link #close}.
    *
-   * @throws IOException if the folder cannot be created or is locked by another process
+   * @throws FolderInUseException if the folder is locked by another process
+   * @throws IOException if the folder cannot be created
    */
   public FileDisk(Path folder) throws IOException {
     this.folder = Assert.notNull(folder, "folder");
@@ -35,7 +36,7 @@
             folder.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
     if (!tryLock()) {
       lockChannel.close();
-      throw new IOException("data folder is in use by another process: " + folder);
+      throw new FolderInUseException(folder);
     }
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusMetrics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusMetrics.java
@@ -18,19 +18,19 @@
   private volatile long term;
   private volatile long commitIndex;
   private volatile long appliedIndex;
-  private volatile int storageFailed;
   private final Timer syncTimer;
   private final Histogram batchEntries;
   private final Counter elections;
   private final Counter syncFailures;
 
-  ConsensusMetrics(MetricRegistry registry) {
+  ConsensusMetrics(MetricRegistry registry, FolderCondition folder) {
     this.registry = registry;
     remove();
     registry.gauge(PREFIX + "term", () -> () -> term);
     registry.gauge(PREFIX + "commit-index", () -> () -> commitIndex);
     registry.gauge(PREFIX + "applied-index", () -> () -> appliedIndex);
-    registry.gauge(PREFIX + "storage-failed", () -> () -> storageFailed);
+    registry.gauge(
+        PREFIX + "storage-failed", () -> () -> folder.refusalCause().isPresent() ? 1 : 0);
     this.syncTimer = registry.timer(PREFIX + "sync");
     this.batchEntries = registry.histogram(PREFIX + "batch-entries");
     this.elections = registry.counter(PREFIX + "elections");
@@ -53,7 +53,6 @@
     term = node.term();
     commitIndex = node.commitIndex();
     appliedIndex = newAppliedIndex;
-    storageFailed = node.isStorageFailed() ? 1 : 0;
     long added = node.electionCount() - elections.getCount();
     if (added > 0) {
       elections.inc(added);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -22,17 +22,13 @@
 import org.cornelspoke.coordination.consensus.RaftSettings;
 import org.cornelspoke.coordination.consensus.ReadResult;
 import org.cornelspoke.coordination.consensus.ReplicatedLog;
-import org.cornelspoke.coordination.retry.Backoff;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.protocol.consensus.PeerMessage;
 import org.cornelspoke.protocol.consensus.PeerMessageCodec;
 import org.cornelspoke.state.StateMachine;
-import org.cornelspoke.state.log.DescribingDisk;
-import org.cornelspoke.state.log.Disk;
 import org.cornelspoke.state.log.EntryKind;
 import org.cornelspoke.state.log.LogEntry;
-import org.cornelspoke.state.log.LogStorage;
 import org.cornelspoke.state.log.MemberIdentity;
 import org.cornelspoke.state.log.Snapshot;
 import org.cornelspoke.util.Assert;
@@ -46,6 +42,9 @@
  * group; an operator adds it as a learner, or with {@link
  * ConsensusServiceBuilder#withAutomaticMembership} the leader does.
  *
+ * <p>A start on a folder that refuses writes waits until it accepts them. Meanwhile this VM has no
+ * leader and no members, and proposals and reads fail.
+ *
  * <p>All methods must be called on the control thread, except {@link #awaitStopped}.
  */
 public final class ConsensusService implements ReplicatedLog {
@@ -77,7 +76,10 @@
   private final boolean automaticMembership;
   private final Consumer<Membership> membershipListener;
   private final SnapshotSchedule snapshots;
+  private final FolderCondition folderCondition = new FolderCondition();
+  private final Runnable openListener;
   private ConsensusMetrics metrics;
+  private FolderOpening opening;
   private DiskWriter writer;
   private PeerConnections connections;
   private RaftNode node;
@@ -86,6 +88,7 @@
   private long nextCallId;
   private long tickCount;
   private boolean outputsScheduled;
+  private boolean waitingForFolder;
   private boolean running;
   private Membership knownMembership = Membership.EMPTY;
   private Optional<VmId> knownLeader = Optional.empty();
@@ -104,6 +107,7 @@
     this.mayFormGroup = builder.mayFormGroup;
     this.automaticMembership = builder.automaticMembership;
     this.membershipListener = builder.membershipListener;
+    this.openListener = builder.openListener;
     this.forwardedRequests = new ForwardedRequestHandler(vmId, localOperations, this::send);
     Assert.isTrue(!peers.containsKey(vmId), "peers must not contain this VM");
   }
@@ -114,79 +118,102 @@
   }
 
   /**
-   * Opens the data folder, restores the state and starts to listen.
+   * Starts to listen, opens the data folder and restores the state. If the folder can't be read or
+   * written, further attempts follow in the background.
    *
    * @throws IOException if the folder is damaged or in use, or the address is in use
    */
   public void start() throws IOException {
-    Assert.isTrue(node == null, "start must be called once");
-    Disk disk = new DescribingDisk(diskOpener.open(dataFolder));
-    LogStorage storage = null;
-    boolean started = false;
+    Assert.isTrue(connections == null, "start must be called once");
+    opening =
+        new FolderOpening(
+            vmId + "-log-opener",
+            this::openFolder,
+            settings.storageRetryPause(random.nextLong()),
+            new OpeningEvents());
+    connections =
+        new PeerConnections(reactor, vmId, peerAddress, peers, this::hello, new PeerEvents());
+    Optional<OpenFolder> folder = opening.tryOpen();
+    boolean listening = false;
     try {
-      storage =
-          LogStorage.open(
-              disk, settings.segmentBytes(), () -> MemberIdentity.random(random::nextLong));
-      node =
-          new RaftNode(
-              settings.raft(),
-              storage.recovered(),
-              new Well19937c(random.nextLong()),
-              System.nanoTime());
-      connections =
-          new PeerConnections(reactor, vmId, peerAddress, peers, this::hello, new PeerEvents());
-      upkeep = new GroupUpkeep(node, connections, this::hello, mayFormGroup, automaticMembership);
       connections.start();
-      started = true;
+      listening = true;
     } finally {
-      if (!started) {
-        if (storage != null) {
-          storage.close();
-        }
-        disk.close();
+      if (!listening && folder.isPresent()) {
+        folder.get().close();
       }
     }
-    metrics = new ConsensusMetrics(metricRegistry);
+    metrics = new ConsensusMetrics(metricRegistry, folderCondition);
+    if (folder.isPresent()) {
+      run(folder.get());
+    } else {
+      waitingForFolder = true;
+      opening.startRetries();
+    }
+  }
+
+  private OpenFolder openFolder() throws IOException {
+    return OpenFolder.open(
+        diskOpener,
+        dataFolder,
+        settings.segmentBytes(),
+        () -> MemberIdentity.random(random::nextLong));
+  }
+
+  /** Starts the member with the state that the folder holds. */
+  private void run(OpenFolder folder) {
+    node =
+        new RaftNode(
+            settings.raft(),
+            folder.storage().recovered(),
+            new Well19937c(random.nextLong()),
+            System.nanoTime());
+    upkeep = new GroupUpkeep(node, connections, this::hello, mayFormGroup, automaticMembership);
     writer =
         new DiskWriter(
             vmId + "-log-writer",
-            disk,
-            storage,
+            folder,
             settings,
-            new Backoff(
-                TimeUnit.MILLISECONDS.toNanos(settings.storageRetryBaseMillis()),
-                TimeUnit.MILLISECONDS.toNanos(settings.storageRetryMaxMillis()),
-                new Well19937c(random.nextLong())),
+            settings.storageRetryPause(random.nextLong()),
             metrics,
             new DiskWriterEvents());
     writer.start();
     // The random start value keeps replies to calls made before a restart from being matched.
     nextCallId = random.nextLong() >>> 1;
+    waitingForFolder = false;
     running = true;
+    openListener.run();
     processOutputs();
     tick();
   }
 
   /** Stops without waiting; unfinished requests are reported as unknown or unavailable. */
   public void stop() {
-    if (!running) {
+    if (!running && !waitingForFolder) {
       return;
     }
     running = false;
+    waitingForFolder = false;
     connections.stop();
-    writer.stop();
+    opening.stop();
+    if (writer != null) {
+      writer.stop();
+    }
     pending.failAll("the service stops");
     metrics.remove();
   }
 
   /** Waits until the data folder is released; must not be called on the control thread. */
   public void awaitStopped() throws InterruptedException {
-    writer.awaitStopped();
+    opening.awaitStopped();
+    if (writer != null) {
+      writer.awaitStopped();
+    }
   }
 
   /** Connects to another VM that may belong to the group. */
   public void addPeer(VmId peer, Endpoint address) {
-    if (running) {
+    if (running || waitingForFolder) {
       connections.addPeer(peer, address);
     }
   }
@@ -201,7 +228,7 @@
     Assert.notNull(command, "command");
     Assert.notNull(listener, "listener");
     if (!running) {
-      reactor.post(() -> listener.onNotAppended("the service is not running"));
+      reactor.post(() -> listener.onNotAppended(notRunningCause()));
     } else if (command.length > RaftSettings.MAX_COMMAND_BYTES) {
       reactor.post(() -> listener.onNotAppended("the command is too large"));
     } else if (!localOperations.proposeIfLeader(command, listener)) {
@@ -213,7 +240,7 @@
   public void readIndex(ReadListener listener) {
     Assert.notNull(listener, "listener");
     if (!running) {
-      reactor.post(() -> listener.onUnavailable("the service is not running"));
+      reactor.post(() -> listener.onUnavailable(notRunningCause()));
       return;
     }
     if (localOperations.readIfLeader(listener)) {
@@ -251,16 +278,28 @@
     return appliedIndex;
   }
 
-  /** Returns the committed membership; must be called after {@link #start}. */
+  /** Returns the committed membership; empty until the data folder is open. */
   public Membership committedMembership() {
-    return node.committedMembership();
+    return node == null ? Membership.EMPTY : node.committedMembership();
+  }
+
+  /** Returns whether the data folder has not been opened yet because it refuses writes. */
+  public boolean isWaitingForFolder() {
+    return waitingForFolder;
+  }
+
+  /** Returns why the data folder refuses writes; empty if it accepts them. */
+  public Optional<String> folderRefusalCause() {
+    return folderCondition.refusalCause();
   }
 
   /** Returns the current members; match indexes are known on the leader only. */
   public List<MemberStatus> members() {
-    return node.membership().members().stream()
-        .map(member -> MemberStatus.of(member, node))
-        .toList();
+    return node == null
+        ? List.of()
+        : node.membership().members().stream()
+            .map(member -> MemberStatus.of(member, node))
+            .toList();
   }
 
   /**
@@ -290,9 +329,15 @@
     changeMembership(new MembershipChange.Remove(identity), listener);
   }
 
+  private String notRunningCause() {
+    return waitingForFolder
+        ? "the data folder of this VM refuses writes: " + folderRefusalCause().orElse("unknown")
+        : "the service is not running";
+  }
+
   private void changeMembership(MembershipChange change, ProposalListener listener) {
     if (!running) {
-      reactor.post(() -> listener.onNotAppended("the service is not running"));
+      reactor.post(() -> listener.onNotAppended(notRunningCause()));
       return;
     }
     try {
@@ -451,6 +496,9 @@
 
     @Override
     public void onDisconnected(VmId lost) {
+      if (!running) {
+        return;
+      }
       pending.onDisconnected(lost);
       for (Member member : node.membership().members()) {
         if (member.vmId().equals(lost)) {
@@ -490,6 +538,26 @@
     }
   }
 
+  private final class OpeningEvents implements FolderOpening.Listener {
+
+    @Override
+    public void onRefused(IOException cause) {
+      folderCondition.onRefused(cause);
+    }
+
+    @Override
+    public void onOpened() {
+      folderCondition.onAccepted();
+      reactor.execute(() -> opening.takeOpened().ifPresent(ConsensusService.this::run));
+    }
+
+    @Override
+    public void onFailed(Throwable cause) {
+      LOG.log(System.Logger.Level.ERROR, "the data folder can't be opened; this VM stops", cause);
+      reactor.execute(ConsensusService.this::stop);
+    }
+  }
+
   private final class DiskWriterEvents implements DiskWriter.Listener {
 
     @Override
@@ -499,16 +567,13 @@
 
     @Override
     public void onUnavailable(IOException cause) {
-      LOG.log(
-          System.Logger.Level.ERROR,
-          "data folder refuses writes; this member steps aside until they succeed again",
-          cause);
+      folderCondition.onRefused(cause);
       executeWhileRunning(node::onStorageUnavailable);
     }
 
     @Override
     public void onAvailable() {
-      LOG.log(System.Logger.Level.INFO, "data folder accepts writes again");
+      folderCondition.onAccepted();
       executeWhileRunning(node::onStorageAvailable);
     }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusServiceBuilder.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusServiceBuilder.java
@@ -26,6 +26,7 @@
   boolean mayFormGroup = true;
   boolean automaticMembership;
   Consumer<Membership> membershipListener = membership -> {};
+  Runnable openListener = () -> {};
 
   ConsensusServiceBuilder(NioReactor reactor) {
     this.reactor = reactor;
@@ -62,6 +63,15 @@
     return this;
   }
 
+  /**
+   * Sets the listener that is called once on the control thread when the data folder is open and
+   * locked, at the start or later.
+   */
+  public ConsensusServiceBuilder withOpenListener(Runnable listener) {
+    this.openListener = listener;
+    return this;
+  }
+
   /** Sets the folder that holds log, vote, identity and snapshots. */
   public ConsensusServiceBuilder withDataFolder(Path folder) {
     this.dataFolder = folder;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusSettings.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusSettings.java
@@ -1,6 +1,9 @@
 package org.cornelspoke.daemon.consensus;
 
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.math3.random.Well19937c;
 import org.cornelspoke.coordination.consensus.RaftSettings;
+import org.cornelspoke.coordination.retry.Backoff;
 import org.cornelspoke.util.Assert;
 
 /**
@@ -68,6 +71,14 @@
         DEFAULT_STORAGE_RETRY_MAX_MILLIS);
   }
 
+  /** Returns new pauses between the attempts to open the log. */
+  Backoff storageRetryPause(long randomSeed) {
+    return new Backoff(
+        TimeUnit.MILLISECONDS.toNanos(storageRetryBaseMillis),
+        TimeUnit.MILLISECONDS.toNanos(storageRetryMaxMillis),
+        new Well19937c(randomSeed));
+  }
+
   /** Checks the values. */
   public ConsensusSettings {
     Assert.notNull(raft, "raft");
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/DiskOpener.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/DiskOpener.java
@@ -10,7 +10,8 @@
   /**
    * Opens the folder for exclusive use.
    *
-   * @throws IOException if it cannot be created or is in use by another process
+   * @throws org.cornelspoke.state.log.FolderInUseException if another process uses it
+   * @throws IOException if it cannot be created
    */
   Disk open(Path folder) throws IOException;
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/DiskWriter.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/DiskWriter.java
@@ -57,13 +57,13 @@
 
   DiskWriter(
       String name,
-      Disk disk,
-      LogStorage storage,
+      OpenFolder folder,
       ConsensusSettings settings,
       Backoff retryPause,
       ConsensusMetrics metrics,
       Listener listener) {
-    this.disk = disk;
+    this.disk = folder.disk();
+    LogStorage storage = folder.storage();
     this.retryPause = retryPause;
     this.metrics = metrics;
     this.listener = listener;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
@@ -67,9 +67,9 @@
     staticPeers.forEach(this::addLink);
   }
 
+  /** Starts to listen; {@link #maintain} connects to the other VMs. */
   void start() throws IOException {
     server.start();
-    maintain();
   }
 
   void stop() {
@@ -82,7 +82,7 @@
     return server.boundAddress();
   }
 
-  /** Reconnects the links that are down and checks the others for liveness. */
+  /** Connects the links that are down and checks the others for liveness. */
   void maintain() {
     long currentMillis = nowMillis();
     links.values().forEach(link -> link.maintain(currentMillis));
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -46,6 +46,8 @@
 
   private static final long PEER_POLL_INTERVAL_MILLIS = 1_000;
 
+  private static final long HISTORY_RETRY_DELAY_MILLIS = 1_000;
+
   private static final long EVACUATION_POLL_INTERVAL_MILLIS = 1_000;
 
   private final ControlSettings settings;
@@ -73,6 +75,7 @@
             .withGroupFormation(settings.formation() != GroupFormation.JOINING)
             .withAutomaticMembership(settings.formation() != GroupFormation.OPERATED)
             .withMembershipListener(this::onMembershipChanged)
+            .withOpenListener(this::openShareHistory)
             .withMetrics(metrics());
     Map<VmId, InetSocketAddress> relayAddresses = new HashMap<>();
     for (PeerSettings peer : settings.peers()) {
@@ -173,6 +176,18 @@
                 control().delayBackground(BOOTSTRAP_RETRY_DELAY_MILLIS, () -> bootstrap(operator)));
   }
 
+  private void openShareHistory() {
+    if (stopping) {
+      return;
+    }
+    try {
+      shares.openHistory();
+    } catch (IOException e) {
+      LOGGER.log(Level.WARNING, "history of rate shares is not available yet", e);
+      control().delayBackground(HISTORY_RETRY_DELAY_MILLIS, this::openShareHistory);
+    }
+  }
+
   /** Polls the settings, which may name new control VMs while this one waits to join the group. */
   private void pollPeers() {
     profile.peerSource.get().forEach(peer -> consensus.addPeer(peer.vmId(), peer.peerAddress()));
@@ -212,7 +227,13 @@
   private Health health() {
     boolean current =
         relay.freshnessAgeNanos().filter(ageNanos -> ageNanos <= MAX_HEALTHY_AGE_NANOS).isPresent();
-    return current ? Health.OK : new Health(false, "not proved current by a quorum");
+    if (current) {
+      return Health.OK;
+    }
+    return consensus
+        .folderRefusalCause()
+        .map(cause -> new Health(false, "data folder refuses writes: " + cause))
+        .orElse(new Health(false, "not proved current by a quorum"));
   }
 
   private final class BackendRoutingAdministration implements RoutingAdministration {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/GroupAdminBackend.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/GroupAdminBackend.java
@@ -2,6 +2,7 @@
 
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -92,6 +93,15 @@
 
   @Override
   public Promise<Optional<OperatorId>> findOperator(String tokenHashHex, ReadMode mode) {
+    if (consensus.isWaitingForFolder()) {
+      // The operators are not known yet, so that no token can be told to be wrong.
+      return Promise.ofException(
+          toUnavailableException(
+              new IOException(
+                  "the data folder of this VM refuses writes: "
+                      + consensus.folderRefusalCause().orElse("unknown")),
+              false));
+    }
     Promise<?> readable = mode == ReadMode.CURRENT ? confirmCurrent() : Promise.complete();
     return readable.map(
         ok ->
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -77,6 +77,7 @@
   private final Map<DaemonId, Long> attachments = new LinkedHashMap<>();
   private long lastAttachment;
   private RelayServer relayServer;
+  private boolean historyOpen;
   private Optional<ShareOwner> owner = Optional.empty();
   private long ownerTerm;
   private boolean leadershipConfirmed;
@@ -114,19 +115,27 @@
   }
 
   /**
-   * Starts to issue shares.
-   *
-   * @throws IOException if the history can't be read or written
+   * Starts to issue shares. Until {@link #openHistory}, daemons count as holding shares of a former
+   * process, and an owner waits for the whole quiet period.
    */
-  void start(RelayServer relayServer) throws IOException {
+  void start(RelayServer relayServer) {
     this.relayServer = relayServer;
-    history.open(System.nanoTime());
-    shareRelay.start(history.formerLeaseNanos(), System.nanoTime());
     this.leadershipCheckedAtNanos =
         System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(LEADERSHIP_CHECK_INTERVAL_MILLIS);
     tick();
   }
 
+  /**
+   * Reads what former processes of this VM have recorded; called once the data folder is locked.
+   *
+   * @throws IOException if the history can't be read or written
+   */
+  void openHistory() throws IOException {
+    history.open(System.nanoTime());
+    historyOpen = true;
+    shareRelay.start(history.formerLeaseNanos(), System.nanoTime());
+  }
+
   void stop() {
     scheduledTick.cancel();
     scheduledTurn.ifPresent(ScheduledRunnable::cancel);
@@ -232,7 +241,7 @@
    * requires that all earlier log entries are applied.
    */
   private void issueSharesIfReady(ShareOwner current, long nowNanos) {
-    if (leadershipConfirmed) {
+    if (leadershipConfirmed && historyOpen) {
       updateHistory(nowNanos);
       current.endQuietPeriodIfReady(history.daemons(nowNanos), nowNanos);
       current.endQuietPeriodIfRelaysComplete(history.relays(nowNanos), nowNanos);
@@ -354,7 +363,9 @@
   private void tick() {
     scheduledTick = reactor.delayBackground(TICK_INTERVAL_MILLIS, this::tick);
     long nowNanos = System.nanoTime();
-    updateHistory(nowNanos);
+    if (historyOpen) {
+      updateHistory(nowNanos);
+    }
     updateOwner(nowNanos);
     owner.ifPresent(
         current -> deferredBatches.relays().forEach(relay -> receiveDeferred(current, relay)));
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
@@ -1,15 +1,18 @@
 package org.cornelspoke.daemon.consensus;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
@@ -33,7 +36,7 @@
   @TempDir private Path folder;
 
   @BeforeEach
-  void startAll() throws Exception {
+  void reserveAddresses() throws Exception {
     List<ServerSocket> reserved = new ArrayList<>();
     for (int i = 1; i <= VM_COUNT; i++) {
       ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
@@ -43,9 +46,6 @@
     for (ServerSocket socket : reserved) {
       socket.close();
     }
-    for (VmId vmId : addresses.keySet()) {
-      vms.put(vmId, new RunningVm(vmId, folder.resolve(vmId.value()), addresses));
-    }
   }
 
   @AfterEach
@@ -57,6 +57,7 @@
 
   @Test
   void groupCommitsAfterTheDisksOfAMajorityHaveFailedOneAtATime() throws Exception {
+    startAll();
     List<RunningVm> all = List.copyOf(vms.values());
     assertThat(commit(all.get(0))).isTrue();
     for (RunningVm failing : all.subList(0, VM_COUNT / 2 + 1)) {
@@ -71,6 +72,89 @@
     }
   }
 
+  @Test
+  void vmStartedOnADiskThatRefusesWritesJoinsOnceItAcceptsThem() throws Exception {
+    startAll();
+    assertThat(commit(vm(1))).isTrue();
+    restart(5, refusingDisk());
+    RunningVm waiting = vm(5);
+    assertThat(commit(vm(1))).isTrue();
+    assertThat(waiting.propose("refused")).isEqualTo("not-appended");
+    assertThat(waiting.call(waiting.service::leader)).isEmpty();
+    assertThat(waiting.call(waiting.service::members)).isEmpty();
+    waiting.faults.setRefusing(false);
+    assertThat(commit(waiting)).isTrue();
+    assertThat(waiting.readCurrent()).containsAtLeast("command-1", "command-2", "command-3");
+    assertThat(waiting.readCurrent()).doesNotContain("refused");
+  }
+
+  @Test
+  void groupFormsOnceTheDiskOfItsFirstVmAcceptsWrites() throws Exception {
+    start(1, refusingDisk());
+    for (int i = 2; i <= VM_COUNT; i++) {
+      start(i, new FaultyDisk.FaultControl());
+    }
+    assertThat(vm(2).propose("too early")).isEqualTo("not-appended");
+    vm(1).faults.setRefusing(false);
+    assertThat(commit(vm(2))).isTrue();
+    assertThat(commit(vm(1))).isTrue();
+  }
+
+  @Test
+  void vmThatWaitsForItsDiskStopsAndReleasesTheFolder() throws Exception {
+    startAll();
+    assertThat(commit(vm(5))).isTrue();
+    restart(5, refusingDisk());
+    restart(5, new FaultyDisk.FaultControl());
+    assertThat(commit(vm(5))).isTrue();
+  }
+
+  @Test
+  void startFailsOnAFolderThatAnotherProcessUses() throws Exception {
+    startAll();
+    VmId inUse = vm(5).vmId;
+    Map<VmId, Endpoint> freeAddress = new HashMap<>(addresses);
+    freeAddress.put(inUse, new Endpoint("127.0.0.1", 0));
+    ExecutionException e =
+        assertThrows(
+            ExecutionException.class,
+            () ->
+                new RunningVm(
+                    inUse,
+                    folder.resolve(inUse.value()),
+                    freeAddress,
+                    new FaultyDisk.FaultControl()));
+    assertThat(e).hasCauseThat().hasMessageThat().contains("in use by another process");
+  }
+
+  private void startAll() throws Exception {
+    for (int i = 1; i <= VM_COUNT; i++) {
+      start(i, new FaultyDisk.FaultControl());
+    }
+  }
+
+  private void start(int number, FaultyDisk.FaultControl faults) throws Exception {
+    VmId vmId = new VmId("control-" + number);
+    vms.put(vmId, new RunningVm(vmId, folder.resolve(vmId.value()), addresses, faults));
+  }
+
+  private void restart(int number, FaultyDisk.FaultControl faults) throws Exception {
+    RunningVm stopped = vm(number);
+    stopped.stop();
+    vms.remove(stopped.vmId);
+    start(number, faults);
+  }
+
+  private RunningVm vm(int number) {
+    return vms.get(new VmId("control-" + number));
+  }
+
+  private static FaultyDisk.FaultControl refusingDisk() {
+    FaultyDisk.FaultControl faults = new FaultyDisk.FaultControl();
+    faults.setRefusing(true);
+    return faults;
+  }
+
   private interface Condition {
     boolean holds() throws Exception;
   }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FaultyDisk.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FaultyDisk.java
@@ -2,16 +2,20 @@
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import org.cornelspoke.state.log.Disk;
+import org.cornelspoke.state.log.FileDisk;
 
-/** Wraps a disk whose syncs can be stalled or made to fail. */
+/** Wraps a disk whose syncs can be stalled or made to fail, and which can refuse to store more. */
 final class FaultyDisk implements Disk {
 
   /** Sets the faults from the test thread. */
   static final class FaultControl {
     private boolean stalled;
     private boolean failing;
+    private boolean refusing;
 
     synchronized void setStalled(boolean value) {
       stalled = value;
@@ -22,6 +26,21 @@
       failing = value;
     }
 
+    /** Sets whether files can't be opened, created, renamed or extended, as on a full disk. */
+    synchronized void setRefusing(boolean value) {
+      refusing = value;
+    }
+
+    private synchronized void beforeWrite() throws IOException {
+      if (refusing) {
+        throw new IOException("simulated refusal: No space left on device");
+      }
+    }
+
+    private synchronized boolean isRefusing() {
+      return refusing;
+    }
+
     private synchronized void beforeSync() throws IOException {
       try {
         while (stalled) {
@@ -39,7 +58,13 @@
   private final Disk disk;
   private final FaultControl faults;
 
-  FaultyDisk(Disk disk, FaultControl faults) {
+  /** Opens a folder unless the disk refuses that. */
+  static FaultyDisk open(Path folder, FaultControl faults) throws IOException {
+    faults.beforeWrite();
+    return new FaultyDisk(new FileDisk(folder), faults);
+  }
+
+  private FaultyDisk(Disk disk, FaultControl faults) {
     this.disk = disk;
     this.faults = faults;
   }
@@ -61,10 +86,16 @@
 
   @Override
   public File create(String name) throws IOException {
+    faults.beforeWrite();
     File file = disk.create(name);
     return new File() {
       @Override
       public void append(byte[] bytes) throws IOException {
+        if (faults.isRefusing()) {
+          // The remaining free space takes up a part of the record.
+          file.append(Arrays.copyOf(bytes, bytes.length / 2));
+        }
+        faults.beforeWrite();
         file.append(bytes);
       }
 
@@ -83,6 +114,7 @@
 
   @Override
   public void rename(String from, String to) throws IOException {
+    faults.beforeWrite();
     disk.rename(from, to);
   }
 
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/RunningVm.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/RunningVm.java
@@ -18,7 +18,6 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.state.StateMachine;
-import org.cornelspoke.state.log.FileDisk;
 
 /** Runs a ConsensusService on its own event loop thread and records the applied commands. */
 final class RunningVm {
@@ -34,7 +33,7 @@
   final List<String> state = new ArrayList<>();
   int duplicates;
   int unknownOutcomes;
-  final FaultyDisk.FaultControl faults = new FaultyDisk.FaultControl();
+  final FaultyDisk.FaultControl faults;
   final MetricRegistry metrics = new MetricRegistry();
   private final Eventloop reactor = Eventloop.create();
   private final Thread thread;
@@ -44,9 +43,25 @@
     this(vmId, folder, addresses, SETTINGS);
   }
 
+  RunningVm(VmId vmId, Path folder, Map<VmId, Endpoint> addresses, FaultyDisk.FaultControl faults)
+      throws Exception {
+    this(vmId, folder, addresses, SETTINGS, faults);
+  }
+
   RunningVm(VmId vmId, Path folder, Map<VmId, Endpoint> addresses, ConsensusSettings settings)
       throws Exception {
+    this(vmId, folder, addresses, settings, new FaultyDisk.FaultControl());
+  }
+
+  private RunningVm(
+      VmId vmId,
+      Path folder,
+      Map<VmId, Endpoint> addresses,
+      ConsensusSettings settings,
+      FaultyDisk.FaultControl faults)
+      throws Exception {
     this.vmId = vmId;
+    this.faults = faults;
     reactor.keepAlive(true);
     this.thread = new Thread(reactor, vmId + "-control");
     thread.setDaemon(true);
@@ -55,7 +70,7 @@
             .withVm(vmId, addresses.get(vmId))
             .withDataFolder(folder)
             .withStateMachine(new ListState())
-            .withDiskOpener(path -> new FaultyDisk(new FileDisk(path), faults))
+            .withDiskOpener(path -> FaultyDisk.open(path, faults))
             .withMetrics(metrics)
             .withSettings(settings);
     addresses.forEach(
