End the process when its member of the group has ended

A damaged folder or an Error in the log writer, and an unexpected exception in the member (a state machine that throws, a committed entry that can't be read from a faulty disk), stopped the member for good while its process went on: no supervisor started it again.

ConsensusServiceBuilder.withFailureListener reports such an end, an Error and a failed upkeep included; AbstractRuntime.fail then stops gracefully, within 10 s, and cornelspoked exits with the new code 3. A second stop, that of the shutdown hook, waits for the first; it would have hung on the ended control loop. The member's tick and the polls of ControlRuntime set their next run first, so that an exception doesn't end them.

An UncheckedIOException of LogEntry.data() isn't retried; it ends the process, and the restart reads the entry again.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Main.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/Main.java
@@ -18,6 +18,7 @@
   static final int EXIT_OK = 0;
   static final int EXIT_FAILED = 1;
   static final int EXIT_USAGE = 2;
+  static final int EXIT_RESTART = 3;
 
   private final DaemonFactory factory;
   private final PrintStream out;
@@ -111,7 +112,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    return EXIT_OK;
+    return daemon.hasFailed() ? EXIT_RESTART : EXIT_OK;
   }
 
   private static String version() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -78,6 +78,7 @@
   private final SnapshotSchedule snapshots;
   private final FolderCondition folderCondition = new FolderCondition();
   private final Runnable openListener;
+  private final Consumer<Throwable> failureListener;
   private ConsensusMetrics metrics;
   private FolderOpening opening;
   private DiskWriter writer;
@@ -108,6 +109,7 @@
     this.automaticMembership = builder.automaticMembership;
     this.membershipListener = builder.membershipListener;
     this.openListener = builder.openListener;
+    this.failureListener = builder.failureListener;
     this.forwardedRequests = new ForwardedRequestHandler(vmId, localOperations, this::send);
     Assert.isTrue(!peers.containsKey(vmId), "peers must not contain this VM");
   }
@@ -365,15 +367,15 @@
     if (!running) {
       return;
     }
+    reactor.delayBackground(TICK_INTERVAL_MILLIS, this::tick);
     runGuarded(() -> node.tick(System.nanoTime()));
-    if (tickCount++ % MAINTENANCE_INTERVAL_TICKS == 0) {
+    if (running && tickCount++ % MAINTENANCE_INTERVAL_TICKS == 0) {
       pending.expire(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
       connections.maintain();
-      upkeep.tick(System.nanoTime());
+      runGuarded(() -> upkeep.tick(System.nanoTime()));
       metrics.publish(node, appliedIndex);
     }
     processOutputs();
-    reactor.delayBackground(TICK_INTERVAL_MILLIS, this::tick);
   }
 
   private PeerMessage.Hello hello() {
@@ -456,9 +458,19 @@
   private void runGuarded(Runnable action) {
     try {
       action.run();
-    } catch (RuntimeException e) {
-      LOG.log(System.Logger.Level.ERROR, "stopping this member after an unexpected exception", e);
+    } catch (VirtualMachineError e) {
+      throw e;
+    } catch (RuntimeException | Error e) {
+      fail(e);
+    }
+  }
+
+  /** Stops this member; its process is to end, as only a restart makes it a member again. */
+  private void fail(Throwable cause) {
+    if (running || waitingForFolder) {
+      LOG.log(System.Logger.Level.ERROR, "this member stops after an unexpected failure", cause);
       stop();
+      failureListener.accept(cause);
     }
   }
 
@@ -476,16 +488,9 @@
       if (message instanceof PeerMessage.Raft m) {
         runGuarded(() -> node.receive(m.message(), System.nanoTime()));
         scheduleOutputs();
-      } else if (message instanceof PeerMessage.ProposeRequest m) {
-        forwardedRequests.onProposeCall(from, m);
-      } else if (message instanceof PeerMessage.ProposeCommitted m) {
-        pending.onForwardedCommitted(m.requestId(), m.index(), m.result().array());
-      } else if (message instanceof PeerMessage.ProposeFailed m) {
-        pending.onForwardedFailed(m.requestId(), m.notAppended(), m.cause());
-      } else if (message instanceof PeerMessage.ReadRequest m) {
-        forwardedRequests.onReadCall(from, m);
-      } else if (message instanceof PeerMessage.ReadReply m) {
-        pending.onReadResult(m.requestId(), m.confirmed(), m.index());
+      } else {
+        forwardedRequests.onMessage(from, message);
+        pending.onMessage(message);
       }
     }
 
@@ -553,8 +558,7 @@
 
     @Override
     public void onFailed(Throwable cause) {
-      LOG.log(System.Logger.Level.ERROR, "the data folder can't be opened; this VM stops", cause);
-      reactor.execute(ConsensusService.this::stop);
+      reactor.execute(() -> fail(cause));
     }
   }
 
@@ -579,8 +583,7 @@
 
     @Override
     public void onEnded(Throwable cause) {
-      LOG.log(System.Logger.Level.ERROR, "the log writer has ended; this member stops", cause);
-      executeWhileRunning(ConsensusService.this::stop);
+      reactor.execute(() -> fail(cause));
     }
 
     private void executeWhileRunning(Runnable action) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusServiceBuilder.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusServiceBuilder.java
@@ -27,6 +27,7 @@
   boolean automaticMembership;
   Consumer<Membership> membershipListener = membership -> {};
   Runnable openListener = () -> {};
+  Consumer<Throwable> failureListener = cause -> {};
 
   ConsensusServiceBuilder(NioReactor reactor) {
     this.reactor = reactor;
@@ -72,6 +73,15 @@
     return this;
   }
 
+  /**
+   * Sets the listener that is called on the control thread after the member has stopped because of
+   * a failure that only a restart of the process can clear.
+   */
+  public ConsensusServiceBuilder withFailureListener(Consumer<Throwable> listener) {
+    this.failureListener = listener;
+    return this;
+  }
+
   /** Sets the folder that holds log, vote, identity and snapshots. */
   public ConsensusServiceBuilder withDataFolder(Path folder) {
     this.dataFolder = folder;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ForwardedRequestHandler.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ForwardedRequestHandler.java
@@ -28,14 +28,23 @@
     this.sender = sender;
   }
 
-  void onProposeCall(VmId from, PeerMessage.ProposeRequest call) {
+  /** Handles a proposal or a read; other messages are ignored. */
+  void onMessage(VmId from, PeerMessage message) {
+    if (message instanceof PeerMessage.ProposeRequest call) {
+      onProposeCall(from, call);
+    } else if (message instanceof PeerMessage.ReadRequest call) {
+      onReadCall(from, call);
+    }
+  }
+
+  private void onProposeCall(VmId from, PeerMessage.ProposeRequest call) {
     ProposalListener reply = new ProposalReply(from, call.requestId());
     if (!operations.proposeIfLeader(call.command().array(), reply)) {
       reply.onNotAppended(self + " does not lead");
     }
   }
 
-  void onReadCall(VmId from, PeerMessage.ReadRequest call) {
+  private void onReadCall(VmId from, PeerMessage.ReadRequest call) {
     ReadListener reply = new ReadReply(from, call.requestId());
     if (!operations.readIfLeader(reply)) {
       reply.onUnavailable(self + " does not lead");
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PendingRequests.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PendingRequests.java
@@ -9,6 +9,7 @@
 import org.cornelspoke.coordination.consensus.ReplicatedLog.ProposalListener;
 import org.cornelspoke.coordination.consensus.ReplicatedLog.ReadListener;
 import org.cornelspoke.model.VmId;
+import org.cornelspoke.protocol.consensus.PeerMessage;
 import org.cornelspoke.state.log.LogEntry;
 
 /**
@@ -72,6 +73,17 @@
     completeApplied();
   }
 
+  /** Handles a reply to a forwarded request; other messages are ignored. */
+  void onMessage(PeerMessage message) {
+    if (message instanceof PeerMessage.ProposeCommitted reply) {
+      onForwardedCommitted(reply.requestId(), reply.index(), reply.result().array());
+    } else if (message instanceof PeerMessage.ProposeFailed reply) {
+      onForwardedFailed(reply.requestId(), reply.notAppended(), reply.cause());
+    } else if (message instanceof PeerMessage.ReadReply reply) {
+      onReadResult(reply.requestId(), reply.confirmed(), reply.index());
+    }
+  }
+
   void onForwardedCommitted(long callId, long index, byte[] result) {
     Forwarded request = forwarded.remove(callId);
     if (request != null) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/AbstractRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/AbstractRuntime.java
@@ -7,18 +7,30 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** Owns the control thread of a process and defines the order of startup and shutdown. */
 abstract class AbstractRuntime implements DaemonFactory.Daemon {
 
   private static final System.Logger LOGGER = System.getLogger(AbstractRuntime.class.getName());
 
+  /** Time for a graceful stop after a failure, which the failure may prevent. */
+  private static final long FAILED_STOP_TIMEOUT_MILLIS = 10_000;
+
   private final MetricRegistry metrics = new MetricRegistry();
   private final Eventloop controlLoop = EventLoops.create("control", metrics);
   private final Thread controlThread;
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private final AtomicBoolean stopRequested = new AtomicBoolean();
+  private final AtomicBoolean failed = new AtomicBoolean();
+  private final long failedStopTimeoutMillis;
 
   AbstractRuntime(String name) {
+    this(name, FAILED_STOP_TIMEOUT_MILLIS);
+  }
+
+  AbstractRuntime(String name, long failedStopTimeoutMillis) {
+    this.failedStopTimeoutMillis = failedStopTimeoutMillis;
     this.controlThread = new Thread(controlLoop, "control-" + name);
   }
 
@@ -41,8 +53,42 @@
     stopped.await();
   }
 
+  @Override
+  public final boolean hasFailed() {
+    return failed.get();
+  }
+
+  /**
+   * Stops in the background, so that the process ends and its supervisor starts it again. May be
+   * called on any thread.
+   */
+  final void fail(Throwable cause) {
+    if (failed.compareAndSet(false, true)) {
+      LOGGER.log(Level.ERROR, "the process ends in order to be started again", cause);
+      Thread supervision = new Thread(this::stopAfterFailure, "stop-after-failure");
+      supervision.setDaemon(true);
+      supervision.start();
+    }
+  }
+
+  private void stopAfterFailure() {
+    Thread gracefulStop = new Thread(this::stop, "graceful-stop");
+    gracefulStop.setDaemon(true);
+    gracefulStop.start();
+    try {
+      gracefulStop.join(failedStopTimeoutMillis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    stopped.countDown();
+  }
+
   @Override
   public final void stop() {
+    if (!stopRequested.compareAndSet(false, true)) {
+      awaitOtherStop();
+      return;
+    }
     long startNanos = System.nanoTime();
     LOGGER.log(Level.INFO, "event=stopping");
     try {
@@ -62,6 +108,15 @@
     }
   }
 
+  /** The control thread has ended or will end, so a second stop could not use it. */
+  private void awaitOtherStop() {
+    try {
+      stopped.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   final Eventloop control() {
     return controlLoop;
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -76,6 +76,7 @@
             .withAutomaticMembership(settings.formation() != GroupFormation.OPERATED)
             .withMembershipListener(this::onMembershipChanged)
             .withOpenListener(this::openShareHistory)
+            .withFailureListener(this::fail)
             .withMetrics(metrics());
     Map<VmId, InetSocketAddress> relayAddresses = new HashMap<>();
     for (PeerSettings peer : settings.peers()) {
@@ -190,18 +191,18 @@
 
   /** Polls the settings, which may name new control VMs while this one waits to join the group. */
   private void pollPeers() {
-    profile.peerSource.get().forEach(peer -> consensus.addPeer(peer.vmId(), peer.peerAddress()));
     control().delayBackground(PEER_POLL_INTERVAL_MILLIS, this::pollPeers);
+    profile.peerSource.get().forEach(peer -> consensus.addPeer(peer.vmId(), peer.peerAddress()));
   }
 
   private void pollEvacuations() {
-    evacuationMonitor.onTick();
     control().delayBackground(EVACUATION_POLL_INTERVAL_MILLIS, this::pollEvacuations);
+    evacuationMonitor.onTick();
   }
 
   private void sweepOperatorServer() {
-    operatorServer.orElseThrow().closeTimedOutConnections(System.nanoTime());
     control().delayBackground(OPERATOR_SWEEP_INTERVAL_MILLIS, this::sweepOperatorServer);
+    operatorServer.orElseThrow().closeTimedOutConnections(System.nanoTime());
   }
 
   /**
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/DaemonFactory.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/DaemonFactory.java
@@ -22,9 +22,14 @@
      */
     void start() throws Exception;
 
-    /** Waits until {@link #stop} has finished. */
+    /** Waits until {@link #stop} has finished, or the stop that follows a failure. */
     void awaitStop() throws InterruptedException;
 
+    /** Returns whether the daemon stopped itself because of a failure that a restart may clear. */
+    default boolean hasFailed() {
+      return false;
+    }
+
     /** Stops gracefully: accepts no new work, waits for work in progress, then returns. */
     void stop();
   }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/MainTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/MainTest.java
@@ -69,6 +69,30 @@
     assertThat(errors()).contains("start failed: address in use");
   }
 
+  /** Guards against a supervisor that takes a failed daemon for one that was stopped. */
+  @Test
+  void daemonThatFailsEndsTheProcessWithACodeOfItsOwn() {
+    Main main = new Main(settings -> new FailedDaemon(), System.out, System.err);
+    assertThat(main.run("--settings", file.toString())).isEqualTo(3);
+  }
+
+  private static final class FailedDaemon implements DaemonFactory.Daemon {
+
+    @Override
+    public void start() {}
+
+    @Override
+    public void awaitStop() {}
+
+    @Override
+    public boolean hasFailed() {
+      return true;
+    }
+
+    @Override
+    public void stop() {}
+  }
+
   private int run(String... args) {
     DaemonFactory factory =
         settings -> {
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
@@ -3,8 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -16,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
+import org.cornelspoke.state.log.DamagedStorageException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -127,6 +130,35 @@
     assertThat(e).hasCauseThat().hasMessageThat().contains("in use by another process");
   }
 
+  @Test
+  void errorOfTheLogWriterIsReportedAsAFailureOfTheVm() throws Exception {
+    startAll();
+    assertThat(commit(vm(1))).isTrue();
+    vm(5).faults.setError(new AssertionError("simulated"));
+    assertThat(commit(vm(1))).isTrue();
+    assertThat(vm(5).failure.get(30, TimeUnit.SECONDS)).hasMessageThat().isEqualTo("simulated");
+  }
+
+  @Test
+  void committedEntryThatCannotBeReadIsReportedAsAFailureOfTheVm() throws Exception {
+    startAll();
+    assertThat(commit(vm(1))).isTrue();
+    vm(5).applyFails = true;
+    assertThat(commit(vm(1))).isTrue();
+    assertThat(vm(5).failure.get(30, TimeUnit.SECONDS)).isInstanceOf(UncheckedIOException.class);
+  }
+
+  @Test
+  void folderThatIsFoundDamagedWhenItOpensAgainIsReportedAsAFailureOfTheVm() throws Exception {
+    startAll();
+    assertThat(commit(vm(1))).isTrue();
+    vm(5).faults.setFailing(true);
+    assertThat(commitUntil(vm(1), () -> syncFailures(vm(5)) > 0)).isTrue();
+    Files.delete(folder.resolve("control-5").resolve("meta"));
+    vm(5).faults.setFailing(false);
+    assertThat(vm(5).failure.get(30, TimeUnit.SECONDS)).isInstanceOf(DamagedStorageException.class);
+  }
+
   private void startAll() throws Exception {
     for (int i = 1; i <= VM_COUNT; i++) {
       start(i, new FaultyDisk.FaultControl());
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FaultyDisk.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FaultyDisk.java
@@ -16,6 +16,7 @@
     private boolean stalled;
     private boolean failing;
     private boolean refusing;
+    private Error error;
 
     synchronized void setStalled(boolean value) {
       stalled = value;
@@ -31,6 +32,11 @@
       refusing = value;
     }
 
+    /** Sets an error that the next sync throws. */
+    synchronized void setError(Error value) {
+      error = value;
+    }
+
     private synchronized void beforeWrite() throws IOException {
       if (refusing) {
         throw new IOException("simulated refusal: No space left on device");
@@ -49,6 +55,9 @@
       } catch (InterruptedException e) {
         throw new InterruptedIOException();
       }
+      if (error != null) {
+        throw error;
+      }
       if (failing) {
         throw new IOException("simulated sync failure");
       }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/RunningVm.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/RunningVm.java
@@ -4,6 +4,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,6 +37,8 @@
   int unknownOutcomes;
   final FaultyDisk.FaultControl faults;
   final MetricRegistry metrics = new MetricRegistry();
+  final CompletableFuture<Throwable> failure = new CompletableFuture<>();
+  volatile boolean applyFails;
   private final Eventloop reactor = Eventloop.create();
   private final Thread thread;
   final ConsensusService service;
@@ -72,6 +76,7 @@
             .withStateMachine(new ListState())
             .withDiskOpener(path -> FaultyDisk.open(path, faults))
             .withMetrics(metrics)
+            .withFailureListener(failure::complete)
             .withSettings(settings);
     addresses.forEach(
         (id, address) -> {
@@ -182,6 +187,9 @@
 
     @Override
     public byte[] apply(long index, byte[] command) {
+      if (applyFails) {
+        throw new UncheckedIOException(new IOException("simulated read failure"));
+      }
       String text = new String(command, UTF_8);
       if (state.contains(text)) {
         duplicates++;
