--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/RunningVm.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/RunningVm.java
@@ -4,6 +4,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,7 +20,6 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.state.StateMachine;
-import org.cornelspoke.state.log.FileDisk;
 
 /** Runs a ConsensusService on its own event loop thread and records the applied commands. */
 final class RunningVm {
@@ -34,8 +35,10 @@
   final List<String> state = new ArrayList<>();
   int duplicates;
   int unknownOutcomes;
-  final FaultyDisk.FaultControl faults = new FaultyDisk.FaultControl();
+  final FaultyDisk.FaultControl faults;
   final MetricRegistry metrics = new MetricRegistry();
+  final CompletableFuture<Throwable> failure = new CompletableFuture<>();
+  volatile boolean applyFails;
   private final Eventloop reactor = Eventloop.create();
   private final Thread thread;
   final ConsensusService service;
@@ -44,9 +47,25 @@
     this(vmId, folder, addresses, SETTINGS);
   }
 
+  RunningVm(VmId vmId, Path folder, Map<VmId, Endpoint> addresses, FaultyDisk.FaultControl faults)
+      throws Exception {
+    this(vmId, folder, addresses, SETTINGS, faults);
+  }
+
   RunningVm(VmId vmId, Path folder, Map<VmId, Endpoint> addresses, ConsensusSettings settings)
       throws Exception {
+    this(vmId, folder, addresses, settings, new FaultyDisk.FaultControl());
+  }
+
+  private RunningVm(
+      VmId vmId,
+      Path folder,
+      Map<VmId, Endpoint> addresses,
+      ConsensusSettings settings,
+      FaultyDisk.FaultControl faults)
+      throws Exception {
     this.vmId = vmId;
+    this.faults = faults;
     reactor.keepAlive(true);
     this.thread = new Thread(reactor, vmId + "-control");
     thread.setDaemon(true);
@@ -55,8 +74,9 @@
             .withVm(vmId, addresses.get(vmId))
             .withDataFolder(folder)
             .withStateMachine(new ListState())
-            .withDiskOpener(path -> new FaultyDisk(new FileDisk(path), faults))
+            .withDiskOpener(path -> FaultyDisk.open(path, faults))
             .withMetrics(metrics)
+            .withFailureListener(failure::complete)
             .withSettings(settings);
     addresses.forEach(
         (id, address) -> {
@@ -167,6 +187,9 @@
 
     @Override
     public byte[] apply(long index, byte[] command) {
+      if (applyFails) {
+        throw new UncheckedIOException(new IOException("simulated read failure"));
+      }
       String text = new String(command, UTF_8);
       if (state.contains(text)) {
         duplicates++;
