--- a/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/FaultyUpstreamTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/FaultyUpstreamTest.java
@@ -102,6 +102,20 @@
     socket.close();
   }
 
+  /** Guards against a connection that remembers refused requests without bound. */
+  @Test
+  void connectionEndsAfterManyRefusals() throws Exception {
+    Socket socket = serveFirst(response(503, "q1", ""));
+    for (int i = 2; i <= 32; i++) {
+      CompletableFuture<CallResult> result = send("q" + i);
+      readRequest(socket);
+      write(socket, response(503, "q" + i, ""));
+      assertThat(result.get(20, TimeUnit.SECONDS)).isInstanceOf(CallResult.Refused.class);
+    }
+    assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    socket.close();
+  }
+
   /** Guards against a repeated refusal that arrives in parts and counts for the next request. */
   @Test
   void repeatedRefusalInPartsIsSkipped() throws Exception {
