Check a reopened log for what was reported as durable

Cause: reopening checked the identity only. A loss ends the attempt with DamagedStorageException, before the folder is modified.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/PersistRequestExecutor.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/PersistRequestExecutor.java
@@ -7,8 +7,11 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
+import org.cornelspoke.state.log.DurableState;
+import org.cornelspoke.state.log.HardState;
 import org.cornelspoke.state.log.LogEntry;
 import org.cornelspoke.state.log.LogStorage;
+import org.cornelspoke.state.log.Snapshot;
 import org.cornelspoke.util.Assert;
 
 /**
@@ -27,10 +30,9 @@
   public interface StorageOpener {
 
     /**
-     * Opens the folder of the same member.
+     * Opens the folder of the same member, which is checked for what was reported as durable.
      *
-     * @throws org.cornelspoke.state.log.DamagedStorageException if it has lost data that was
-     *     durable
+     * @throws org.cornelspoke.state.log.DamagedStorageException if it is damaged
      * @throws IOException if it cannot be read or written yet
      */
     LogStorage open() throws IOException;
@@ -50,6 +52,7 @@
   private final Listener listener;
   private final Deque<PersistRequest> pending = new ArrayDeque<>();
   private LogStorage storage;
+  private DurableState durable;
 
   /**
    * Creates an executor.
@@ -58,6 +61,10 @@
    */
   public PersistRequestExecutor(LogStorage storage, StorageOpener opener, Listener listener) {
     this.storage = storage;
+    this.durable =
+        storage == null
+            ? new DurableState(HardState.INITIAL, 0, 0)
+            : DurableState.of(storage.recovered());
     this.opener = Assert.notNull(opener, "opener");
     this.listener = Assert.notNull(listener, "listener");
   }
@@ -79,6 +86,7 @@
     try {
       if (storage == null) {
         storage = opener.open();
+        storage.restore(expectedState());
       }
       while (!pending.isEmpty()) {
         if (pending.peek().entries().isEmpty()) {
@@ -146,11 +154,36 @@
 
   private void onPersisted(long sequence) {
     while (!pending.isEmpty() && pending.peek().sequence() <= sequence) {
-      pending.remove();
+      durable = stateAfter(pending.remove());
     }
     listener.onPersisted(sequence);
   }
 
+  private DurableState stateAfter(PersistRequest request) {
+    return new DurableState(
+        request.hardState().orElse(durable.hardState()),
+        lastIndexAfter(request),
+        Math.max(durable.snapshotIndex(), request.snapshot().map(Snapshot::index).orElse(0L)));
+  }
+
+  private long lastIndexAfter(PersistRequest request) {
+    if (request.installed()) {
+      return request.snapshot().get().index();
+    }
+    return request.entries().isEmpty()
+        ? durable.lastIndex()
+        : request.entries().get(request.entries().size() - 1).index();
+  }
+
+  /** Returns what was reported, less the entries that the request in progress may have replaced. */
+  private DurableState expectedState() {
+    if (pending.isEmpty()) {
+      return durable;
+    }
+    long lastIndex = Math.min(durable.lastIndex(), lastIndexAfter(pending.peek()));
+    return new DurableState(durable.hardState(), lastIndex, durable.snapshotIndex());
+  }
+
   private void closeAfterFailure() {
     LogStorage failed = storage;
     storage = null;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileNames.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileNames.java
@@ -13,6 +13,9 @@
   static final String META = "meta";
   static final String TEMPORARY_SUFFIX = ".tmp";
 
+  /** Stands for all segments in messages. */
+  static final String ALL_SEGMENTS = "log";
+
   private static final String SEGMENT_PREFIX = "log-";
   private static final String SNAPSHOT_PREFIX = "snapshot-";
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogStorage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogStorage.java
@@ -31,6 +31,7 @@
 
   private final Disk disk;
   private final long segmentBytes;
+  private LogRecovery recovery;
   private RecoveredLog recovered;
   private final Deque<SegmentInfo> sealedSegments = new ArrayDeque<>();
   private final MemberIdentity identity;
@@ -45,15 +46,12 @@
   /** A segment to which no more records are appended, with its highest log index. */
   record SegmentInfo(long number, long maxIndex) {}
 
-  private LogStorage(
-      Disk disk, long segmentBytes, LogRecovery recovery, Supplier<MemberIdentity> newIdentity)
-      throws IOException {
+  private LogStorage(Disk disk, long segmentBytes, LogRecovery recovery, MemberIdentity identity) {
     this.disk = disk;
     this.segmentBytes = segmentBytes;
-    FileNames.deleteTemporary(disk);
-    this.identity = recovery.meta() == null ? newIdentity.get() : recovery.meta().identity();
+    this.recovery = recovery;
+    this.identity = identity;
     HardState hardState = recovery.meta() == null ? HardState.INITIAL : recovery.meta().hardState();
-    rewriteMetaAndSnapshot(hardState, recovery.snapshot());
     this.recovered =
         new RecoveredLog(
             identity,
@@ -62,15 +60,6 @@
             List.copyOf(recovery.entries()));
     this.lastIndex = recovery.lastIndex();
     this.activeSegmentNumber = recovery.lastSegmentNumber();
-    if (recovery.logDiscarded()) {
-      deleteSegmentsFromLast(recovery.segmentNumbers());
-      openSegment(activeSegmentNumber + 1);
-    } else if (recovery.segmentNumbers().isEmpty()) {
-      openSegment(1);
-    } else {
-      sealedSegments.addAll(recovery.sealedSegments());
-      rewriteLastSegment(recovery);
-    }
   }
 
   /**
@@ -97,13 +86,17 @@
       throws IOException {
     Assert.isTrue(segmentBytes > 0, "segmentBytes must be positive");
     Assert.isTrue(maxRecoveredDataBytes >= 0, "maxRecoveredDataBytes must not be negative");
-    LogRecovery recovery = new LogRecovery(disk, maxRecoveredDataBytes);
-    recovery.read();
-    return new LogStorage(disk, segmentBytes, recovery, newIdentity);
+    LogRecovery recovery = read(disk, maxRecoveredDataBytes);
+    MemberIdentity identity =
+        recovery.meta() == null ? newIdentity.get() : recovery.meta().identity();
+    LogStorage storage = new LogStorage(disk, segmentBytes, recovery, identity);
+    storage.rewrite();
+    return storage;
   }
 
   /**
-   * Opens the folder of a member again, after a failure in the same process.
+   * Reads the folder of a member again, after a failure in the same process. {@link #restore} must
+   * be called before anything is written.
    *
    * @param identity identity of the member
    * @throws DamagedStorageException if the folder has another identity or none, or if data before
@@ -113,12 +106,50 @@
   public static LogStorage reopen(Disk disk, long segmentBytes, MemberIdentity identity)
       throws IOException {
     Assert.isTrue(segmentBytes > 0, "segmentBytes must be positive");
-    LogRecovery recovery = new LogRecovery(disk, MAX_RECOVERED_DATA_BYTES);
-    recovery.read();
+    LogRecovery recovery = read(disk, MAX_RECOVERED_DATA_BYTES);
     if (recovery.meta() == null || !recovery.meta().identity().equals(identity)) {
       throw new DamagedStorageException(FileNames.META, 0, "the identity " + identity + " is gone");
     }
-    return new LogStorage(disk, segmentBytes, recovery, () -> identity);
+    return new LogStorage(disk, segmentBytes, recovery, identity);
+  }
+
+  private static LogRecovery read(Disk disk, int maxRecoveredDataBytes) throws IOException {
+    FileNames.deleteTemporary(disk);
+    LogRecovery recovery = new LogRecovery(disk, maxRecoveredDataBytes);
+    recovery.read();
+    return recovery;
+  }
+
+  /**
+   * Makes the data that was read durable, unless that was done when the folder was opened.
+   *
+   * @param expected what was reported as durable before
+   * @throws DamagedStorageException if the folder has lost some of it; the folder is not modified
+   * @throws IOException if the folder cannot be written
+   */
+  public void restore(DurableState expected) throws IOException {
+    expected.checkHeldBy(DurableState.of(recovered()));
+    if (recovery != null) {
+      rewrite();
+    }
+  }
+
+  private void rewrite() throws IOException {
+    LogRecovery source = recovery;
+    recovery = null;
+    runUnlessFailed(
+        () -> {
+          rewriteMetaAndSnapshot(recovered.hardState(), source.snapshot());
+          if (source.logDiscarded()) {
+            deleteSegmentsFromLast(source.segmentNumbers());
+            openSegment(activeSegmentNumber + 1);
+          } else if (source.segmentNumbers().isEmpty()) {
+            openSegment(1);
+          } else {
+            sealedSegments.addAll(source.sealedSegments());
+            rewriteLastSegment(source);
+          }
+        });
   }
 
   /**
@@ -135,11 +166,7 @@
 
   /** Makes term and vote durable. */
   public void saveHardState(HardState hardState) throws IOException {
-    runUnlessFailed(
-        () -> {
-          byte[] payload = RecordPayloads.packMeta(new RecordPayloads.Meta(identity, hardState));
-          replaceFile(FileNames.META, RecordFormat.encode(0, 0, payload));
-        });
+    runUnlessFailed(() -> replaceMeta(hardState));
   }
 
   /**
@@ -229,6 +256,11 @@
     disk.syncFolder();
   }
 
+  private void replaceMeta(HardState hardState) throws IOException {
+    byte[] payload = RecordPayloads.packMeta(new RecordPayloads.Meta(identity, hardState));
+    replaceFile(FileNames.META, RecordFormat.encode(0, 0, payload));
+  }
+
   private void replaceSnapshot(Snapshot snapshot) throws IOException {
     replaceFile(
         FileNames.snapshot(snapshot.index()),
@@ -257,7 +289,7 @@
    * cache only.
    */
   private void rewriteMetaAndSnapshot(HardState hardState, Snapshot snapshot) throws IOException {
-    saveHardState(hardState);
+    replaceMeta(hardState);
     if (snapshot != null) {
       replaceSnapshot(snapshot);
     }
@@ -306,6 +338,9 @@
   }
 
   private void runUnlessFailed(DiskAction action) throws IOException {
+    if (recovery != null) {
+      throw new IllegalStateException("the log storage is not restored yet");
+    }
     if (failed) {
       throw new IOException("log storage is closed or has failed");
     }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/PersistRequestExecutorTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/PersistRequestExecutorTest.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -94,6 +96,32 @@
     }
   }
 
+  /** Guards against a member that goes on with a folder that has lost what it vouched for. */
+  @Test
+  void reopenedFolderThatLostReportedDataIsRejectedAndNotModified() throws Exception {
+    for (String lost : List.of("meta", "log", "snapshot")) {
+      Run run = new Run(1);
+      byte[] oldMeta = run.disk.read("meta");
+      run.executeToTheEnd();
+      List<String> names = run.disk.list();
+      if (lost.equals("meta")) {
+        run.disk.overwrite("meta", oldMeta);
+      } else {
+        String name = names.stream().filter(n -> n.startsWith(lost)).reduce((a, b) -> b).get();
+        run.disk.overwrite(name, new byte[0]);
+        if (lost.equals("snapshot")) {
+          names.stream().filter(n -> !n.equals("meta")).forEach(run::delete);
+        }
+      }
+      run.disk.failOperationAfter(0);
+      run.submitNewTerm();
+      assertThat(run.executeOnce()).isFalse();
+      var before = run.disk.contents();
+      assertThrows(DamagedStorageException.class, run.executor::execute);
+      assertWithMessage(lost).that(run.disk.contents()).isEqualTo(before);
+    }
+  }
+
   private static int countOperations() throws IOException {
     Run run = new Run(0);
     int before = run.disk.operations();
@@ -226,6 +254,20 @@
       }
     }
 
+    void submitNewTerm() {
+      HardState hardState = new HardState(20, Optional.empty());
+      add(Optional.of(hardState), List.of(), Optional.empty(), false);
+      executor.submit(requests.get(submitted++));
+    }
+
+    void delete(String name) {
+      try {
+        disk.delete(name);
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
     RecoveredLog open() throws IOException {
       LogStorage storage = LogStorage.open(disk, SEGMENT_BYTES, () -> MemberIdentity.seeded(5));
       return storage.recovered();
