Leave no incomplete file of the log on a full disk

A failed write now closes and deletes its file; a failure of that is added to the first one. An opening starts with a file of 4 KiB that is written, synced and deleted.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileNames.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileNames.java
@@ -12,6 +12,7 @@
 
   static final String META = "meta";
   static final String TEMPORARY_SUFFIX = ".tmp";
+  static final String PROBE = "probe.tmp";
 
   /** Stands for all segments in messages. */
   static final String ALL_SEGMENTS = "log";
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogStorage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/LogStorage.java
@@ -29,6 +29,9 @@
   /** Default maximum data size of recovered entries that are kept in memory. */
   private static final int MAX_RECOVERED_DATA_BYTES = 4 << 10;
 
+  /** At least a block of the file system, and more than the file of term and vote. */
+  private static final int PROBE_BYTES = 4 << 10;
+
   private final Disk disk;
   private final long segmentBytes;
   private LogRecovery recovery;
@@ -115,11 +118,26 @@
 
   private static LogRecovery read(Disk disk, int maxRecoveredDataBytes) throws IOException {
     FileNames.deleteTemporary(disk);
+    probe(disk);
     LogRecovery recovery = new LogRecovery(disk, maxRecoveredDataBytes);
     recovery.read();
     return recovery;
   }
 
+  /** Fails on a disk without room before a large log is read, since attempts may go on for long. */
+  private static void probe(Disk disk) throws IOException {
+    try {
+      try (Disk.File file = disk.create(FileNames.PROBE)) {
+        file.append(new byte[PROBE_BYTES]);
+        file.sync();
+      }
+      disk.delete(FileNames.PROBE);
+    } catch (IOException e) {
+      deleteAfterFailure(disk, FileNames.PROBE, e);
+      throw e;
+    }
+  }
+
   /**
    * Makes the data that was read durable, unless that was done when the folder was opened.
    *
@@ -325,12 +343,40 @@
 
   private Disk.File writeAndRename(String name, byte[] content) throws IOException {
     String temporaryName = name + FileNames.TEMPORARY_SUFFIX;
-    Disk.File file = disk.create(temporaryName);
-    file.append(content);
-    file.sync();
-    disk.rename(temporaryName, name);
-    disk.syncFolder();
-    return file;
+    Disk.File file = null;
+    try {
+      file = disk.create(temporaryName);
+      file.append(content);
+      file.sync();
+      disk.rename(temporaryName, name);
+      disk.syncFolder();
+      return file;
+    } catch (IOException e) {
+      closeAfterFailure(file, e);
+      deleteAfterFailure(disk, temporaryName, e);
+      throw e;
+    }
+  }
+
+  private static void closeAfterFailure(Disk.File file, IOException failure) {
+    try {
+      if (file != null) {
+        file.close();
+      }
+    } catch (IOException e) {
+      failure.addSuppressed(e);
+    }
+  }
+
+  /** Frees the room of an incomplete file, which a full disk needs for the next attempt. */
+  private static void deleteAfterFailure(Disk disk, String name, IOException failure) {
+    try {
+      if (disk.list().contains(name)) {
+        disk.delete(name);
+      }
+    } catch (IOException e) {
+      failure.addSuppressed(e);
+    }
   }
 
   private interface DiskAction {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/state/log/FakeDisk.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/state/log/FakeDisk.java
@@ -32,6 +32,7 @@
   private long capacityBytes = Long.MAX_VALUE;
   private int generation;
   private int operations;
+  private int reads;
 
   /** Thrown by the operation at which the simulated machine crashes. */
   public static final class CrashException extends IOException {
@@ -93,6 +94,11 @@
     return operations;
   }
 
+  /** Returns the number of reads so far. */
+  public int reads() {
+    return reads;
+  }
+
   /** Simulates a crash: loses unsynced data and invalidates open files. */
   public void crash() {
     generation++;
@@ -147,6 +153,7 @@
 
   @Override
   public byte[] read(String name) throws IOException {
+    reads++;
     return find(name).bytes.clone();
   }
 
