Keep temporary files of other parts when the log is opened

The log deletes all *.tmp files of the folder when it is opened. Since it is also opened while the process runs, it could delete rate-shares.tmp, which ShareHolderHistory is writing on its own thread, or fail because that file was renamed in between. (Found by reading, not seen in a run.)

It now deletes the temporary files of the log only. LogStorageOpeningTest.temporaryFilesOfOtherPartsAreKept fails without it (trial) and passes.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileNames.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileNames.java
@@ -48,9 +48,14 @@
     return numbers;
   }
 
+  /** Deletes incomplete files of the log; the folder may contain files of other parts. */
   static void deleteTemporary(Disk disk) throws IOException {
     for (String name : disk.list()) {
-      if (name.endsWith(TEMPORARY_SUFFIX)) {
+      if (name.endsWith(TEMPORARY_SUFFIX)
+          && (name.startsWith(SEGMENT_PREFIX)
+              || name.startsWith(SNAPSHOT_PREFIX)
+              || name.equals(META + TEMPORARY_SUFFIX)
+              || name.equals(PROBE))) {
         disk.delete(name);
       }
     }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/state/log/LogStorageOpeningTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/state/log/LogStorageOpeningTest.java
@@ -70,6 +70,16 @@
     assertThat(temporaryFiles()).isEmpty();
   }
 
+  /** Guards against an opening that deletes a file that another part is just writing. */
+  @Test
+  void temporaryFilesOfOtherPartsAreKept() throws IOException {
+    writeLog();
+    disk.overwrite("rate-shares.tmp", new byte[1]);
+    disk.overwrite("meta.tmp", new byte[1]);
+    open();
+    assertThat(temporaryFiles()).containsExactly("rate-shares.tmp");
+  }
+
   /** Guards against writes to a folder that was not checked for what it must hold. */
   @Test
   void reopenedLogIsNotWrittenBeforeItIsRestored() throws IOException {
