Repeat a refused write of the rate share holders

A control VM whose disk refused writes for a moment while it started ended its start, and a failed store was repeated only when a name was added or dropped, so a restart could forget a holder although the disk had long been sound.

A write that fails, at the start too, is now repeated after the minimum interval and logged once on each change between failure and success. The folder is synced after the rename. The start still ends where going on would be unsafe: if the file states a shorter lease than this process issues, the next process would trust the shorter one.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ShareHolderHistory.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ShareHolderHistory.java
@@ -29,8 +29,10 @@
  * assumed.
  *
  * <p>The file is written only when a name is added or dropped, at most once a second, and on a
- * thread of its own, since a slow disk must not delay the control thread. A dropped name that is
- * still in the file costs time only, so a failed write is logged and repeated at the next change.
+ * thread of its own, since a slow disk must not delay the control thread. A failed write is
+ * repeated until it succeeds. A dropped name that is still in the file costs time only; a name that
+ * was added and dropped while no write succeeded is forgotten by a restart. The lease in the file
+ * is never shorter than one that a process issues.
  *
  * <p>Must be used on the control thread only. Times are monotonic nanoseconds of this process.
  */
@@ -53,6 +55,8 @@
   private final RecentNames daemons;
   private final ExecutorService writer =
       Executors.newSingleThreadExecutor(task -> new Thread(task, "share-holder-history"));
+  private volatile boolean mustRepeatWrite;
+  private volatile boolean lastWriteFailed;
   private List<String> storedLines = List.of();
   private long storedAtNanos;
   private long formerLeaseNanos;
@@ -73,7 +77,11 @@
 
   /**
    * Reads the file of the former process and writes that of this one. Must be called while the data
-   * folder is locked, so that the former process has ended.
+   * folder is locked, so that the former process has ended. A failed write is repeated later,
+   * unless the file states a shorter lease than this process issues.
+   *
+   * @throws IOException if the file cannot be read or is malformed, or if a longer lease cannot be
+   *     written
    */
   void open(long nowNanos) throws IOException {
     try {
@@ -83,7 +91,10 @@
     }
     storedLines = lines(nowNanos);
     storedAtNanos = nowNanos;
-    write(storedLines);
+    if (!writeAndLog(storedLines) && formerLeaseNanos < daemonLeaseNanos) {
+      throw new IOException(
+          "can't write the longer lease of this process to " + folder.resolve(FILE_NAME));
+    }
   }
 
   /** Stops the thread that writes the file. */
@@ -121,19 +132,34 @@
   }
 
   private void store(List<String> lines, long nowNanos) {
-    if (lines.equals(storedLines)) {
+    if (lines.equals(storedLines) && !mustRepeatWrite) {
       return;
     }
+    // Cleared here so that a write that hangs is not queued again.
+    mustRepeatWrite = false;
     storedLines = lines;
     storedAtNanos = nowNanos;
-    writer.execute(
-        () -> {
-          try {
-            write(lines);
-          } catch (IOException e) {
-            LOGGER.log(Level.WARNING, "can't write " + folder.resolve(FILE_NAME), e);
-          }
-        });
+    writer.execute(() -> writeAndLog(lines));
+  }
+
+  /** Returns false if the write failed; logs changes between success and failure only. */
+  private boolean writeAndLog(List<String> lines) {
+    boolean succeeded = false;
+    try {
+      write(lines);
+      succeeded = true;
+      if (lastWriteFailed) {
+        LOGGER.log(Level.INFO, "{0} is written again", folder.resolve(FILE_NAME));
+      }
+    } catch (IOException e) {
+      if (!lastWriteFailed) {
+        LOGGER.log(Level.WARNING, "can't write " + folder.resolve(FILE_NAME) + ", is repeated", e);
+      }
+    } finally {
+      lastWriteFailed = !succeeded;
+      mustRepeatWrite = !succeeded;
+    }
+    return succeeded;
   }
 
   private List<String> lines(long nowNanos) {
@@ -185,5 +211,8 @@
       channel.force(true);
     }
     Files.move(temporary, folder.resolve(FILE_NAME), StandardCopyOption.ATOMIC_MOVE);
+    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+      channel.force(true);
+    }
   }
 }
