--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileNames.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/log/FileNames.java
@@ -12,6 +12,10 @@
 
   static final String META = "meta";
   static final String TEMPORARY_SUFFIX = ".tmp";
+  static final String PROBE = "probe.tmp";
+
+  /** Stands for all segments in messages. */
+  static final String ALL_SEGMENTS = "log";
 
   private static final String SEGMENT_PREFIX = "log-";
   private static final String SNAPSHOT_PREFIX = "snapshot-";
@@ -44,9 +48,14 @@
     return numbers;
   }
 
+  /** Deletes incomplete files of the log; the folder may contain files of other parts. */
   static void deleteTemporary(Disk disk) throws IOException {
     for (String name : disk.list()) {
-      if (name.endsWith(TEMPORARY_SUFFIX)) {
+      if (name.endsWith(TEMPORARY_SUFFIX)
+          && (name.startsWith(SEGMENT_PREFIX)
+              || name.startsWith(SNAPSHOT_PREFIX)
+              || name.equals(META + TEMPORARY_SUFFIX)
+              || name.equals(PROBE))) {
         disk.delete(name);
       }
     }
