Bound the replies that wait for a disk that does not answer

A member whose disk refuses writes or stalls deferred one reply for each heartbeat and append request, without bound, until its heap was full.

A deferred message now replaces those that it makes superfluous: of an older term, or with the same precondition and a lower index or round. An acknowledgement is never moved behind later entries.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/Outbox.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/Outbox.java
@@ -6,17 +6,47 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import org.cornelspoke.coordination.consensus.RaftMessage.AppendResponse;
+import org.cornelspoke.coordination.consensus.RaftMessage.HeartbeatResponse;
 import org.cornelspoke.state.log.HardState;
 import org.cornelspoke.state.log.LogEntry;
 import org.cornelspoke.state.log.Snapshot;
 
 /**
  * Collects outgoing messages and persist requests. Defers each message until the state that it
- * depends on is durable.
+ * depends on is durable; a deferred message that a newer one makes superfluous is dropped.
  */
 final class Outbox {
 
-  private record DeferredMessage(long sequence, RaftMessage message) {}
+  private record DeferredMessage(long sequence, RaftMessage message) {
+
+    /**
+     * Returns true if the other message tells its receiver nothing more and is not sent earlier in
+     * the same term. Without this, a disk that refuses writes for hours would let the replies to
+     * heartbeats fill the memory.
+     */
+    boolean covers(DeferredMessage other) {
+      if (!message.getClass().equals(other.message.getClass())
+          || !message.to().equals(other.message.to())
+          || message.term() < other.message.term()) {
+        return false;
+      }
+      if (message.term() > other.message.term()) {
+        return true;
+      }
+      return sequence == other.sequence && coversInTerm(other.message);
+    }
+
+    private boolean coversInTerm(RaftMessage other) {
+      if (message instanceof AppendResponse own && other instanceof AppendResponse response) {
+        return own.accepted() == response.accepted() && own.index() >= response.index();
+      }
+      if (message instanceof HeartbeatResponse own && other instanceof HeartbeatResponse response) {
+        return own.round() >= response.round();
+      }
+      return message.equals(other);
+    }
+  }
 
   private static final class PendingSync {
     final long sequence;
@@ -109,6 +139,11 @@
     return durableSequence >= hardStateSequence;
   }
 
+  /** Returns how many messages wait for the disk. */
+  int deferredCount() {
+    return deferred.size();
+  }
+
   List<RaftMessage> takeMessages() {
     List<RaftMessage> taken = messages;
     messages = new ArrayList<>();
@@ -124,8 +159,12 @@
   private void defer(long sequence, RaftMessage message) {
     if (durableSequence >= sequence) {
       messages.add(message);
-    } else {
-      deferred.add(new DeferredMessage(sequence, message));
+      return;
+    }
+    DeferredMessage added = new DeferredMessage(sequence, message);
+    if (deferred.stream().noneMatch(older -> older.covers(added))) {
+      deferred.removeIf(added::covers);
+      deferred.add(added);
     }
   }
 
