Keep a member informed whose disk refuses writes

After a change of leader, a VM whose disk refuses writes applied nothing any more, so reads at it were "not applied here in time" and forwarded proposals ended as unknown, although a leader was in reach. The leader sent one request and waited for replies that depend on the new term on disk.

Such a member now sends receipts: accepted with the index 0, the received index in the field for rejections, the same encoding on the wire. The leader goes on with entries and the commit index in append requests, which check the preceding entry; heartbeats still carry no commit index beyond durable entries. A receipt counts for no commit, vote, read, promotion or check of the quorum. A member takes no further entries while maxUnsyncedBytes wait for its disk.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/FollowerState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/FollowerState.java
@@ -25,22 +25,29 @@
     state.advanceCommitIndex(Math.min(request.commitIndex(), state.log.lastIndex()));
     state.outbox.sendWhenTermDurable(
         new HeartbeatResponse(state.self, request.from(), state.term, request.round()));
+    confirmReceipt(request.from(), 0);
   }
 
   void onAppend(AppendRequest request) {
     if (request.prevIndex() < state.log.baseIndex()) {
       // Everything up to the base is committed and therefore equal to the leader's log.
       acknowledge(request.from(), state.log.baseIndex());
+      confirmReceipt(request.from(), state.log.baseIndex());
       return;
     }
     if (!state.log.matches(request.prevIndex(), request.prevTerm())) {
       reject(request);
       return;
     }
+    if (!request.entries().isEmpty() && !hasRoom()) {
+      state.advanceCommitIndex(Math.min(request.commitIndex(), request.prevIndex()));
+      return;
+    }
     appendNew(request.entries());
     long lastIndex = request.prevIndex() + request.entries().size();
     state.advanceCommitIndex(Math.min(request.commitIndex(), lastIndex));
     acknowledge(request.from(), lastIndex);
+    confirmReceipt(request.from(), lastIndex);
   }
 
   /** Returns the snapshot to restore into the state machine once it is complete, or null. */
@@ -52,11 +59,12 @@
     if (chunk.index() <= state.commitIndex) {
       snapshotReceiver.clear();
       acknowledge(request.from(), chunk.index());
+      confirmReceipt(request.from(), chunk.index());
       return null;
     }
     Snapshot snapshot = snapshotReceiver.add(chunk);
     if (snapshot == null) {
-      state.outbox.sendWhenTermDurable(
+      state.outbox.send(
           new SnapshotResponse(
               state.self,
               request.from(),
@@ -71,6 +79,7 @@
     state.advanceCommitIndex(snapshot.index());
     state.outbox.persistSnapshot(snapshot, true);
     acknowledge(request.from(), snapshot.index());
+    confirmReceipt(request.from(), snapshot.index());
     return snapshot;
   }
 
@@ -104,12 +113,29 @@
         new AppendResponse(state.self, to, state.term, true, index, 0, 0));
   }
 
+  /**
+   * Tells the leader at once what arrived if the acknowledgement may wait for long, so that it
+   * keeps sending entries and the commit index: this VM then still learns what is committed.
+   */
+  private void confirmReceipt(MemberIdentity to, long receivedIndex) {
+    boolean mayWait = state.storageFailed || !state.outbox.isHardStateDurable();
+    if (mayWait && hasRoom()) {
+      state.outbox.send(AppendResponse.receipt(state.self, to, state.term, receivedIndex));
+    }
+  }
+
+  /** Returns false while as many bytes wait for a disk that does not answer as memory allows. */
+  private boolean hasRoom() {
+    return state.unsyncedBytes() < state.settings.maxUnsyncedBytes();
+  }
+
+  /** A rejection vouches for nothing durable, so it is sent at once. */
   private void reject(AppendRequest request) {
     boolean missing = request.prevIndex() > state.log.lastIndex();
     long nextIndex =
         missing ? state.log.lastIndex() + 1 : state.log.firstIndexOfTermAt(request.prevIndex());
     long conflictTerm = missing ? 0 : state.log.termAt(request.prevIndex());
-    state.outbox.sendWhenTermDurable(
+    state.outbox.send(
         new AppendResponse(
             state.self,
             request.from(),
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/LeaderState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/LeaderState.java
@@ -73,6 +73,10 @@
     if (progress == null) {
       return;
     }
+    if (response.isReceipt()) {
+      onReceipt(progress, response);
+      return;
+    }
     progress.lastResponseAtNanos = state.nowNanos;
     if (response.accepted()) {
       onAccepted(progress, response);
@@ -89,27 +93,7 @@
     progress.lastResponseAtNanos = state.nowNanos;
     progress.acknowledgedRound =
         Math.max(progress.acknowledgedRound, Math.min(response.round(), heartbeatRound));
-    progress.probeSent = false;
-    switch (progress.mode) {
-      case PROBE -> {}
-      case REPLICATE -> {
-        if (progress.inflightAppends >= state.settings.maxInflightAppends()) {
-          progress.inflightAppends--;
-        }
-        boolean mustWaitForReplies =
-            progress.nextIndex > state.log.lastIndex() || !hasInflightCapacity(progress);
-        if (progress.matchIndex < state.log.lastIndex() && mustWaitForReplies) {
-          // Requests or replies may have been lost: an empty request detects that.
-          sendAppend(response.from(), progress, List.of());
-        }
-      }
-      case SNAPSHOT -> {
-        long elapsedNanos = state.nowNanos - progress.snapshotSentAtNanos;
-        if (elapsedNanos >= SNAPSHOT_RESEND_HEARTBEATS * state.settings.heartbeatIntervalNanos()) {
-          sendSnapshotChunk(response.from(), progress);
-        }
-      }
-    }
+    resend(response.from(), progress);
   }
 
   void onSnapshotResponse(SnapshotResponse response) {
@@ -176,6 +160,54 @@
     }
   }
 
+  /** Sends again what may have been lost, after the member has answered a heartbeat. */
+  private void resend(MemberIdentity to, Progress progress) {
+    progress.probeSent = false;
+    switch (progress.mode) {
+      case PROBE -> {}
+      case REPLICATE -> {
+        if (progress.inflightAppends >= state.settings.maxInflightAppends()) {
+          progress.inflightAppends--;
+        }
+        boolean mustWaitForReplies =
+            progress.nextIndex > state.log.lastIndex() || !hasInflightCapacity(progress);
+        if (progress.matchIndex < state.log.lastIndex() && mustWaitForReplies) {
+          // Requests or replies may have been lost: an empty request detects that.
+          sendAppend(to, progress, List.of());
+        }
+      }
+      case SNAPSHOT -> {
+        long elapsedNanos = state.nowNanos - progress.snapshotSentAtNanos;
+        if (elapsedNanos >= SNAPSHOT_RESEND_HEARTBEATS * state.settings.heartbeatIntervalNanos()) {
+          sendSnapshotChunk(to, progress);
+        }
+      }
+    }
+  }
+
+  /**
+   * Goes on informing a member that can make nothing durable now. Heartbeats still tell it no
+   * commit index beyond its durable entries: it may restart and then hold other entries there.
+   */
+  private void onReceipt(Progress progress, AppendResponse response) {
+    long receivedIndex = response.prevIndex();
+    if (receivedIndex == 0) {
+      resend(response.from(), progress);
+      return;
+    }
+    boolean received =
+        switch (progress.mode) {
+          case PROBE -> receivedIndex >= progress.nextIndex - 1;
+          case REPLICATE -> false;
+          case SNAPSHOT -> receivedIndex >= progress.snapshot.index();
+        };
+    if (received && receivedIndex <= state.log.lastIndex()) {
+      progress.switchToReplicateAfter(receivedIndex);
+    } else if (progress.mode == Progress.Mode.REPLICATE) {
+      progress.inflightAppends = Math.max(0, progress.inflightAppends - 1);
+    }
+  }
+
   private void onAccepted(Progress progress, AppendResponse response) {
     if (response.index() > state.log.lastIndex()) {
       return;
@@ -246,7 +278,8 @@
 
   private boolean hasInflightCapacity(Progress progress) {
     return progress.inflightAppends < state.settings.maxInflightAppends()
-        && state.log.bytesBetween(progress.matchIndex, progress.nextIndex - 1)
+        && state.log.bytesBetween(
+                Math.max(progress.matchIndex, progress.receivedBaseIndex), progress.nextIndex - 1)
             < state.settings.maxInflightBytes();
   }
 
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/Progress.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/Progress.java
@@ -27,6 +27,12 @@
   long snapshotOffsetBytes;
   long snapshotSentAtNanos;
 
+  /**
+   * Last index that was in the member's log when it first reported entries as received but not
+   * durable, or 0; later entries count as in flight.
+   */
+  long receivedBaseIndex;
+
   Progress(long nextIndex, long nowNanos) {
     this.nextIndex = nextIndex;
     this.lastResponseAtNanos = nowNanos;
@@ -40,6 +46,15 @@
     snapshot = null;
   }
 
+  /** Continues after the entries that the member has received but not made durable. */
+  void switchToReplicateAfter(long receivedIndex) {
+    if (receivedBaseIndex == 0 || mode == Mode.SNAPSHOT) {
+      receivedBaseIndex = receivedIndex;
+    }
+    switchToReplicate();
+    nextIndex = receivedIndex + 1;
+  }
+
   void switchToReplicate() {
     mode = Mode.REPLICATE;
     nextIndex = matchIndex + 1;
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftMessage.java
@@ -55,8 +55,12 @@
   /**
    * Reply to an append request or an installed snapshot.
    *
+   * <p>A member that cannot make its term or entries durable now replies with a receipt: accepted
+   * with the index 0. It counts neither for a commit or read nor as a sign that a quorum works.
+   *
    * @param index if accepted, the last durable matching index; if rejected, the index to try next
-   * @param prevIndex the {@code prevIndex} of the rejected request
+   * @param prevIndex the {@code prevIndex} of the rejected request; in a receipt the last received
+   *     matching index, or 0 in reply to a heartbeat
    * @param conflictTerm if rejected, the receiver's term at {@code prevIndex}, or 0 if it has none
    */
   record AppendResponse(
@@ -67,7 +71,19 @@
       long index,
       long prevIndex,
       long conflictTerm)
-      implements RaftMessage {}
+      implements RaftMessage {
+
+    /** Creates a receipt. */
+    static AppendResponse receipt(
+        MemberIdentity from, MemberIdentity to, long term, long receivedIndex) {
+      return new AppendResponse(from, to, term, true, 0, receivedIndex, 0);
+    }
+
+    /** Returns true if this vouches for nothing durable. */
+    boolean isReceipt() {
+      return accepted && index == 0;
+    }
+  }
 
   /** Asserts the leader's authority; the reply repeats the round. */
   record Heartbeat(MemberIdentity from, MemberIdentity to, long term, long commitIndex, long round)
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
@@ -72,7 +72,6 @@
   private MemberIdentity preVoteGrantee;
   private long preVoteGrantEndNanos;
   private long electionCount;
-  private boolean storageFailed;
   private long deliveredIndex;
   private Snapshot pendingRestore;
   private long snapshotSequence;
@@ -132,7 +131,7 @@
       if (!leaderState.tick()) {
         becomeFollower(state.term, null);
       }
-    } else if (!storageFailed && nowNanos - electionDeadlineNanos >= 0) {
+    } else if (!state.storageFailed && nowNanos - electionDeadlineNanos >= 0) {
       startPreVote();
     }
   }
@@ -140,7 +139,7 @@
   /** Handles a message. Messages for another identity are dropped. */
   public void receive(RaftMessage message, long nowNanos) {
     state.nowNanos = nowNanos;
-    if (!message.to().equals(state.self) || (storageFailed && isElectionMessage(message))) {
+    if (!message.to().equals(state.self) || (state.storageFailed && isElectionMessage(message))) {
       return;
     }
     state.persistAppended();
@@ -185,14 +184,14 @@
    * durable.
    */
   public void onStorageUnavailable() {
-    storageFailed = true;
+    state.storageFailed = true;
     becomeFollower(state.term, leader);
   }
 
   /** Reports that the requests that failed have been carried out. */
   public void onStorageAvailable() {
     resetElectionTimer();
-    storageFailed = false;
+    state.storageFailed = false;
   }
 
   /**
@@ -207,8 +206,7 @@
     Assert.isTrue(
         command.length <= RaftSettings.MAX_COMMAND_BYTES,
         "command must be at most " + RaftSettings.MAX_COMMAND_BYTES + " bytes");
-    long unsyncedBytes = state.log.bytesBetween(state.outbox.durableIndex(), state.log.lastIndex());
-    if (role != Role.LEADER || unsyncedBytes >= state.settings.maxUnsyncedBytes()) {
+    if (role != Role.LEADER || state.unsyncedBytes() >= state.settings.maxUnsyncedBytes()) {
       return OptionalLong.empty();
     }
     return OptionalLong.of(state.append(EntryKind.COMMAND, command).index());
@@ -258,7 +256,7 @@
   public void onSnapshotTaken(long index, byte[] data) {
     Assert.isTrue(index <= deliveredIndex, "index must not be after the last applied entry");
     boolean newer = index > 0 && (state.snapshot == null || index > state.snapshot.index());
-    if (!newer || storageFailed) {
+    if (!newer || state.storageFailed) {
       return;
     }
     state.persistAppended();
@@ -375,7 +373,7 @@
 
   /** Returns true from {@link #onStorageUnavailable} until {@link #onStorageAvailable}. */
   public boolean isStorageFailed() {
-    return storageFailed;
+    return state.storageFailed;
   }
 
   private static boolean isElectionMessage(RaftMessage message) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftSettings.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftSettings.java
@@ -15,7 +15,7 @@
  *     members that lag
  * @param trailingBytes maximum size of these entries
  * @param maxUnsyncedBytes size of the entries that this member has not synced above which it
- *     refuses proposals
+ *     refuses proposals, and takes no further entries of a leader
  * @param maxApplyBytes command bytes after which {@link RaftNode#takeCommitted} returns no further
  *     entry
  */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftState.java
@@ -24,6 +24,7 @@
   Optional<MemberIdentity> votedFor;
   long commitIndex;
   long nowNanos;
+  boolean storageFailed;
 
   RaftState(RaftSettings settings, RecoveredLog recovered, long nowNanos) {
     this.settings = settings;
@@ -54,6 +55,11 @@
     outbox.persistHardState(new HardState(newTerm, newVotedFor));
   }
 
+  /** Returns the size of the entries that are not durable. */
+  long unsyncedBytes() {
+    return log.bytesBetween(outbox.durableIndex(), log.lastIndex());
+  }
+
   void advanceCommitIndex(long index) {
     commitIndex = Math.max(commitIndex, index);
   }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftNodeTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftNodeTest.java
@@ -168,6 +168,38 @@
     assertThat(node.takePersistRequests()).isEmpty();
   }
 
+  /** Guards against a receipt of entries that are not durable and yet commit or confirm a read. */
+  @Test
+  void receiptsCommitAndConfirmNothing() {
+    RaftNode node = leader();
+    long index = node.lastIndex();
+    node.readIndex(1);
+    node.takeMessages();
+    node.receive(AppendResponse.receipt(B, SELF, 2, index), LATER);
+    node.receive(AppendResponse.receipt(C, SELF, 2, index), LATER);
+    node.receive(AppendResponse.receipt(C, SELF, 2, 0), LATER);
+    node.takeMessages();
+    assertThat(node.commitIndex()).isEqualTo(0);
+    assertThat(node.matchIndex(B)).isEqualTo(0);
+    assertThat(node.takeReadResults()).isEmpty();
+    node.tick(LATER + 2 * RaftSettings.DEFAULT.electionTimeoutNanos());
+    assertThat(node.role()).isEqualTo(RaftNode.Role.FOLLOWER);
+  }
+
+  /** Guards against a member that learns nothing of a new leader while its disk refuses writes. */
+  @Test
+  void memberWithFailedStorageConfirmsReceiptsOfANewLeader() {
+    RaftNode node = member(SELF, B, C);
+    node.onStorageUnavailable();
+    LogEntry entry = new LogEntry(2, 2, EntryKind.NO_OP, new byte[0]);
+    node.receive(new AppendRequest(B, SELF, 2, 1, 1, List.of(entry), 2), 1);
+    node.receive(new Heartbeat(B, SELF, 2, 0, 7), 2);
+    assertThat(node.commitIndex()).isEqualTo(2);
+    assertThat(node.takeMessages())
+        .containsExactly(
+            AppendResponse.receipt(SELF, B, 2, 2), AppendResponse.receipt(SELF, B, 2, 0));
+  }
+
   /** Guards against commands that do not fit into a frame. */
   @Test
   void oversizedCommandIsRefused() {
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
@@ -226,6 +226,28 @@
     assertThat(cluster.checker.violations()).isEmpty();
   }
 
+  /** Guards against a VM that sees no later commands after its disk failed while it led. */
+  @Test
+  void vmWhoseDiskFailedWhileItLedAppliesWhatTheOthersCommit() {
+    SimulatedCluster cluster = started(3);
+    SimulatedVm failing = cluster.leader().orElseThrow();
+    failing.disk.failSyncAfter(0);
+    cluster.propose(failing);
+    cluster.run(30 * SimulatedCluster.HEARTBEAT);
+    SimulatedVm leader = cluster.leader().orElseThrow();
+    assertThat(leader).isNotEqualTo(failing);
+    for (int i = 0; i < 10; i++) {
+      cluster.propose(leader);
+      cluster.run(5 * SimulatedCluster.HEARTBEAT);
+      assertThat(leader.applied).isEqualTo(leader.node.lastIndex());
+      assertThat(failing.applied).isEqualTo(leader.applied);
+    }
+    assertThat(failing.node.isStorageFailed()).isTrue();
+    assertThat(leader.node.matchIndex(failing.node.identity())).isLessThan(leader.applied);
+    cluster.settleAndCheck();
+    assertThat(cluster.checker.violations()).isEmpty();
+  }
+
   /** Guards against members that cannot catch up after compaction, and oversized frames. */
   @Test
   void memberFarBehindCatchesUpBySnapshot() {
