Show a data folder that refuses writes, with its cause

A VM that had stepped aside showed consensus.storage-failed alone.

ConsensusServiceTest lists the gauges exactly; the new one is added to its list, which stays exact (it failed for that before).

--- a/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/StatusCommands.java
+++ b/cornelspoke-ctl/src/main/java/org/cornelspoke/ctl/StatusCommands.java
@@ -36,6 +36,10 @@
       console.printLine("applied index    " + status.path("appliedIndex").asText());
       console.printLine("revision         " + status.path("appliedRevision").asText());
       console.printLine("preset in force  " + status.path("presetInForce").asText("none"));
+      if (status.hasNonNull("storageFailure")) {
+        console.printLine(
+            "data folder      REFUSES WRITES: " + status.path("storageFailure").asText());
+      }
       JsonNode daemons = status.path("daemons");
       console.printLine(
           "daemons          "
--- a/cornelspoke-ctl/src/test/java/org/cornelspoke/ctl/FailureTest.java
+++ b/cornelspoke-ctl/src/test/java/org/cornelspoke/ctl/FailureTest.java
@@ -195,6 +195,18 @@
     assertThat(tool.run("status").out()).contains("quorum           NO");
   }
 
+  /** Guards against a VM that has stepped aside because of its disk and is not shown as such. */
+  @Test
+  void showsWhyTheDataFolderRefusesWrites() throws Exception {
+    assertThat(tool.run("status").out()).doesNotContain("data folder");
+    server.onBackend(
+        backend -> backend.storageFailure = Optional.of("appending 9 bytes to log-1 failed"));
+    assertThat(tool.run("status").out())
+        .contains("data folder      REFUSES WRITES: appending 9 bytes to log-1 failed");
+    assertThat(tool.run("status --json").json().path("storageFailure").asText())
+        .isEqualTo("appending 9 bytes to log-1 failed");
+  }
+
   /** Guards against a failed wait that is reported as a change to resend. */
   @Test
   void saysThatChangeIsAcceptedWhenDaemonsCannotBeRead() throws Exception {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/GroupStatus.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/GroupStatus.java
@@ -16,6 +16,8 @@
  * @param appliedIndex last log index that the reporting VM has applied
  * @param appliedRevision configuration revision that the reporting VM has applied
  * @param presetInForce active preset at that revision; empty before the first configuration
+ * @param storageFailure why the data folder of the reporting VM refuses writes; empty if it accepts
+ *     them
  */
 public record GroupStatus(
     VmId answeredBy,
@@ -25,6 +27,7 @@
     long appliedIndex,
     Revision appliedRevision,
     Optional<PresetName> presetInForce,
+    Optional<String> storageFailure,
     List<Member> members) {
 
   /** Makes an unmodifiable copy of the list. */
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/JsonConverter.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/JsonConverter.java
@@ -93,7 +93,8 @@
             .put("term", status.term())
             .put("appliedIndex", status.appliedIndex())
             .put("appliedRevision", status.appliedRevision().number())
-            .put("presetInForce", valueOrNull(status.presetInForce().map(name -> name.value())));
+            .put("presetInForce", valueOrNull(status.presetInForce().map(name -> name.value())))
+            .put("storageFailure", valueOrNull(status.storageFailure()));
     node.set("members", array(status.members(), JsonConverter::member));
     return node;
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusMetrics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusMetrics.java
@@ -31,6 +31,7 @@
     registry.gauge(PREFIX + "applied-index", () -> () -> appliedIndex);
     registry.gauge(
         PREFIX + "storage-failed", () -> () -> folder.refusalCause().isPresent() ? 1 : 0);
+    registry.gauge(PREFIX + "storage-failed-seconds", () -> folder::refusingSeconds);
     this.syncTimer = registry.timer(PREFIX + "sync");
     this.batchEntries = registry.histogram(PREFIX + "batch-entries");
     this.elections = registry.counter(PREFIX + "elections");
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/GroupAdminBackend.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/GroupAdminBackend.java
@@ -205,6 +205,7 @@
         consensus.appliedIndex(),
         stateMachine.config().revision(),
         Optional.of(stateMachine.config().activePreset()),
+        consensus.folderRefusalCause(),
         consensus.members().stream().map(GroupAdminBackend::toGroupMember).toList());
   }
 
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/FakeAdminBackend.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/admin/FakeAdminBackend.java
@@ -55,6 +55,8 @@
   /** If set, changes, configuration reads and linearizable operator lookups fail with it. */
   public Optional<BackendUnavailableException> unavailable = Optional.empty();
 
+  public Optional<String> storageFailure = Optional.empty();
+
   /** If set, reading the attached daemons fails with this exception. */
   public Optional<BackendUnavailableException> daemonsUnavailable = Optional.empty();
 
@@ -169,6 +171,7 @@
             revision.number(),
             revision,
             Optional.of(((ActivePreset) entities.get(ActivePreset.ID.toString()).entity()).name()),
+            storageFailure,
             members));
   }
 
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
@@ -133,7 +133,8 @@
             "consensus.term",
             "consensus.commit-index",
             "consensus.applied-index",
-            "consensus.storage-failed");
+            "consensus.storage-failed",
+            "consensus.storage-failed-seconds");
     assertThat(leader.metrics.timer("consensus.sync").getCount()).isAtLeast(1);
     assertThat(leader.metrics.histogram("consensus.batch-entries").getCount()).isAtLeast(1);
     assertThat(leader.metrics.counter("consensus.sync-failures").getCount()).isEqualTo(0);
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
@@ -130,6 +130,23 @@
     assertThat(e).hasCauseThat().hasMessageThat().contains("in use by another process");
   }
 
+  @Test
+  void refusalIsShownWithItsCauseAndEndsWithIt() throws Exception {
+    startAll();
+    RunningVm failing = vm(5);
+    assertThat(commit(failing)).isTrue();
+    assertThat(failing.service.folderRefusalCause()).isEmpty();
+    failing.faults.setRefusing(true);
+    assertThat(commitUntil(vm(1), () -> gauge(failing, "storage-failed-seconds") > 0)).isTrue();
+    assertThat(gauge(failing, "storage-failed")).isEqualTo(1);
+    assertThat(failing.service.folderRefusalCause().orElseThrow())
+        .matches("appending \\d+ bytes to log-.* failed with .* bytes usable: .*No space left.*");
+    failing.faults.setRefusing(false);
+    assertThat(commitUntil(vm(1), () -> gauge(failing, "storage-failed") == 0)).isTrue();
+    assertThat(failing.service.folderRefusalCause()).isEmpty();
+    assertThat(gauge(failing, "storage-failed-seconds")).isEqualTo(0);
+  }
+
   @Test
   void errorOfTheLogWriterIsReportedAsAFailureOfTheVm() throws Exception {
     startAll();
@@ -214,6 +231,10 @@
     return false;
   }
 
+  private static long gauge(RunningVm vm, String name) {
+    return ((Number) vm.metrics.getGauges().get("consensus." + name).getValue()).longValue();
+  }
+
   private static long syncFailures(RunningVm vm) {
     return vm.metrics.counter("consensus.sync-failures").getCount();
   }
