Keep timers and polls running after a task that throws

A timer task that threw ended Timers.tick for good, since `ticking` stayed set: no deadline of the traffic process expired any more. Likewise the ticks of ControlClient and RelayServer, the housekeeping of TrafficDaemon and the polls of TrafficRuntime ended with the first exception, which the event loop logs and survives. They now set the next run whatever happens, and TimerWheel runs the rest of a bucket in the next call.

The other reorderings have no test of their own.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/util/TimerWheel.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/util/TimerWheel.java
@@ -56,7 +56,16 @@
     long firstTick = Math.max(currentTick + 1, nowTick - buckets.length + 1);
     for (long tick = firstTick; tick <= nowTick; tick++) {
       currentTick = tick;
-      runBucket((int) Math.floorMod(tick, (long) buckets.length), nowTick);
+      boolean completed = false;
+      try {
+        runBucket((int) Math.floorMod(tick, (long) buckets.length), nowTick);
+        completed = true;
+      } finally {
+        if (!completed) {
+          // The other timers of the bucket expire in the next call.
+          currentTick = tick - 1;
+        }
+      }
     }
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -273,7 +273,16 @@
     if (!running) {
       return;
     }
-    long nowNanos = nanoClock.getAsLong();
+    try {
+      maintainLink(nanoClock.getAsLong());
+    } finally {
+      // Without ticks the client would keep to a relay that proves nothing.
+      long delayMillis = isAttached() ? TICK_INTERVAL_MILLIS : DETACHED_TICK_INTERVAL_MILLIS;
+      nextTick = reactor.delayBackground(delayMillis, this::tick);
+    }
+  }
+
+  private void maintainLink(long nowNanos) {
     if (link != null && tracker.mustLeave(nowNanos)) {
       LOGGER.log(Level.INFO, "leaving relay {0}: it does not renew freshness", link.address);
       link.close();
@@ -294,8 +303,6 @@
       send(tracker.nextQuery(nowNanos));
     }
     pendingClaims.onTick();
-    long delayMillis = isAttached() ? TICK_INTERVAL_MILLIS : DETACHED_TICK_INTERVAL_MILLIS;
-    nextTick = reactor.delayBackground(delayMillis, this::tick);
   }
 
   private void send(ControlMessage message) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -334,6 +334,8 @@
     if (!running) {
       return;
     }
+    // An exception below must not end the ticks.
+    nextTick = reactor.delayBackground(TICK_INTERVAL_MILLIS, this::tick);
     long nowNanos = nanoClock.getAsLong();
     confirmFreshness(nowNanos);
     registryWriter.proposeAnnouncedTargets();
@@ -347,7 +349,6 @@
       lastReportAtNanos = nowNanos;
       reportAttachedDaemons();
     }
-    nextTick = reactor.delayBackground(TICK_INTERVAL_MILLIS, this::tick);
   }
 
   private void confirmFreshness(long nowNanos) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -144,8 +144,8 @@
 
   /** Polls the settings, which may name new control VMs while the daemon runs. */
   private void pollRelays() {
-    profile.relaySource.get().forEach(relay -> controlClient.addRelay(relay.toSocketAddress()));
     control().delayBackground(RELAY_POLL_INTERVAL_MILLIS, this::pollRelays);
+    profile.relaySource.get().forEach(relay -> controlClient.addRelay(relay.toSocketAddress()));
   }
 
   /** Registers which configuration is in force, and whether it is proven to be current. */
@@ -164,8 +164,8 @@
   }
 
   private void sweepReadinessServer() {
-    readinessServer.orElseThrow().closeTimedOutConnections(System.nanoTime());
     control().delayBackground(READINESS_SWEEP_INTERVAL_MILLIS, this::sweepReadinessServer);
+    readinessServer.orElseThrow().closeTimedOutConnections(System.nanoTime());
   }
 
   private TargetSelector createSelector(LearnedCapacitySettings learnedCapacity) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Timers.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Timers.java
@@ -35,12 +35,16 @@
   }
 
   private void tick() {
-    wheel.advance(System.nanoTime());
-    tickListener.run();
-    if (wheel.size() > 0) {
-      reactor.delay(TICK_MILLIS, this::tick);
-    } else {
-      ticking = false;
+    try {
+      wheel.advance(System.nanoTime());
+      tickListener.run();
+    } finally {
+      // A task that fails must not keep the other timers from expiring.
+      if (wheel.size() > 0) {
+        reactor.delay(TICK_MILLIS, this::tick);
+      } else {
+        ticking = false;
+      }
     }
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -189,6 +189,7 @@
   }
 
   private void housekeeping() {
+    collaborators.reactor().delayBackground(HOUSEKEEPING_INTERVAL_MILLIS, this::housekeeping);
     long now = System.nanoTime();
     view.get();
     upstreams.onTick(now);
@@ -199,7 +200,6 @@
       linkServer.closeSilentLinks(now);
     }
     links.onTick(now);
-    collaborators.reactor().delayBackground(HOUSEKEEPING_INTERVAL_MILLIS, this::housekeeping);
   }
 
   private void beginStop() {
