Test disks that fail in turn, again, on the leader and over a restart

Five tests on five VMs: one disk fails while that of another VM has just recovered; a disk fails again, full and at the sync in turn, while the log is opened; the leader's disk stalls for 3 s; a proposal refused at a VM with a failing disk is never in force; a restart during the failure.

Not shown: that each fails with its part switched off.

--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
@@ -31,6 +31,7 @@
 
   private static final int VM_COUNT = 5;
   private static final long RECOVERY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
+  private static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(3);
   private static final long RETRY_DELAY_MILLIS = 10;
 
   private final Map<VmId, Endpoint> addresses = new TreeMap<>(Comparator.comparing(VmId::value));
@@ -176,6 +177,105 @@
     assertThat(vm(5).failure.get(30, TimeUnit.SECONDS)).isInstanceOf(DamagedStorageException.class);
   }
 
+  @Test
+  void groupCommitsWhileOneDiskFailsAndThatOfAnotherVmHasJustRecovered() throws Exception {
+    startAll();
+    assertThat(commit(vm(1))).isTrue();
+    for (int i = 1; i <= VM_COUNT; i++) {
+      RunningVm failing = vm(i);
+      failing.faults.setFailing(true);
+      if (i > 1) {
+        vm(i - 1).faults.setFailing(false);
+      }
+      long failuresBefore = syncFailures(failing);
+      RunningVm sound = vm(i % VM_COUNT + 1);
+      assertThat(commitUntil(sound, () -> syncFailures(failing) > failuresBefore)).isTrue();
+    }
+    vm(VM_COUNT).faults.setFailing(false);
+    assertAllCommitAndAgree();
+  }
+
+  @Test
+  void vmJoinsAfterItsDiskFailedAgainWhileTheLogWasOpened() throws Exception {
+    startAll();
+    RunningVm failing = vm(5);
+    assertThat(commit(failing)).isTrue();
+    for (int i = 0; i < 3; i++) {
+      long failuresBefore = syncFailures(failing);
+      failing.faults.setRefusing(true);
+      assertThat(commitUntil(vm(1), () -> syncFailures(failing) > failuresBefore)).isTrue();
+      failing.faults.setFailing(true);
+      failing.faults.setRefusing(false);
+      assertThat(commitUntil(vm(1), () -> syncFailures(failing) > failuresBefore + 1)).isTrue();
+      failing.faults.setRefusing(true);
+      failing.faults.setFailing(false);
+      assertThat(commitUntil(vm(1), () -> syncFailures(failing) > failuresBefore + 2)).isTrue();
+    }
+    failing.faults.setRefusing(false);
+    assertAllCommitAndAgree();
+  }
+
+  @Test
+  void groupCommitsWhileTheDiskOfTheLeaderStalls() throws Exception {
+    startAll();
+    assertThat(commit(vm(1))).isTrue();
+    RunningVm leader = vms.get(vm(1).call(vm(1).service::leader).orElseThrow());
+    RunningVm other = leader == vm(1) ? vm(2) : vm(1);
+    long startNanos = System.nanoTime();
+    leader.faults.setStalled(true);
+    assertThat(commitUntil(other, () -> System.nanoTime() - startNanos > STALL_NANOS)).isTrue();
+    leader.faults.setStalled(false);
+    assertAllCommitAndAgree();
+  }
+
+  @Test
+  void proposalThatAVmWithAFailingDiskRefusesIsNeverInForce() throws Exception {
+    startAll();
+    assertThat(commit(vm(1))).isTrue();
+    Map<String, String> outcomes = new HashMap<>();
+    for (int i = 1; i <= VM_COUNT; i++) {
+      RunningVm failing = vm(i);
+      failing.faults.setRefusing(true);
+      for (int k = 0; k < 2; k++) {
+        String command = "once-" + i + "-" + k;
+        outcomes.put(command, failing.propose(command));
+      }
+      failing.faults.setRefusing(false);
+    }
+    assertAllCommitAndAgree();
+    List<String> state = vm(1).readCurrent();
+    outcomes.forEach(
+        (command, outcome) -> {
+          if (outcome.equals("not-appended")) {
+            assertThat(state).doesNotContain(command);
+          } else if (outcome.startsWith("committed")) {
+            assertThat(state).contains(command);
+          }
+        });
+  }
+
+  @Test
+  void vmJoinsAfterARestartWhileItsDiskRefusedWrites() throws Exception {
+    startAll();
+    assertThat(commit(vm(5))).isTrue();
+    vm(5).faults.setRefusing(true);
+    assertThat(commitUntil(vm(1), () -> syncFailures(vm(5)) > 0)).isTrue();
+    restart(5, refusingDisk());
+    assertThat(commit(vm(1))).isTrue();
+    vm(5).faults.setRefusing(false);
+    assertAllCommitAndAgree();
+  }
+
+  private void assertAllCommitAndAgree() throws Exception {
+    for (RunningVm vm : vms.values()) {
+      assertThat(commit(vm)).isTrue();
+    }
+    List<String> state = vm(1).readCurrent();
+    for (RunningVm vm : vms.values()) {
+      assertThat(vm.readCurrent()).isEqualTo(state);
+    }
+  }
+
   private void startAll() throws Exception {
     for (int i = 1; i <= VM_COUNT; i++) {
       start(i, new FaultyDisk.FaultControl());
