--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusServiceBuilder.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusServiceBuilder.java
@@ -68,8 +68,8 @@
     return this;
   }
 
-  /** Replaces the disk access in tests of slow and failing disks. */
-  ConsensusServiceBuilder withDiskOpener(DiskOpener opener) {
+  /** Replaces the access to the data folder, which is {@link FileDisk} by default. */
+  public ConsensusServiceBuilder withDiskOpener(DiskOpener opener) {
     this.diskOpener = opener;
     return this;
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/DiskOpener.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/DiskOpener.java
@@ -5,7 +5,8 @@
 import org.cornelspoke.state.log.Disk;
 
 /** Opens a data folder. */
-interface DiskOpener {
+@FunctionalInterface
+public interface DiskOpener {
 
   /**
    * Opens the folder for exclusive use.
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlProfile.java
@@ -6,8 +6,10 @@
 import java.util.function.Supplier;
 import org.cornelspoke.coordination.quota.ShareTimes;
 import org.cornelspoke.daemon.consensus.ConsensusSettings;
+import org.cornelspoke.daemon.consensus.DiskOpener;
 import org.cornelspoke.daemon.settings.PeerSettings;
 import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.state.log.FileDisk;
 import org.cornelspoke.transport.http.HttpHandler;
 import org.cornelspoke.util.Assert;
 
@@ -20,6 +22,7 @@
   ShareTimes shareTimes = ShareTimes.DEFAULT;
   double sharedBurstFraction = 1;
   ConsensusSettings consensus = ConsensusSettings.DEFAULT;
+  DiskOpener diskOpener = FileDisk::new;
 
   /**
    * Adds an endpoint where operators read and replace the routing configuration.
@@ -59,4 +62,10 @@
     this.consensus = Assert.notNull(settings, "settings");
     return this;
   }
+
+  /** Replaces the access to the folder of the replicated log, {@link FileDisk} by default. */
+  public ControlProfile withDiskOpener(DiskOpener opener) {
+    this.diskOpener = Assert.notNull(opener, "opener");
+    return this;
+  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -68,6 +68,7 @@
         ConsensusService.builder(control())
             .withVm(settings.vmId(), settings.peerAddress())
             .withDataFolder(settings.dataFolder())
+            .withDiskOpener(profile.diskOpener)
             .withStateMachine(stateMachine)
             .withSettings(profile.consensus)
             .withGroupFormation(settings.formation() != GroupFormation.JOINING)
