Simulate disks that refuse writes for a while, and a loss of power of all VMs

The random faults refused syncs until the simulated process was restarted, so they never reached the reopening of a log. Now a disk fails single operations, syncs or appends beyond its capacity, and becomes sound without a restart in two of three cases; one property ends each run with a loss of power of all VMs. A driver that counts failed writes as durable is reported by the checker.

A leader whose disk fails also no longer names itself as the leader: operator calls at its VM were sent to itself until another leader was heard (RaftNodeTest.failedStorageStopsVotesAndAcknowledgements failed before).

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
@@ -185,7 +185,7 @@
    */
   public void onStorageUnavailable() {
     state.storageFailed = true;
-    becomeFollower(state.term, leader);
+    becomeFollower(state.term, role == Role.LEADER ? null : leader);
   }
 
   /** Reports that the requests that failed have been carried out. */
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftNodeTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftNodeTest.java
@@ -160,6 +160,7 @@
     node.takePersistRequests();
     node.onStorageUnavailable();
     assertThat(node.role()).isEqualTo(RaftNode.Role.FOLLOWER);
+    assertThat(node.leader()).isEmpty();
     assertThat(node.propose(new byte[1]).isPresent()).isFalse();
     assertThat(node.takeReadResults()).containsExactly(new ReadResult(1, false, 0));
     node.receive(new VoteRequest(B, SELF, 9, 9, 9), LATER);
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
@@ -37,6 +37,24 @@
     assertWithMessage("seed %s", seed).that(cluster.checker.violations()).isEmpty();
   }
 
+  /** Guards against writes that count as durable although a disk refused them for a while. */
+  @Property(seed = "4713", tries = 150, shrinking = ShrinkingMode.OFF)
+  void powerLossOfAllVmsAfterDiskFailuresLosesNothing(@ForAll long seed) {
+    SimulatedCluster cluster = randomRun(seed, Mutation.NONE, true);
+    assertWithMessage("seed %s", seed).that(cluster.checker.violations()).isEmpty();
+  }
+
+  /** Verifies that the checker reports the loss if failed writes count as durable. */
+  @Test
+  void checkerReportsFailedWritesCountedAsDurable() {
+    int reported = 0;
+    for (long seed = 0; seed < 40; seed++) {
+      SimulatedCluster cluster = randomRun(seed, Mutation.COUNT_FAILED_WRITES_AS_DURABLE, true);
+      reported += cluster.checker.violations().isEmpty() ? 0 : 1;
+    }
+    assertThat(reported).isGreaterThan(0);
+  }
+
   /** Guards against a fault schedule under which wiped VMs are never fully replaced. */
   @Test
   void randomRunsCompleteReplacements() {
@@ -332,11 +350,19 @@
   }
 
   private static SimulatedCluster randomRun(long seed, Mutation mutation) {
+    return randomRun(seed, mutation, false);
+  }
+
+  private static SimulatedCluster randomRun(
+      long seed, Mutation mutation, boolean powerLossOfAllAtTheEnd) {
     int size = 3 + (int) Math.floorMod(seed, 3L);
     SimulatedCluster cluster = new SimulatedCluster(seed, size, mutation);
     cluster.bootstrap(3);
     cluster.run(10 * SimulatedCluster.HEARTBEAT);
     new RandomFaults(cluster).run(400);
+    if (powerLossOfAllAtTheEnd && cluster.checker.violations().isEmpty()) {
+      cluster.losePowerOfAll();
+    }
     if (cluster.checker.violations().isEmpty()) {
       cluster.settleAndCheck();
     }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RandomFaults.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RandomFaults.java
@@ -57,6 +57,8 @@
       case 0 -> vm.stop();
       case 1, 2 -> vm.disk.crashAfter(random.nextInt(12));
       case 3 -> vm.disk.failSyncAfter(random.nextInt(6));
+      case 17, 18 -> vm.disk.failOperationAfter(random.nextInt(12));
+      case 19 -> vm.disk.limitCapacity(vm.disk.usedBytes() + random.nextInt(200));
       case 4, 5 -> cluster.block(vm, otherVm);
       case 6 -> cluster.isolate(vm);
       case 7, 8, 9 -> cluster.blocked.clear();
@@ -81,8 +83,12 @@
     }
     if (!vm.isUp() && random.nextInt(3) == 0) {
       vm.start();
-    } else if (vm.isUp() && vm.node.isStorageFailed() && random.nextInt(3) == 0) {
-      vm.stop();
+    } else if (vm.isUp() && vm.node.isStorageFailed()) {
+      switch (random.nextInt(6)) {
+        case 0 -> vm.stop();
+        case 1, 2 -> vm.disk.clearFaults();
+        default -> {}
+      }
     }
   }
 
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedCluster.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedCluster.java
@@ -29,7 +29,8 @@
     ACKNOWLEDGE_BEFORE_SYNC,
     VOTE_BEFORE_SYNC,
     KEEP_IDENTITY_ON_WIPE,
-    READ_WITHOUT_ROUND
+    READ_WITHOUT_ROUND,
+    COUNT_FAILED_WRITES_AS_DURABLE
   }
 
   private record Event(long time, long order, Runnable action) implements Comparable<Event> {
@@ -203,14 +204,17 @@
     checker.addViolation("membership change did not complete: " + change);
   }
 
+  /** Cuts the power of all VMs at the same moment and starts them again. */
+  void losePowerOfAll() {
+    vms.forEach(SimulatedVm::stop);
+    vms.forEach(SimulatedVm::start);
+  }
+
   /** Ends all faults, waits until all members have applied the same log, and checks them. */
   void settleAndCheck() {
     heal();
     for (SimulatedVm vm : vms) {
       vm.disk.clearFaults();
-      if (vm.isUp() && vm.node.isStorageFailed()) {
-        vm.stop();
-      }
       if (!vm.isUp()) {
         vm.start();
       }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedVm.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/SimulatedVm.java
@@ -220,6 +220,7 @@
       return;
     }
     syncScheduled = false;
+    long lastSequence = persistQueue.isEmpty() ? 0 : persistQueue.getLast().sequence();
     persistQueue.forEach(executor::submit);
     persistQueue.clear();
     try {
@@ -234,6 +235,9 @@
       throw new IllegalStateException(vmId + " cannot continue", e);
     } catch (IOException e) {
       node.onStorageUnavailable();
+      if (cluster.mutation == SimulatedCluster.Mutation.COUNT_FAILED_WRITES_AS_DURABLE) {
+        node.onPersisted(lastSequence);
+      }
       syncScheduled = true;
       cluster.after(SimulatedCluster.HEARTBEAT, () -> sync(scheduledIncarnation));
       step();
