--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/ConsensusService.java
@@ -425,8 +425,8 @@
     for (ReadResult result : node.takeReadResults()) {
       pending.onReadResult(result.requestId(), result.confirmed(), result.index());
     }
-    // A pending snapshot is still being written, and a second one would only be queued.
-    if (running && snapshots.isDue() && !node.isSnapshotPending()) {
+    // While a snapshot is pending or the disk refuses writes, a further one would only be queued.
+    if (running && snapshots.isDue() && !node.isSnapshotPending() && !node.isStorageFailed()) {
       byte[] snapshot = stateMachine.snapshot();
       snapshots.onSnapshot(appliedIndex, snapshot.length);
       node.onSnapshotTaken(appliedIndex, snapshot);
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
@@ -178,8 +178,9 @@
     RunningVm next = leader();
     assertThat(next).isNotSameInstanceAs(failing);
     long acknowledgedIndex = matchIndex(next, failing.vmId);
+    assertThat(failing.proposeUntilCommitted("forwarded")).startsWith("committed");
     assertThat(next.proposeUntilCommitted("after")).startsWith("committed");
-    assertThat(next.readCurrent()).containsAtLeast("first", "after");
+    assertThat(failing.readCurrent()).containsAtLeast("first", "forwarded", "after");
     boolean leads = failing.call(failing.service::isLeader);
     assertThat(leads).isFalse();
     assertThat(matchIndex(next, failing.vmId)).isEqualTo(acknowledgedIndex);
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/FailedDiskTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -16,6 +17,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.state.log.DamagedStorageException;
@@ -34,6 +38,9 @@
   private static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(3);
   private static final long RETRY_DELAY_MILLIS = 10;
 
+  private static final Predicate<String> COMPLETE_SNAPSHOT =
+      Pattern.compile("snapshot-[0-9a-f]+").asMatchPredicate();
+
   private final Map<VmId, Endpoint> addresses = new TreeMap<>(Comparator.comparing(VmId::value));
   private final Map<VmId, RunningVm> vms = new TreeMap<>(Comparator.comparing(VmId::value));
   private int commandCount;
@@ -236,7 +243,7 @@
     for (int i = 1; i <= VM_COUNT; i++) {
       RunningVm failing = vm(i);
       failing.faults.setRefusing(true);
-      for (int k = 0; k < 2; k++) {
+      for (int k = 0; k < 10; k++) {
         String command = "once-" + i + "-" + k;
         outcomes.put(command, failing.propose(command));
       }
@@ -254,6 +261,29 @@
         });
   }
 
+  @Test
+  void snapshotThatWasDueWhileTheDiskRefusedWritesIsStoredAfterwards() throws Exception {
+    startAll();
+    assertThat(commit(vm(1))).isTrue();
+    vm(5).faults.setRefusing(true);
+    for (int i = 0; i < RunningVm.SETTINGS.entriesBetweenSnapshots(); i++) {
+      assertThat(commit(vm(1))).isTrue();
+    }
+    assertThat(vm(5).readCurrent()).contains("command-" + commandCount);
+    vm(5).faults.setRefusing(false);
+    long startNanos = System.nanoTime();
+    while (!hasSnapshot(vm(5)) && System.nanoTime() - startNanos < RECOVERY_TIMEOUT_NANOS) {
+      Thread.sleep(RETRY_DELAY_MILLIS);
+    }
+    assertThat(hasSnapshot(vm(5))).isTrue();
+  }
+
+  private boolean hasSnapshot(RunningVm vm) throws IOException {
+    try (Stream<Path> files = Files.list(folder.resolve(vm.vmId.value()))) {
+      return files.map(file -> file.getFileName().toString()).anyMatch(COMPLETE_SNAPSHOT);
+    }
+  }
+
   @Test
   void vmJoinsAfterARestartWhileItsDiskRefusedWrites() throws Exception {
     startAll();
