Model a disk that refuses writes and the folder that is opened again

Change: ControlGroup gets a log that a crash leaves behind, steps in which the disk fails, entries are received in memory without an acknowledgement, and the folder is opened and synced anew. A member with a failed disk neither leads nor votes nor acknowledges. FailedDisk.cfg checks them; broken/CountUnsyncedEntries.cfg leaves out the sync after the reopening.

--- a/cornelspoke-core/src/test/java/org/cornelspoke/spec/SpecificationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/spec/SpecificationTest.java
@@ -31,6 +31,7 @@
     "ControlGroup, ControlGroup.cfg",
     "ControlGroup, OldTerm.cfg",
     "ControlGroup, Membership.cfg",
+    "ControlGroup, FailedDisk.cfg",
     "ShareLease, ShareLease.cfg",
     "Freshness, Freshness.cfg",
     "Freshness, FreshnessCut.cfg"
@@ -47,6 +48,7 @@
     "ControlGroup, CommitOldTerm, AcknowledgedNeverLost",
     "ControlGroup, WipeKeepsIdentity, OneLeaderPerTerm|AcknowledgedNeverLost",
     "ControlGroup, ReadWithoutQuorum, ReadsAreCurrent",
+    "ControlGroup, CountUnsyncedEntries, AcknowledgedNeverLost",
     "ShareLease, IncreaseFirst, BoundHolds",
     "ShareLease, ReissueEarly, BoundHolds",
     "ShareLease, IssueAtTakeover, BoundHolds",
--- a/spec/ControlGroup.tla
+++ b/spec/ControlGroup.tla
@@ -4,19 +4,21 @@
 (* Messages are kept in growing sets or are read from the history of a leader's log, so every     *)
 (* message may be lost, delayed, doubled or reordered.                                            *)
 (* A step that changes term, vote or log syncs it at the same time; with SyncFirst = FALSE the    *)
-(* vote is sent before it is synced, and a crash takes it back.                                   *)
+(* vote is sent before it is synced, and a crash takes it back. While the disk of a member refuses *)
+(* writes, the member goes on to receive entries in memory only.                                  *)
 EXTENDS Integers, Sequences, FiniteSets, TLC
 
 CONSTANTS
   Server,          \* identities of data folders; a replaced VM gets an unused one
   InitialVoters,   \* the first configuration
-  MaxTerm, MaxLog, MaxCrashes, MaxWipes, MaxReads,
+  MaxTerm, MaxLog, MaxCrashes, MaxWipes, MaxReads, MaxDiskFailures,
   SyncFirst,       \* term and vote are synced before a vote is sent
   CheckLog,        \* votes go only to candidates whose log is at least as up to date
   OwnTermOnly,     \* only entries of the leader's own term are committed by counting
   NewIdentity,     \* a wiped data folder comes back under a new identity
   OneAtATime,      \* a membership change starts only after the former one is committed
-  QuorumRead       \* a read is confirmed by a majority after it arrived
+  QuorumRead,      \* a read is confirmed by a majority after it arrived
+  SyncAnew         \* a folder that is opened again after a failure is written and synced anew
 
 VARIABLES
   term, vote, role, log, commit,
@@ -29,10 +31,15 @@
   acked,           \* entries acknowledged to a proposer
   read,            \* per server, the read that waits for confirmation
   staleRead,       \* a read was confirmed that missed an acknowledged entry
-  crashes, wipes, reads
+  crashes, wipes, reads,
+  diskOk,          \* per server, whether its disk accepts writes
+  durable,         \* per server, the log that a crash leaves behind
+  diskFailures
+
+storage == <<diskOk, durable, diskFailures>>
 
 vars == <<term, vote, role, log, commit, synced, gone, requests, votes, leaderLog, acks, acked,
-          read, staleRead, crashes, wipes, reads>>
+          read, staleRead, crashes, wipes, reads, diskOk, durable, diskFailures>>
 
 None == "none"
 Terms == 1..MaxTerm
@@ -58,12 +65,19 @@
   /\ read = [s \in Server |-> NoRead]
   /\ staleRead = FALSE
   /\ crashes = 0 /\ wipes = 0 /\ reads = 0
+  /\ diskOk = [s \in Server |-> TRUE]
+  /\ durable = log
+  /\ diskFailures = 0
 
 Alive(s) == s \notin gone
 
+(* Bytes after others that were never synced are not found again. *)
+SyncLog(s) ==
+  durable' = [durable EXCEPT ![s] = IF @ = log[s] THEN log'[s] ELSE @]
+
 (* A voter starts an election. It votes for itself. *)
 StartElection(s) ==
-  /\ Alive(s) /\ role[s] # "leader" /\ term[s] < MaxTerm /\ s \in Voters(log[s])
+  /\ Alive(s) /\ diskOk[s] /\ role[s] # "leader" /\ term[s] < MaxTerm /\ s \in Voters(log[s])
   /\ term' = [term EXCEPT ![s] = @ + 1]
   /\ vote' = [vote EXCEPT ![s] = s]
   /\ role' = [role EXCEPT ![s] = "candidate"]
@@ -73,13 +87,14 @@
   /\ votes' = votes \cup {[term |-> term[s] + 1, from |-> s, for |-> s]}
   /\ read' = [read EXCEPT ![s] = NoRead]
   /\ UNCHANGED <<log, commit, gone, leaderLog, acks, acked, staleRead, crashes, wipes, reads>>
+  /\ UNCHANGED storage
 
 UpToDate(r, s) ==
   \/ r.lastTerm > LastTerm(log[s])
   \/ r.lastTerm = LastTerm(log[s]) /\ r.length >= Len(log[s])
 
 GrantVote(s, r) ==
-  /\ Alive(s) /\ r.from # s
+  /\ Alive(s) /\ diskOk[s] /\ r.from # s
   /\ \/ r.term > term[s]
      \/ r.term = term[s] /\ vote[s] = None /\ role[s] = "follower"
   /\ CheckLog => UpToDate(r, s)
@@ -93,10 +108,11 @@
   /\ read' = [read EXCEPT ![s] = NoRead]
   /\ UNCHANGED <<log, commit, gone, requests, leaderLog, acks, acked, staleRead, crashes, wipes,
                  reads>>
+  /\ UNCHANGED storage
 
 (* A new leader appends an entry of its own term, so that it learns what is committed. *)
 BecomeLeader(s) ==
-  /\ Alive(s) /\ role[s] = "candidate" /\ Len(log[s]) < MaxLog
+  /\ Alive(s) /\ diskOk[s] /\ role[s] = "candidate" /\ Len(log[s]) < MaxLog
   /\ Quorum({v.from : v \in {x \in votes : x.term = term[s] /\ x.for = s}}, log[s])
   /\ role' = [role EXCEPT ![s] = "leader"]
   /\ log' = [log EXCEPT ![s] = Append(@, [term |-> term[s], voters |-> {}])]
@@ -104,6 +120,8 @@
   /\ acks' = acks \cup {[term |-> term[s], from |-> s, index |-> Len(log'[s])]}
   /\ UNCHANGED <<term, vote, commit, synced, gone, requests, votes, acked, read, staleRead,
                  crashes, wipes, reads>>
+  /\ SyncLog(s)
+  /\ UNCHANGED <<diskOk, diskFailures>>
 
 Append1(s, entry) ==
   /\ log' = [log EXCEPT ![s] = Append(@, entry)]
@@ -111,6 +129,8 @@
   /\ acks' = acks \cup {[term |-> term[s], from |-> s, index |-> Len(log'[s])]}
   /\ UNCHANGED <<term, vote, role, commit, synced, gone, requests, votes, acked, read, staleRead,
                  crashes, wipes, reads>>
+  /\ SyncLog(s)
+  /\ UNCHANGED <<diskOk, diskFailures>>
 
 Propose(s) ==
   /\ Alive(s) /\ role[s] = "leader" /\ Len(log[s]) < MaxLog
@@ -128,22 +148,53 @@
           /\ Append1(s, [term |-> term[s], voters |-> new])
 
 (* A member takes one entry of the log of the leader of term t, or learns of it by a heartbeat. *)
-Accept(s, t) ==
+Receive(s, t, n) ==
   /\ Alive(s) /\ t >= term[s] /\ leaderLog[t] # <<>>
   /\ ~(role[s] = "leader" /\ term[s] = t)
-  /\ \E n \in 1..Len(leaderLog[t]) :
-       /\ \/ n = 1
-          \/ n > 1 /\ Len(log[s]) >= n - 1 /\ log[s][n - 1].term = leaderLog[t][n - 1].term
-       /\ LET same == Len(log[s]) >= n /\ log[s][n].term = leaderLog[t][n].term
-          IN log' = [log EXCEPT ![s] = IF same THEN @
-                                       ELSE Append(SubSeq(@, 1, n - 1), leaderLog[t][n])]
-       /\ acks' = acks \cup {[term |-> t, from |-> s, index |-> n]}
+  /\ n <= Len(leaderLog[t])
+  /\ \/ n = 1
+     \/ n > 1 /\ Len(log[s]) >= n - 1 /\ log[s][n - 1].term = leaderLog[t][n - 1].term
+  /\ LET same == Len(log[s]) >= n /\ log[s][n].term = leaderLog[t][n].term
+     IN log' = [log EXCEPT ![s] = IF same THEN @
+                                  ELSE Append(SubSeq(@, 1, n - 1), leaderLog[t][n])]
   /\ term' = [term EXCEPT ![s] = t]
   /\ vote' = [vote EXCEPT ![s] = IF t > term[s] THEN None ELSE @]
   /\ role' = [role EXCEPT ![s] = "follower"]
-  /\ synced' = [synced EXCEPT ![s] = [term |-> t, vote |-> IF t > term[s] THEN None ELSE @.vote]]
   /\ read' = [read EXCEPT ![s] = NoRead]
-  /\ UNCHANGED <<commit, gone, requests, votes, leaderLog, acked, staleRead, crashes, wipes, reads>>
+  /\ UNCHANGED <<commit, gone, requests, votes, leaderLog, acked, staleRead, crashes, wipes, reads,
+                 diskOk, diskFailures>>
+
+Accept(s, t) ==
+  \E n \in 1..MaxLog :
+    /\ diskOk[s] /\ Receive(s, t, n)
+    /\ acks' = acks \cup {[term |-> t, from |-> s, index |-> n]}
+    /\ synced' = [synced EXCEPT ![s] = [term |-> t, vote |-> IF t > term[s] THEN None ELSE @.vote]]
+    /\ SyncLog(s)
+
+(* A member whose disk refuses writes acknowledges nothing. *)
+AcceptInMemory(s, t) ==
+  \E n \in 1..MaxLog :
+    /\ ~diskOk[s] /\ Receive(s, t, n)
+    /\ UNCHANGED <<acks, synced, durable>>
+
+(* A write fails: the member gives up leadership, and votes and acknowledges no more. *)
+FailDisk(s) ==
+  /\ Alive(s) /\ diskOk[s] /\ diskFailures < MaxDiskFailures
+  /\ diskFailures' = diskFailures + 1
+  /\ diskOk' = [diskOk EXCEPT ![s] = FALSE]
+  /\ role' = [role EXCEPT ![s] = "follower"]
+  /\ read' = [read EXCEPT ![s] = NoRead]
+  /\ UNCHANGED <<term, vote, log, commit, synced, gone, requests, votes, leaderLog, acks, acked,
+                 staleRead, crashes, wipes, reads, durable>>
+
+(* The folder opens again. What the member holds in memory is written anew and synced. *)
+Reopen(s) ==
+  /\ Alive(s) /\ ~diskOk[s]
+  /\ diskOk' = [diskOk EXCEPT ![s] = TRUE]
+  /\ synced' = [synced EXCEPT ![s] = [term |-> term[s], vote |-> vote[s]]]
+  /\ durable' = IF SyncAnew THEN [durable EXCEPT ![s] = log[s]] ELSE durable
+  /\ UNCHANGED <<term, vote, role, log, commit, gone, requests, votes, leaderLog, acks, acked, read,
+                 staleRead, crashes, wipes, reads, diskFailures>>
 
 Commit(s) ==
   /\ Alive(s) /\ role[s] = "leader"
@@ -155,6 +206,7 @@
             {[index |-> i, entry |-> log[s][i], term |-> term[s]] : i \in (commit[s] + 1)..n}
   /\ UNCHANGED <<term, vote, role, log, synced, gone, requests, votes, leaderLog, acks, read,
                  staleRead, crashes, wipes, reads>>
+  /\ UNCHANGED storage
 
 AckedIndex == IF acked = {} THEN 0 ELSE Max({a.index : a \in acked})
 
@@ -166,6 +218,7 @@
   /\ reads' = reads + 1
   /\ UNCHANGED <<term, vote, role, log, commit, synced, gone, requests, votes, leaderLog, acks,
                  acked, staleRead, crashes, wipes>>
+  /\ UNCHANGED storage
 
 ConfirmRead(s, m) ==
   /\ Alive(s) /\ Alive(m) /\ read[s].active /\ m # s /\ term[m] <= term[s]
@@ -173,6 +226,7 @@
   /\ read' = [read EXCEPT ![s].confirmed = @ \cup {m}]
   /\ UNCHANGED <<term, vote, role, log, commit, synced, gone, requests, votes, leaderLog, acks,
                  acked, staleRead, crashes, wipes, reads>>
+  /\ UNCHANGED storage
 
 FinishRead(s) ==
   /\ Alive(s) /\ read[s].active
@@ -181,6 +235,7 @@
   /\ read' = [read EXCEPT ![s] = NoRead]
   /\ UNCHANGED <<term, vote, role, log, commit, synced, gone, requests, votes, leaderLog, acks,
                  acked, crashes, wipes, reads>>
+  /\ UNCHANGED storage
 
 Crash(s) ==
   /\ Alive(s) /\ crashes < MaxCrashes
@@ -190,8 +245,10 @@
   /\ vote' = [vote EXCEPT ![s] = synced[s].vote]
   /\ commit' = [commit EXCEPT ![s] = 0]
   /\ read' = [read EXCEPT ![s] = NoRead]
-  /\ UNCHANGED <<log, synced, gone, requests, votes, leaderLog, acks, acked, staleRead, wipes,
-                 reads>>
+  /\ log' = [log EXCEPT ![s] = durable[s]]
+  /\ diskOk' = [diskOk EXCEPT ![s] = TRUE]
+  /\ UNCHANGED <<synced, gone, requests, votes, leaderLog, acks, acked, staleRead, wipes, reads,
+                 durable, diskFailures>>
 
 (* The data folder of a VM is lost. *)
 Wipe(s) ==
@@ -205,23 +262,25 @@
   /\ synced' = [synced EXCEPT ![s] = [term |-> 0, vote |-> None]]
   /\ gone' = IF NewIdentity THEN gone \cup {s} ELSE gone
   /\ read' = [read EXCEPT ![s] = NoRead]
-  /\ UNCHANGED <<requests, votes, leaderLog, acks, acked, staleRead, crashes, reads>>
+  /\ durable' = [durable EXCEPT ![s] = <<>>]
+  /\ diskOk' = [diskOk EXCEPT ![s] = TRUE]
+  /\ UNCHANGED <<requests, votes, leaderLog, acks, acked, staleRead, crashes, reads, diskFailures>>
 
 Next ==
   \/ \E s \in Server :
        \/ StartElection(s) \/ BecomeLeader(s) \/ Propose(s) \/ ChangeVoters(s) \/ Commit(s)
-       \/ StartRead(s) \/ FinishRead(s) \/ Crash(s) \/ Wipe(s)
+       \/ StartRead(s) \/ FinishRead(s) \/ Crash(s) \/ Wipe(s) \/ FailDisk(s) \/ Reopen(s)
        \/ \E r \in requests : GrantVote(s, r)
-       \/ \E t \in Terms : Accept(s, t)
+       \/ \E t \in Terms : Accept(s, t) \/ AcceptInMemory(s, t)
        \/ \E m \in Server : ConfirmRead(s, m)
 
 (* Without membership changes, for the models that leave them out. *)
 NextFixedVoters ==
   \/ \E s \in Server :
        \/ StartElection(s) \/ BecomeLeader(s) \/ Propose(s) \/ Commit(s)
-       \/ StartRead(s) \/ FinishRead(s) \/ Crash(s) \/ Wipe(s)
+       \/ StartRead(s) \/ FinishRead(s) \/ Crash(s) \/ Wipe(s) \/ FailDisk(s) \/ Reopen(s)
        \/ \E r \in requests : GrantVote(s, r)
-       \/ \E t \in Terms : Accept(s, t)
+       \/ \E t \in Terms : Accept(s, t) \/ AcceptInMemory(s, t)
        \/ \E m \in Server : ConfirmRead(s, m)
 
 (* A reachable state: s1 led term 1 and s3 led term 2, each with one entry of its own that no other *)
@@ -245,6 +304,9 @@
     /\ read = [s \in Server |-> NoRead]
     /\ staleRead = FALSE
     /\ crashes = 0 /\ wipes = 0 /\ reads = 0
+    /\ diskOk = [s \in Server |-> TRUE]
+    /\ durable = log
+    /\ diskFailures = 0
 
 Spec == Init /\ [][Next]_vars
 SpecTwoLeaders == InitTwoLeaders /\ [][NextFixedVoters]_vars
