Check again that a refused command is not in force later

Change: the first test also checks that the member shows the failure, and that the outcome of its first proposal is true; commandRefusedByAVmWithAFailingDiskIsNotIn ForceLater refuses a command while no leader is in reach and looks for it after the recovery; nothingDeferredIsSentUntilTheRepeatedWriteIsDurable covers the deferred messages.

--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftNodeTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftNodeTest.java
@@ -169,6 +169,22 @@
     assertThat(node.takePersistRequests()).isEmpty();
   }
 
+  /** Guards against a vote or acknowledgement that a failed disk has deferred and that is sent. */
+  @Test
+  void nothingDeferredIsSentUntilTheRepeatedWriteIsDurable() {
+    RaftNode node = member(SELF, B, C);
+    LogEntry entry = new LogEntry(2, 2, EntryKind.NO_OP, new byte[0]);
+    node.receive(new AppendRequest(B, SELF, 2, 1, 1, List.of(entry), 0), 1);
+    List<PersistRequest> requests = node.takePersistRequests();
+    node.takeMessages();
+    node.onStorageUnavailable();
+    node.tick(LATER);
+    assertThat(node.takeMessages()).isEmpty();
+    assertThat(node.takePersistRequests()).isEmpty();
+    node.onPersisted(requests.get(requests.size() - 1).sequence());
+    assertThat(node.takeMessages()).contains(new AppendResponse(SELF, B, 2, true, 2, 0, 0));
+  }
+
   /** Guards against a receipt of entries that are not durable and yet commit or confirm a read. */
   @Test
   void receiptsCommitAndConfirmNothing() {
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/ConsensusServiceTest.java
@@ -170,11 +170,12 @@
     commit(leader(), "first");
     RunningVm failing = leader();
     failing.faults.setFailing(true);
-    failing.propose("lost-or-not");
+    String outcome = failing.propose("lost-or-not");
     for (int i = 0; i < 3000 && leader() == failing; i++) {
       Thread.sleep(10);
     }
     assertThat(failing.metrics.counter("consensus.sync-failures").getCount()).isAtLeast(1);
+    assertThat(failing.metrics.getGauges().get("consensus.storage-failed").getValue()).isEqualTo(1);
     RunningVm next = leader();
     assertThat(next).isNotSameInstanceAs(failing);
     long acknowledgedIndex = matchIndex(next, failing.vmId);
@@ -184,6 +185,39 @@
     boolean leads = failing.call(failing.service::isLeader);
     assertThat(leads).isFalse();
     assertThat(matchIndex(next, failing.vmId)).isEqualTo(acknowledgedIndex);
+    if (outcome.startsWith("committed")) {
+      assertThat(next.readCurrent()).contains("lost-or-not");
+    } else if (outcome.equals("not-appended")) {
+      assertThat(next.readCurrent()).doesNotContain("lost-or-not");
+    }
+  }
+
+  /** Guards against a command that a VM with a failing disk refuses and that is in force later. */
+  @Test
+  void commandRefusedByAVmWithAFailingDiskIsNotInForceLater() throws Exception {
+    commit(leader(), "first");
+    RunningVm failing = leader();
+    failing.faults.setFailing(true);
+    failing.propose("lost-or-not");
+    List<VmId> others =
+        addresses.keySet().stream().filter(vmId -> !vmId.equals(failing.vmId)).toList();
+    for (VmId vmId : others) {
+      stop(vmId);
+    }
+    String refused = "";
+    for (int i = 0; i < 100 && refused.isEmpty(); i++) {
+      refused = failing.propose("refused-" + i).equals("not-appended") ? "refused-" + i : "";
+    }
+    assertThat(refused).isNotEmpty();
+    for (VmId vmId : others) {
+      start(vmId);
+    }
+    failing.faults.setFailing(false);
+    assertThat(failing.proposeUntilCommitted("after")).startsWith("committed");
+    for (RunningVm vm : vms.values()) {
+      assertThat(vm.readCurrent()).containsAtLeast("first", "after");
+      assertThat(vm.readCurrent()).doesNotContain(refused);
+    }
   }
 
   /** Guards against two processes on one data folder. */
