--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
@@ -7,6 +7,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import org.cornelspoke.coordination.consensus.SimulatedCluster.Mutation;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class RaftSimulationTest {
@@ -44,6 +45,28 @@
     assertWithMessage("seed %s", seed).that(cluster.checker.violations()).isEmpty();
   }
 
+  /**
+   * Runs by hand: more seeds than the build has time for, from {@code simulation.firstSeed} on.
+   * Every second run ends with a loss of power of all VMs.
+   */
+  @Tag("long-run")
+  @Test
+  void manySeedsBreakNoInvariant() {
+    long firstSeed = Long.getLong("simulation.firstSeed", 0);
+    long runs = Long.getLong("simulation.runs", 1_000);
+    long acknowledged = 0;
+    long reads = 0;
+    for (long seed = firstSeed; seed < firstSeed + runs; seed++) {
+      SimulatedCluster cluster = randomRun(seed, Mutation.NONE, seed % 2 == 0);
+      assertWithMessage("seed %s", seed).that(cluster.checker.violations()).isEmpty();
+      acknowledged += cluster.checker.acknowledgedCount();
+      reads += cluster.checker.readCount();
+    }
+    System.out.printf(
+        "%d runs from seed %d: %d acknowledged commands, %d confirmed reads, no violation%n",
+        runs, firstSeed, acknowledged, reads);
+  }
+
   /** Verifies that the checker reports the loss if failed writes count as durable. */
   @Test
   void checkerReportsFailedWritesCountedAsDurable() {
