Fail rather than hang when a connection outlives its refusals

Cause: FaultyUpstreamTest.connectionEndsAfterManyRefusals, new in, waits for the end of the stream without a time-out; with the bound of 32 refusals switched off it hung, as would the build.

Change: the read ends after 20 s.

Result: with the bound switched off 1 of 10 tests fails (read timed out), with it all 10 pass in 6.5 s. No product code is changed.

--- a/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/FaultyUpstreamTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/http/FaultyUpstreamTest.java
@@ -28,6 +28,8 @@
 @Timeout(120)
 final class FaultyUpstreamTest {
 
+  private static final int READ_TIMEOUT_MILLIS = 20_000;
+
   private static final String INTERIM = "HTTP/1.1 103 Early Hints\r\n\r\n";
   private static final CallResult MAY_HAVE_RUN =
       new CallResult.Failed(RefusalReason.UPSTREAM_FAILED);
@@ -112,6 +114,8 @@
       write(socket, response(503, "q" + i, ""));
       assertThat(result.get(20, TimeUnit.SECONDS)).isInstanceOf(CallResult.Refused.class);
     }
+    // Without this, a connection that stays open would block the read for good.
+    socket.setSoTimeout(READ_TIMEOUT_MILLIS);
     assertThat(socket.getInputStream().read()).isEqualTo(-1);
     socket.close();
   }
