Measure late tasks, long iterations and late requests of a daemon

The incident of requests held past their time-out has hypotheses that logs and metrics can't tell apart: timers that follow the time of day, a thread that is behind, a VM that doesn't run. An EventLoopMonitor on each event loop now records the delay of scheduled tasks, iterations of 10 ms and more, and steps of the time of day, and logs one line for a delay of 250 ms or a step. A request that ends 250 ms after its deadline is counted and logged, with the time that it may have waited on its socket, its targets and the revision in use. No logic of the request path is changed.

--- /dev/null
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/loop/package-info.java
@@ -0,0 +1,2 @@
+/** Construction and observation of event loops. */
+package org.cornelspoke.transport.loop;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/AbstractRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/AbstractRuntime.java
@@ -18,7 +18,8 @@
   private static final long FAILED_STOP_TIMEOUT_MILLIS = 10_000;
 
   private final MetricRegistry metrics = new MetricRegistry();
-  private final Eventloop controlLoop = EventLoops.create("control", metrics);
+  private final RuntimeLoop controlRuntimeLoop = new RuntimeLoop("control", metrics);
+  private final Eventloop controlLoop = controlRuntimeLoop.reactor();
   private final Thread controlThread;
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final AtomicBoolean stopRequested = new AtomicBoolean();
@@ -39,6 +40,7 @@
     controlLoop.keepAlive(true);
     controlThread.start();
     try {
+      controlLoop.submit(controlRuntimeLoop::startMonitor).get();
       controlLoop.submit(this::startOnControlThread).get();
       startTraffic();
     } catch (ExecutionException e) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -41,6 +41,7 @@
 
   private final TrafficSettings settings;
   private final TrafficProfile profile;
+  private final RuntimeLoop trafficRuntimeLoop;
   private final Eventloop trafficLoop;
   private final HolderChannel shareChannel;
   private final ControlClient controlClient;
@@ -52,7 +53,8 @@
     super(settings.daemonId().value());
     this.settings = settings;
     this.profile = profile;
-    this.trafficLoop = EventLoops.create("traffic", metrics());
+    this.trafficRuntimeLoop = new RuntimeLoop("traffic", metrics());
+    this.trafficLoop = trafficRuntimeLoop.reactor();
     this.shareChannel =
         new HolderChannel(
             trafficLoop,
@@ -87,6 +89,7 @@
             .withSelector(createSelector(learnedCapacity))
             .withRetries(new DefaultRetryBudgets(), profile.retryThrottles)
             .withRootThrottles(profile.rootThrottles)
+            .withArrivalClock(trafficRuntimeLoop.monitor())
             .withMetrics(metrics());
     profile.localApi.ifPresent(api -> builder.withDialect(profile.dialect, api));
     this.daemon = builder.build();
@@ -122,6 +125,7 @@
   @Override
   void startTraffic() throws IOException {
     daemon.start();
+    trafficLoop.execute(trafficRuntimeLoop::startMonitor);
     shareChannel.start();
     LOGGER.log(
         Level.INFO,
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Collaborators.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Collaborators.java
@@ -10,6 +10,7 @@
 import org.cornelspoke.coordination.retry.RetryBudgets;
 import org.cornelspoke.coordination.retry.RetryThrottles;
 import org.cornelspoke.coordination.routing.TargetSelector;
+import org.cornelspoke.transport.loop.ArrivalClock;
 
 /**
  * The components that the traffic path depends on. Those that are not thread-safe are confined to
@@ -30,4 +31,5 @@
     Supplier<RootRequestThrottle> rootThrottles,
     LocalApiFactory localApi,
     TrafficMetrics metrics,
-    Timers timers) {}
+    Timers timers,
+    ArrivalClock arrivalClock) {}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/DecisionLog.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/DecisionLog.java
@@ -2,13 +2,15 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
- * Logs one line for each request that the daemon answered itself, up to a rate limit, and counts
- * the omitted lines. Lines about requests that may not be repeated have a separate limit, so that a
- * flood of refusals does not suppress them.
+ * Logs one line for each request that the daemon answered itself or that ended after its deadline,
+ * up to a rate limit, and counts the omitted lines. Each subject has a limit of its own, so that a
+ * flood of refusals does not suppress the other lines.
  *
  * <p>Not thread-safe.
  */
@@ -16,18 +18,24 @@
 
   private static final System.Logger LOGGER = System.getLogger(DecisionLog.class.getName());
 
-  /** A line costs about 50 µs, so that logging takes at most about 0.2% of a core. */
-  private static final int LINES_PER_SECOND = 20;
+  /** Kinds of lines. A line costs about 50 µs, so that all of them take at most 0.4% of a core. */
+  enum Subject {
+    REPEATABLE_REQUEST(20),
+    UNREPEATABLE_REQUEST(40),
+    LATE_REQUEST(20);
 
-  /** Lines per second about requests that may not be repeated. */
-  private static final int UNREPEATABLE_LINES_PER_SECOND = 40;
+    private final int linesPerSecond;
+
+    Subject(int linesPerSecond) {
+      this.linesPerSecond = linesPerSecond;
+    }
+  }
 
   private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final Counter omittedTotal;
   private long windowStartNanos;
-  private int lines;
-  private int unrepeatableLines;
+  private final Map<Subject, Integer> lines = new EnumMap<>(Subject.class);
   private int omittedInWindow;
 
   DecisionLog(MetricRegistry metrics) {
@@ -37,15 +45,11 @@
   /**
    * Logs a line if the rate limit permits it.
    *
-   * @param unrepeatable true if the request may not be repeated
    * @param line pairs {@code name=value}; evaluated only if the line is logged
    */
-  void write(boolean unrepeatable, long nowNanos, Supplier<String> line) {
+  void write(Subject subject, long nowNanos, Supplier<String> line) {
     startWindowIfDue(nowNanos);
-    boolean allowed =
-        unrepeatable
-            ? unrepeatableLines++ < UNREPEATABLE_LINES_PER_SECOND
-            : lines++ < LINES_PER_SECOND;
+    boolean allowed = lines.merge(subject, 1, Integer::sum) <= subject.linesPerSecond;
     if (allowed) {
       LOGGER.log(System.Logger.Level.INFO, line.get());
     } else {
@@ -62,8 +66,7 @@
       LOGGER.log(System.Logger.Level.INFO, "event=lines-omitted count=" + omittedInWindow);
     }
     windowStartNanos = nowNanos;
-    lines = 0;
-    unrepeatableLines = 0;
+    lines.clear();
     omittedInWindow = 0;
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -35,6 +35,9 @@
   private static final long TABLE_FULL_RETRY_MILLIS = 60_000;
   private static final long DEFAULT_RETRY_MILLIS = 1_000;
 
+  /** Time after its deadline from which on the end of a request is recorded as late. */
+  private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
   /**
    * Separates the values of a repeated header in a stored answer; it cannot occur in a header
    * value.
@@ -45,6 +48,7 @@
   private final Collaborators collaborators;
   private final HttpExchange exchange;
   private final long startNanos = System.nanoTime();
+  private final long socketWaitNanos;
   private String requestId;
   private long callerDeadlineNanos = Long.MAX_VALUE;
   private CallHead head;
@@ -65,6 +69,9 @@
     this.dependencies = dependencies;
     this.collaborators = dependencies.collaborators();
     this.exchange = exchange;
+    this.socketWaitNanos =
+        Math.max(0, startNanos - collaborators.arrivalClock().earliestArrivalNanos());
+    collaborators.metrics().socketWaitTime.update(socketWaitNanos, TimeUnit.NANOSECONDS);
     exchange.onAbandoned(this::onAbandoned);
   }
 
@@ -352,6 +359,7 @@
   private void onAbandoned() {
     collaborators.metrics().abandoned.inc();
     collaborators.metrics().onRefused(RefusalReason.CANCELLED);
+    recordLateness("abandoned-late", System.nanoTime());
     if (forwarding != null && claimKey == null) {
       forwarding.cancel();
       endNestedCall();
@@ -372,7 +380,9 @@
     dependencies
         .decisions()
         .write(
-            head != null && !repeatable,
+            head != null && !repeatable
+                ? DecisionLog.Subject.UNREPEATABLE_REQUEST
+                : DecisionLog.Subject.REPEATABLE_REQUEST,
             now,
             () -> describe(reason, verdict, retryAfterMillis, now));
     long remainingMillis =
@@ -434,13 +444,38 @@
   }
 
   private void respond(HttpResponse response) {
-    collaborators
-        .metrics()
-        .requestTime
-        .update(System.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
+    long now = System.nanoTime();
+    collaborators.metrics().requestTime.update(now - startNanos, TimeUnit.NANOSECONDS);
+    recordLateness("answered-late", now);
     exchange.respond(response);
   }
 
+  /** Records a request that ends after its deadline, with where and for how long it waited. */
+  private void recordLateness(String event, long nowNanos) {
+    if (head == null || nowNanos - deadlineNanos < LATE_NANOS) {
+      return;
+    }
+    collaborators.metrics().lateness.update(nowNanos - deadlineNanos, TimeUnit.NANOSECONDS);
+    dependencies
+        .decisions()
+        .write(DecisionLog.Subject.LATE_REQUEST, nowNanos, () -> describeLate(event, nowNanos));
+  }
+
+  private String describeLate(String event, long nowNanos) {
+    StringBuilder line = new StringBuilder(256);
+    line.append("event=").append(event).append(" request=").append(requestId);
+    line.append(" lateMillis=").append(TimeUnit.NANOSECONDS.toMillis(nowNanos - deadlineNanos));
+    line.append(" ageMillis=").append(TimeUnit.NANOSECONDS.toMillis(nowNanos - startNanos));
+    line.append(" socketWaitMillis=").append(TimeUnit.NANOSECONDS.toMillis(socketWaitNanos));
+    line.append(" path=").append(exchange.head().path());
+    line.append(" service=").append(head.service().value());
+    line.append(" revision=").append(collaborators.views().current().revision().number());
+    if (forwarding != null) {
+      forwarding.describe(line);
+    }
+    return line.toString();
+  }
+
   /** Returns unused attempts to the parent call and adds the calls made to its count. */
   private void settleWithParent() {
     if (parentCallId != null && head != null) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -25,6 +25,7 @@
 import org.cornelspoke.transport.http.HttpResponse;
 import org.cornelspoke.transport.http.HttpServer;
 import org.cornelspoke.transport.link.LinkServer;
+import org.cornelspoke.transport.loop.ArrivalClock;
 import org.cornelspoke.util.Assert;
 
 /**
@@ -322,6 +323,7 @@
     private Supplier<RootRequestThrottle> rootThrottles = RootRequestThrottle::none;
     private LocalApiFactory localApi = LocalApi::new;
     private TargetPublisher publisher;
+    private ArrivalClock arrivalClock = System::nanoTime;
     private MetricRegistry metrics;
 
     private Builder(TrafficSettings settings, Eventloop reactor) {
@@ -374,6 +376,12 @@
       return this;
     }
 
+    /** Sets the clock that tells how long received input may have waited on its socket. */
+    public Builder withArrivalClock(ArrivalClock newArrivalClock) {
+      this.arrivalClock = newArrivalClock;
+      return this;
+    }
+
     /** Sets the metric registry. */
     public Builder withMetrics(MetricRegistry newMetrics) {
       this.metrics = newMetrics;
@@ -402,7 +410,8 @@
               Assert.notNull(rootThrottles, "rootThrottles"),
               Assert.notNull(localApi, "localApi"),
               new TrafficMetrics(Assert.notNull(metrics, "metrics")),
-              new Timers(reactor)));
+              new Timers(reactor),
+              Assert.notNull(arrivalClock, "arrivalClock")));
     }
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
@@ -15,6 +15,13 @@
   private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
 
   final Timer requestTime;
+
+  /** Time between the deadline and the end of requests that ended after it. */
+  final Timer lateness;
+
+  /** Upper bound of the time that requests waited on their socket before they were read. */
+  final Timer socketWaitTime;
+
   final Timer gateWaitTime;
   final Timer upstreamTime;
   final Counter answered;
@@ -36,6 +43,8 @@
       refusals.put(reason, registry.counter("edge.refused." + reason.code()));
     }
     this.requestTime = timer("edge.request-time");
+    this.lateness = timer("edge.lateness");
+    this.socketWaitTime = timer("edge.socket-wait-time");
     this.gateWaitTime = timer("gate.wait-time");
     this.upstreamTime = timer("upstream.time");
     this.answered = registry.counter("edge.answered");
