Reproduce requests held after the time of day has stepped back

A request with a time-out of 0.5 s whose upstream doesn't answer gets no answer within 20 s after a step back, alone and over a link; after a step forward the registration of the upstream ends at once (503 no-target).

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/loop/EventLoopMonitor.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/loop/EventLoopMonitor.java
@@ -63,7 +63,13 @@
     this(name, metrics, System::currentTimeMillis, System::nanoTime);
   }
 
-  EventLoopMonitor(
+  /**
+   * Creates a monitor with the given clocks.
+   *
+   * @param wallClockMillis time of day
+   * @param nanoClock elapsed time as of {@link System#nanoTime}
+   */
+  public EventLoopMonitor(
       String name, MetricRegistry metrics, LongSupplier wallClockMillis, LongSupplier nanoClock) {
     this.name = Assert.hasText(name, "name");
     this.wallClockMillis = Assert.notNull(wallClockMillis, "wallClockMillis");
@@ -114,6 +120,11 @@
     }
   }
 
+  /** Returns the time of day in milliseconds since the epoch. */
+  long wallClockMillis() {
+    return wallClockMillis.getAsLong();
+  }
+
   private void recordIteration(long durationNanos) {
     longestIterationNanos = Math.max(longestIterationNanos, durationNanos);
     if (durationNanos >= LONG_ITERATION_NANOS) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/loop/EventLoops.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/loop/EventLoops.java
@@ -1,7 +1,6 @@
 package org.cornelspoke.transport.loop;
 
 import io.activej.eventloop.Eventloop;
-import java.util.function.LongSupplier;
 
 /** Creates event loops; all event loops of the product are created here. */
 public final class EventLoops {
@@ -10,15 +9,11 @@
 
   /** Returns the builder of an event loop that is observed by the given monitor. */
   public static Eventloop.Builder builder(EventLoopMonitor monitor) {
-    return builder(monitor, System::currentTimeMillis);
-  }
-
-  static Eventloop.Builder builder(EventLoopMonitor monitor, LongSupplier wallClockMillis) {
     return Eventloop.builder()
         .withTimeProvider(
             () -> {
               monitor.onClockRead();
-              return wallClockMillis.getAsLong();
+              return monitor.wallClockMillis();
             })
         .withInspector(monitor);
   }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.cornelspoke.coordination.admission.ChainAdmissionSettings;
@@ -45,6 +46,8 @@
 import org.cornelspoke.state.config.Route;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.view.FleetView;
+import org.cornelspoke.transport.loop.EventLoopMonitor;
+import org.cornelspoke.transport.loop.EventLoops;
 
 /** Daemons on free ports that share one fleet view; announced targets appear in it immediately. */
 final class TestFleet implements AutoCloseable, TargetPublisher {
@@ -60,6 +63,12 @@
   final Fakes.InMemoryClaimClient claims = new Fakes.InMemoryClaimClient();
   final Map<String, MetricRegistry> metrics = new ConcurrentHashMap<>();
 
+  /** Event loops of the daemons by name. */
+  final Map<String, Eventloop> loops = new ConcurrentHashMap<>();
+
+  /** Difference between the time of day of the daemons' VMs and the true one. */
+  final AtomicLong clockStepMillis = new AtomicLong();
+
   /** Requests submitted to the gates of all daemons. */
   final List<GateRequest> gateRequests = new CopyOnWriteArrayList<>();
 
@@ -127,7 +136,16 @@
             listener.onRefused(1_500);
           }
         };
-    return TrafficDaemon.builder(settings, Eventloop.create())
+    EventLoopMonitor monitor =
+        new EventLoopMonitor(
+            "traffic",
+            registry,
+            () -> System.currentTimeMillis() + clockStepMillis.get(),
+            System::nanoTime);
+    Eventloop loop = EventLoops.builder(monitor).build();
+    loops.put(settings.daemonId().value(), loop);
+    return TrafficDaemon.builder(settings, loop)
+        .withArrivalClock(monitor)
         .withFleet(viewsOf(settings.daemonId().value()), this)
         .withAdmission(limiter, claims, gates)
         .withDialect(dialect, localApi)
@@ -288,6 +306,16 @@
 
   static Route route(
       String prefix, String service, TrafficClass trafficClass, boolean open, boolean repeatable) {
+    return route(prefix, service, trafficClass, open, repeatable, 10_000);
+  }
+
+  static Route route(
+      String prefix,
+      String service,
+      TrafficClass trafficClass,
+      boolean open,
+      boolean repeatable,
+      int timeoutMillis) {
     return new Route(
         new RouteId(prefix.substring(1).replace('/', '-')),
         Route.ANY_METHOD,
@@ -296,7 +324,7 @@
         trafficClass,
         open,
         repeatable,
-        10_000);
+        timeoutMillis);
   }
 
   private void rebuild() {
