Count the time that requests wait on their socket towards their time-out

Callers saw requests run long after their time-out or after they had left, if the traffic thread of a daemon was behind: the time-out counted from the moment the head was handled, and requests were passed on before it was known that their callers had left. A call between daemons had the same fault, and a request behind another on its connection.

HTTP requests and calls carry this time, and deadlines count from it. Forwarding starts no attempt after the deadline.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpExchange.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpExchange.java
@@ -12,14 +12,16 @@
   private final HttpServerConnection connection;
   private final RequestHead head;
   private final byte[] body;
+  private final long arrivalNanos;
   private Runnable abandonListener;
   private boolean responded;
   private boolean abandoned;
 
-  HttpExchange(HttpServerConnection connection, RequestHead head, byte[] body) {
+  HttpExchange(HttpServerConnection connection, RequestHead head, byte[] body, long arrivalNanos) {
     this.connection = connection;
     this.head = head;
     this.body = body;
+    this.arrivalNanos = arrivalNanos;
   }
 
   /** Returns the request head. */
@@ -32,6 +34,15 @@
     return body;
   }
 
+  /**
+   * Returns the earliest time at which the first byte of the request can have arrived, in the time
+   * of {@link System#nanoTime}. A request that was sent behind another on its connection, or whose
+   * bytes waited on the socket, has arrived earlier than it was read.
+   */
+  public long arrivalNanos() {
+    return arrivalNanos;
+  }
+
   /** Sets a listener that runs if the caller disconnects before the response is sent. */
   public void onAbandoned(Runnable listener) {
     this.abandonListener = Assert.notNull(listener, "listener");
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
@@ -15,6 +15,8 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.cornelspoke.model.RefusalReason;
+import org.cornelspoke.transport.loop.InputBacklog;
 import org.cornelspoke.util.Assert;
 
 /**
@@ -42,6 +44,7 @@
   private final InetSocketAddress address;
   private final HttpHandler handler;
   private final int maxBodyBytes;
+  private final InputBacklog backlog;
   private final Set<HttpServerConnection> connections = new LinkedHashSet<>();
   private final Counter connectionCounter;
   private final Meter requests;
@@ -64,11 +67,29 @@
       HttpHandler handler,
       MetricRegistry metrics,
       String metricPrefix) {
+    this(reactor, address, maxBodyBytes, handler, metrics, metricPrefix, InputBacklog.immediate());
+  }
+
+  /**
+   * Creates a server that is not yet listening.
+   *
+   * @param metricPrefix prefix of the metric names, for example {@code edge}
+   * @param backlog defers requests while the event loop is behind
+   */
+  public HttpServer(
+      NioReactor reactor,
+      InetSocketAddress address,
+      int maxBodyBytes,
+      HttpHandler handler,
+      MetricRegistry metrics,
+      String metricPrefix,
+      InputBacklog backlog) {
     this.reactor = Assert.notNull(reactor, "reactor");
     this.address = Assert.notNull(address, "address");
     Assert.isTrue(maxBodyBytes > 0, "maxBodyBytes must be positive");
     this.handler = Assert.notNull(handler, "handler");
     this.maxBodyBytes = maxBodyBytes;
+    this.backlog = Assert.notNull(backlog, "backlog");
     this.connectionCounter = metrics.counter(metricPrefix + ".connections");
     this.requests = metrics.meter(metricPrefix + ".requests");
     this.malformed = metrics.meter(metricPrefix + ".malformed");
@@ -171,6 +192,10 @@
     return maxBodyBytes;
   }
 
+  InputBacklog backlog() {
+    return backlog;
+  }
+
   boolean isClosing() {
     return closing;
   }
@@ -178,6 +203,14 @@
   void serve(HttpExchange exchange) {
     requests.mark();
     requestsInFlight++;
+    backlog.submit(exchange.arrivalNanos(), () -> handle(exchange));
+  }
+
+  private void handle(HttpExchange exchange) {
+    if (exchange.isAbandoned()) {
+      exchange.respond(HttpResponse.ofStatus(RefusalReason.CANCELLED.httpStatus()));
+      return;
+    }
     try {
       handler.onRequest(exchange);
     } catch (RuntimeException e) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServerConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServerConnection.java
@@ -22,18 +22,26 @@
   private final ITcpSocket socket;
   private final SocketReader reader;
   private final ReadBuffer in = new ReadBuffer();
+  private final ArrivalTimes arrivalTimes = new ArrivalTimes();
   private State state = State.HEAD;
   private RequestHead head;
   private BodyReader bodyReader;
   private HttpExchange exchange;
   private boolean parsing;
+  private final long acceptedNanos = System.nanoTime();
+
+  /** Earliest time at which the caller can have connected, and can have sent its first bytes. */
+  private final long earliestConnectNanos;
+
   private long stateStartNanos;
+  private long arrivalNanos;
 
   HttpServerConnection(HttpServer server, ITcpSocket socket) {
     this.server = server;
     this.socket = socket;
     this.reader = new SocketReader(socket, this);
-    this.stateStartNanos = System.nanoTime();
+    this.stateStartNanos = acceptedNanos;
+    this.earliestConnectNanos = server.backlog().arrivalNanos();
   }
 
   void start() {
@@ -48,6 +56,7 @@
     if (state == State.HEAD && in.size() == 0) {
       stateStartNanos = System.nanoTime();
     }
+    arrivalTimes.onAppended(buf.readRemaining(), inputArrivalNanos());
     in.append(buf);
     if (state == State.SERVING) {
       if (in.size() > MAX_READ_AHEAD_BYTES) {
@@ -56,6 +65,13 @@
       return;
     }
     parse();
+    arrivalTimes.discardConsumed(in.size());
+  }
+
+  /** Input that is read in the first iteration after the accept may have arrived before it. */
+  private long inputArrivalNanos() {
+    long earliestNanos = server.backlog().arrivalNanos();
+    return earliestNanos - acceptedNanos <= 0 ? earliestConnectNanos : earliestNanos;
   }
 
   @Override
@@ -90,6 +106,7 @@
     if (in.size() == 0) {
       return false;
     }
+    arrivalNanos = arrivalTimes.ofFirst(in.size());
     int length = HeadParser.findEnd(in);
     if (length < 0) {
       return false;
@@ -111,7 +128,7 @@
     if (!bodyReader.read(in)) {
       return false;
     }
-    exchange = new HttpExchange(this, head, bodyReader.body());
+    exchange = new HttpExchange(this, head, bodyReader.body(), arrivalNanos);
     bodyReader = null;
     changeState(State.SERVING);
     server.serve(exchange);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/IncomingCall.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/IncomingCall.java
@@ -11,14 +11,16 @@
   private final long correlationId;
   private final CallHead head;
   private final byte[] body;
+  private final long arrivalNanos;
   private Runnable cancelListener;
   private boolean ended;
 
-  IncomingCall(ServerLink link, long correlationId, CallHead head, byte[] body) {
+  IncomingCall(ServerLink link, long correlationId, CallHead head, byte[] body, long arrivalNanos) {
     this.link = link;
     this.correlationId = correlationId;
     this.head = head;
     this.body = body;
+    this.arrivalNanos = arrivalNanos;
   }
 
   /** Returns the head of the call, which is everything except the body. */
@@ -31,6 +33,19 @@
     return body;
   }
 
+  /**
+   * Returns the earliest time at which the head of the call can have arrived, in the time of {@link
+   * System#nanoTime}.
+   */
+  public long arrivalNanos() {
+    return arrivalNanos;
+  }
+
+  /** Returns true if the call was answered or cancelled. */
+  boolean isEnded() {
+    return ended;
+  }
+
   /** Sets a listener that runs if the peer cancels the call or the link is closed. */
   public void onCancelled(Runnable listener) {
     this.cancelListener = Assert.notNull(listener, "listener");
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/LinkServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/LinkServer.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cornelspoke.protocol.call.CallCodec;
+import org.cornelspoke.transport.loop.InputBacklog;
 import org.cornelspoke.util.Assert;
 
 /**
@@ -27,6 +28,7 @@
   private final CallCodec codec;
   private final int maxBodyBytes;
   private final Consumer<IncomingCall> handler;
+  private final InputBacklog backlog;
   private final Set<ServerLink> links = new LinkedHashSet<>();
   private final Meter malformed;
   private volatile InetSocketAddress boundAddress;
@@ -36,6 +38,7 @@
    * Creates a server that is not yet listening.
    *
    * @param handler handles calls; must respond to each call exactly once
+   * @param backlog defers calls while the event loop is behind
    */
   public LinkServer(
       NioReactor reactor,
@@ -44,11 +47,13 @@
       CallCodec codec,
       int maxBodyBytes,
       Consumer<IncomingCall> handler,
-      MetricRegistry metrics) {
+      MetricRegistry metrics,
+      InputBacklog backlog) {
     this.selfId = Assert.hasText(selfId, "selfId");
     this.codec = Assert.notNull(codec, "codec");
     this.maxBodyBytes = maxBodyBytes;
     this.handler = Assert.notNull(handler, "handler");
+    this.backlog = Assert.notNull(backlog, "backlog");
     this.malformed = metrics.meter("link.malformed");
     this.server = new FrameServer(reactor, address, this::accept);
   }
@@ -116,6 +121,10 @@
     return maxBodyBytes;
   }
 
+  InputBacklog backlog() {
+    return backlog;
+  }
+
   void serve(IncomingCall call) {
     handler.accept(call);
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
@@ -27,7 +27,8 @@
   /** Limit of the announced bytes of incomplete bodies that are buffered for one peer. */
   private static final long MAX_INCOMPLETE_BODY_BYTES = 256L << 20;
 
-  private record IncompleteCall(CallHead head, BodyAssembler body, int bodyBytes) {}
+  private record IncompleteCall(
+      CallHead head, BodyAssembler body, int bodyBytes, long arrivalNanos) {}
 
   private final LinkServer server;
   private final FrameConnection connection;
@@ -179,9 +180,10 @@
               GateLoad.IDLE));
       return;
     }
+    long arrivalNanos = server.backlog().arrivalNanos();
     BodyAssembler body = new BodyAssembler(call.bodyBytes(), call.chunk());
     if (body.isComplete()) {
-      serve(call.correlationId(), call.head(), body);
+      serve(call.correlationId(), call.head(), body, arrivalNanos);
       return;
     }
     incompleteBodyBytes += call.bodyBytes();
@@ -189,7 +191,8 @@
       throw new ProtocolException("too many incomplete bodies");
     }
     incompleteCalls.put(
-        call.correlationId(), new IncompleteCall(call.head(), body, call.bodyBytes()));
+        call.correlationId(),
+        new IncompleteCall(call.head(), body, call.bodyBytes(), arrivalNanos));
   }
 
   private void onCallEnd(CallEnd end) throws ProtocolException {
@@ -200,7 +203,7 @@
     if (!incomplete.body().isComplete()) {
       throw new ProtocolException("call body is shorter than announced");
     }
-    serve(end.correlationId(), incomplete.head(), incomplete.body());
+    serve(end.correlationId(), incomplete.head(), incomplete.body(), incomplete.arrivalNanos());
   }
 
   private void onCancel(Cancel cancel) {
@@ -223,9 +226,21 @@
     return incomplete;
   }
 
-  private void serve(long correlationId, CallHead head, BodyAssembler body) {
-    IncomingCall call = new IncomingCall(this, correlationId, head, body.body());
+  private void serve(long correlationId, CallHead head, BodyAssembler body, long arrivalNanos) {
+    IncomingCall call = new IncomingCall(this, correlationId, head, body.body(), arrivalNanos);
     calls.put(correlationId, call);
-    server.serve(call);
+    server.backlog().submit(arrivalNanos, () -> handle(call));
+  }
+
+  private void handle(IncomingCall call) {
+    if (call.isEnded()) {
+      return;
+    }
+    try {
+      server.serve(call);
+    } catch (RuntimeException e) {
+      connection.close();
+      throw e;
+    }
   }
 }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/transport/link/PeerLinkTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/transport/link/PeerLinkTest.java
@@ -25,6 +25,7 @@
 import org.cornelspoke.protocol.call.CallOutcome;
 import org.cornelspoke.protocol.call.CallResult;
 import org.cornelspoke.protocol.call.Headers;
+import org.cornelspoke.transport.loop.InputBacklog;
 import org.junit.jupiter.api.Test;
 
 class PeerLinkTest {
@@ -268,7 +269,8 @@
             codec,
             MAX_BODY_BYTES,
             incoming::add,
-            metrics);
+            metrics,
+            InputBacklog.immediate());
     IOException[] failure = new IOException[1];
     reactor.post(
         () -> {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeHandler.java
@@ -142,7 +142,7 @@
     request.start(
         head,
         route.repeatable(),
-        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
+        request.startNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
         route.latencyObjectiveMillis(),
         account.filter(Account::isLimited).isPresent(),
         headers.idempotencyKey());
@@ -156,18 +156,19 @@
       CallContext context) {
     CallId parentCallId = context.call();
     ParentCalls.Parent parent = dependencies.parents().get(parentCallId);
-    long now = System.nanoTime();
+    long startNanos = request.startNanos();
     long deadlineNanos =
         parent != null
             ? parent.deadlineNanos()
-            : now
+            : startNanos
                 + TimeUnit.MILLISECONDS.toNanos(
                     Math.min(
                         context.expiresAtMillis() - System.currentTimeMillis(),
                         route.timeoutMillis()));
     if (headers.remainingMillis() >= 0) {
       deadlineNanos =
-          Math.min(deadlineNanos, now + TimeUnit.MILLISECONDS.toNanos(headers.remainingMillis()));
+          Math.min(
+              deadlineNanos, startNanos + TimeUnit.MILLISECONDS.toNanos(headers.remainingMillis()));
     }
     // An unknown parent was started before a restart of this daemon or has already ended.
     int retryBudget = parent == null ? 0 : collaborators.ledger().borrow(parentCallId);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -47,7 +47,7 @@
   private final EdgeDependencies dependencies;
   private final Collaborators collaborators;
   private final HttpExchange exchange;
-  private final long startNanos = System.nanoTime();
+  private final long startNanos;
   private final long socketWaitNanos;
   private String requestId;
   private long callerDeadlineNanos = Long.MAX_VALUE;
@@ -69,8 +69,8 @@
     this.dependencies = dependencies;
     this.collaborators = dependencies.collaborators();
     this.exchange = exchange;
-    this.socketWaitNanos =
-        Math.max(0, startNanos - collaborators.arrivalClock().earliestArrivalNanos());
+    this.startNanos = exchange.arrivalNanos();
+    this.socketWaitNanos = System.nanoTime() - startNanos;
     collaborators.metrics().socketWaitTime.update(socketWaitNanos, TimeUnit.NANOSECONDS);
     exchange.onAbandoned(this::onAbandoned);
   }
@@ -89,6 +89,11 @@
             : startNanos + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
   }
 
+  /** Returns the time from which on the time-out of the request counts. */
+  long startNanos() {
+    return startNanos;
+  }
+
   /** Marks the request as a nested call; must be called before start. */
   void setParentCallId(CallId newParentCallId) {
     this.parentCallId = newParentCallId;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -145,6 +145,10 @@
     backoffTimer = null;
     while (true) {
       long now = System.nanoTime();
+      if (now - deadlineNanos >= 0) {
+        complete(new CallResult.Refused(RefusalReason.DEADLINE, 0));
+        return;
+      }
       Optional<Target> selected =
           collaborators.selector().select(requestKind, excludedTargets, now);
       if (selected.isEmpty()) {
@@ -176,7 +180,7 @@
   private void callLocal(long now) {
     CallHead attemptHead = beginAttempt(now);
     int attemptNumber = attemptCount;
-    LocalCall call = dependencies.localCalls().start(attemptHead, body, this::onAttemptEnded);
+    LocalCall call = dependencies.localCalls().start(attemptHead, body, now, this::onAttemptEnded);
     if (call != null) {
       setCancel(attemptNumber, call::cancel);
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -64,6 +64,7 @@
       LocalUpstream upstream,
       CallHead head,
       byte[] body,
+      long deadlineNanos,
       LinkCall.Listener listener) {
     this.calls = calls;
     this.collaborators = calls.collaborators();
@@ -71,9 +72,13 @@
     this.head = head;
     this.body = body;
     this.listener = listener;
-    this.deadlineNanos =
-        startNanos
-            + TimeUnit.MILLISECONDS.toNanos(Math.min(head.remainingMillis(), MAX_REMAINING_MILLIS));
+    this.deadlineNanos = deadlineNanos;
+  }
+
+  /** Returns the deadline of a call that arrived at the given time. */
+  static long deadlineNanos(CallHead head, long arrivalNanos) {
+    return arrivalNanos
+        + TimeUnit.MILLISECONDS.toNanos(Math.min(head.remainingMillis(), MAX_REMAINING_MILLIS));
   }
 
   void start() {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCalls.java
@@ -39,23 +39,27 @@
   /** Handles a call received over a link. */
   void onIncoming(IncomingCall call) {
     view.get();
-    LocalCall localCall = start(call.head(), call.body(), call::respond);
+    LocalCall localCall = start(call.head(), call.body(), call.arrivalNanos(), call::respond);
     if (localCall != null) {
       call.onCancelled(localCall::cancel);
     }
   }
 
   /**
-   * Returns the started call, or null if it was refused immediately because there is no upstream,
-   * no time remaining, or no configuration yet: a daemon that has just started doesn't know whether
-   * its data centre is evacuated.
+   * Starts a call.
+   *
+   * @param arrivalNanos time from which on the remaining time of the call counts
+   * @return the started call, or null if it was refused immediately because there is no upstream,
+   *     no time remaining, or no configuration yet: a daemon that has just started doesn't know
+   *     whether its data centre is evacuated.
    */
-  LocalCall start(CallHead head, byte[] body, LinkCall.Listener listener) {
+  LocalCall start(CallHead head, byte[] body, long arrivalNanos, LinkCall.Listener listener) {
+    long deadlineNanos = LocalCall.deadlineNanos(head, arrivalNanos);
     LocalUpstream upstream = upstreams.find(head.service());
     CallResult refusal = null;
     if (upstream == null || !view.isKnown()) {
       refusal = new CallResult.Refused(RefusalReason.NO_TARGET, 0);
-    } else if (head.remainingMillis() <= 0) {
+    } else if (System.nanoTime() - deadlineNanos >= 0) {
       refusal = new CallResult.Refused(RefusalReason.DEADLINE, 0);
     }
     if (refusal != null) {
@@ -68,7 +72,7 @@
         .targetEstimate()
         .ifPresent(
             estimate -> upstream.capacity.onEarlierEstimate(LocalCall.workKind(head), estimate));
-    LocalCall call = new LocalCall(this, upstream, head, body, listener);
+    LocalCall call = new LocalCall(this, upstream, head, body, deadlineNanos, listener);
     call.start();
     return call;
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -26,6 +26,7 @@
 import org.cornelspoke.transport.http.HttpServer;
 import org.cornelspoke.transport.link.LinkServer;
 import org.cornelspoke.transport.loop.ArrivalClock;
+import org.cornelspoke.transport.loop.InputBacklog;
 import org.cornelspoke.util.Assert;
 
 /**
@@ -64,6 +65,7 @@
     TrafficSettings settings = collaborators.settings();
     MetricRegistry registry = collaborators.metrics().registry();
     Eventloop reactor = collaborators.reactor();
+    InputBacklog backlog = new InputBacklog(reactor, collaborators.arrivalClock());
     CallCodec codec = new CallCodec();
     ContextSigner signer = new ContextSigner();
     ParentCalls parents = new ParentCalls();
@@ -97,7 +99,8 @@
             settings.maxBodyBytes(),
             edgeHandler,
             registry,
-            "edge");
+            "edge",
+            backlog);
     this.local =
         new HttpServer(
             reactor,
@@ -114,7 +117,8 @@
             codec,
             settings.maxBodyBytes(),
             localCalls::onIncoming,
-            registry);
+            registry,
+            backlog);
     this.thread = new Thread(reactor, "traffic-" + settings.daemonId());
   }
 
