Keep accepting callers when descriptors run out

Callers saw requests reach targets seconds after they had left, and connections that nobody read: a daemon whose callers hold all of its file descriptors accepts nobody. Its listener stays ready, so that the event loop spins on failing accepts and logs each with a stack trace.

ConnectionLimits keep the connections of callers to 0.6 of the descriptors: above, the server closes the connections that have been idle longest, and without idle ones it refuses the first request of a new connection with a true "not run". AcceptGuard pauses the listeners of an event loop for 50 ms at a time while no descriptor is left, and logs it once.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
@@ -12,7 +12,9 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cornelspoke.model.RefusalReason;
@@ -35,6 +37,12 @@
   /** Length of the accept queue; callers reconnect in bursts after a failure. */
   private static final int ACCEPT_BACKLOG = 1_024;
 
+  /** Part of the connections that are closed at a time to make room for new ones. */
+  private static final int CLOSED_FOR_ROOM_DIVISOR = 64;
+
+  /** A connection that has been idle for less than this may have a request in transit. */
+  private static final long MIN_IDLE_FOR_ROOM_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   private static final System.Logger LOGGER = System.getLogger(HttpServer.class.getName());
 
   private static final SocketSettings SOCKET_SETTINGS =
@@ -50,6 +58,9 @@
   private final Meter requests;
   private final Meter malformed;
   private final Meter faults;
+  private final Counter closedForRoom;
+  private final Counter refusedConnections;
+  private ConnectionLimits limits = ConnectionLimits.UNLIMITED;
   private volatile InetSocketAddress boundAddress;
   private ServerSocketChannel listener;
   private int requestsInFlight;
@@ -94,6 +105,14 @@
     this.requests = metrics.meter(metricPrefix + ".requests");
     this.malformed = metrics.meter(metricPrefix + ".malformed");
     this.faults = metrics.meter(metricPrefix + ".faults");
+    this.closedForRoom = metrics.counter(metricPrefix + ".connections-closed-for-room");
+    this.refusedConnections = metrics.counter(metricPrefix + ".connections-refused");
+  }
+
+  /** Limits the open connections; must be called before the server starts. */
+  public HttpServer withConnectionLimits(ConnectionLimits newLimits) {
+    this.limits = Assert.notNull(newLimits, "newLimits");
+    return this;
   }
 
   /**
@@ -224,6 +243,10 @@
     requestsInFlight--;
   }
 
+  void onConnectionRefused() {
+    refusedConnections.inc();
+  }
+
   void onMalformed(HttpSyntaxException e) {
     malformed.mark();
   }
@@ -265,10 +288,20 @@
   }
 
   private void accept(SocketChannel channel) {
+    if (connections.size() >= limits.maxConnections()) {
+      closeIdleForRoom();
+    }
+    int excess = connections.size() + 1 - limits.maxConnections();
+    if (excess > limits.maxRefusedConnections()) {
+      refusedConnections.inc();
+      reactor.closeChannel(channel, null);
+      return;
+    }
     HttpServerConnection connection;
     try {
       connection =
-          new HttpServerConnection(this, TcpSocket.wrapChannel(reactor, channel, SOCKET_SETTINGS));
+          new HttpServerConnection(
+              this, TcpSocket.wrapChannel(reactor, channel, SOCKET_SETTINGS), excess > 0);
     } catch (IOException e) {
       // The caller has already closed the connection.
       reactor.closeChannel(channel, null);
@@ -278,4 +311,20 @@
     connectionCounter.inc();
     connection.start();
   }
+
+  /** Closes the connections that have been idle longest, at most a small part of all. */
+  private void closeIdleForRoom() {
+    long nowNanos = System.nanoTime();
+    List<HttpServerConnection> idle = new ArrayList<>();
+    for (HttpServerConnection connection : connections) {
+      if (connection.isIdle()
+          && nowNanos - connection.stateStartNanos() >= MIN_IDLE_FOR_ROOM_NANOS) {
+        idle.add(connection);
+      }
+    }
+    idle.sort(Comparator.comparingLong(HttpServerConnection::stateStartNanos));
+    int count = Math.min(idle.size(), 1 + limits.maxConnections() / CLOSED_FOR_ROOM_DIVISOR);
+    idle.subList(0, count).forEach(HttpServerConnection::close);
+    closedForRoom.inc(count);
+  }
 }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServerConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServerConnection.java
@@ -2,6 +2,7 @@
 
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.tcp.ITcpSocket;
+import org.cornelspoke.model.RefusalReason;
 import org.cornelspoke.model.Verdict;
 
 /** One connection of a caller. Requests on a connection are served sequentially. */
@@ -10,6 +11,8 @@
   /** Pipelined bytes that are buffered while a request is served; reading pauses above this. */
   private static final int MAX_READ_AHEAD_BYTES = 64 << 10;
 
+  private static final long REFUSED_RETRY_MILLIS = 1_000;
+
   private enum State {
     HEAD,
     BODY,
@@ -21,6 +24,7 @@
   private final HttpServer server;
   private final ITcpSocket socket;
   private final SocketReader reader;
+  private final boolean refusing;
   private final ReadBuffer in = new ReadBuffer();
   private final ArrivalTimes arrivalTimes = new ArrivalTimes();
   private State state = State.HEAD;
@@ -36,7 +40,13 @@
   private long stateStartNanos;
   private long arrivalNanos;
 
-  HttpServerConnection(HttpServer server, ITcpSocket socket) {
+  /**
+   * Creates a connection.
+   *
+   * @param refusing true if the first request is refused, because too many connections are open
+   */
+  HttpServerConnection(HttpServer server, ITcpSocket socket, boolean refusing) {
+    this.refusing = refusing;
     this.server = server;
     this.socket = socket;
     this.reader = new SocketReader(socket, this);
@@ -113,6 +123,16 @@
     }
     head = HeadParser.parseRequest(in.array(), in.head(), length);
     in.consume(length);
+    if (refusing) {
+      server.onConnectionRefused();
+      respondAndClose(
+          HttpResponse.refusal(
+              RefusalReason.OVERLOAD.httpStatus(),
+              RefusalReason.OVERLOAD,
+              Verdict.NOT_RUN,
+              REFUSED_RETRY_MILLIS));
+      return false;
+    }
     bodyReader =
         head.chunked()
             ? BodyReader.chunked(server.maxBodyBytes())
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/loop/EventLoopMonitor.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/loop/EventLoopMonitor.java
@@ -13,9 +13,9 @@
 import org.cornelspoke.util.Assert;
 
 /**
- * Observes one event loop: late scheduled tasks, long iterations and steps of the time of day. A
- * late task with a long iteration means that the thread was busy or did not run; a late task
- * without one means that the loop did not consider the task due.
+ * Observes one event loop: late scheduled tasks, long iterations, steps of the time of day and
+ * listeners that can't accept. A late task with a long iteration means that the thread was busy or
+ * did not run; a late task without one means that the loop did not consider the task due.
  *
  * <p>Confined to the thread of the loop.
  */
@@ -44,6 +44,7 @@
   private final Timer taskDelay;
   private final Timer longIterations;
   private final Counter clockSteps;
+  private final AcceptGuard acceptGuard;
   private Eventloop reactor;
   private long expectedTickNanos;
   private long wallClockOffsetMillis;
@@ -77,11 +78,12 @@
     this.taskDelay = timer(metrics, "eventloop." + name + ".task-delay");
     this.longIterations = timer(metrics, "eventloop." + name + ".long-iterations");
     this.clockSteps = metrics.counter("eventloop." + name + ".clock-steps");
+    this.acceptGuard = new AcceptGuard(name, metrics);
     this.iterationStartNanos = nanoClock.getAsLong();
     this.earliestArrivalNanos = iterationStartNanos;
   }
 
-  /** Starts to measure the delay of scheduled tasks. */
+  /** Starts to measure the delay of scheduled tasks and to guard the listeners of the loop. */
   public void start(Eventloop observed) {
     this.reactor = Assert.notNull(observed, "observed");
     wallClockOffsetMillis = wallClockOffsetMillis();
@@ -203,7 +205,11 @@
       int connectKeys,
       int readKeys,
       int writeKeys,
-      long loopTime) {}
+      long loopTime) {
+    if (acceptKeys > 0 && reactor != null) {
+      acceptGuard.onListenersReady(reactor);
+    }
+  }
 
   @Override
   public void onUpdateLocalTaskDuration(Runnable runnable, Stopwatch stopwatch) {}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -28,6 +28,7 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.state.config.BuiltInPresets;
 import org.cornelspoke.state.config.Preset;
+import org.cornelspoke.transport.http.ConnectionLimits;
 import org.cornelspoke.transport.http.HttpServer;
 
 /** Runs the services of a traffic daemon: control client, rate shares, request path and metrics. */
@@ -90,6 +91,7 @@
             .withRetries(new DefaultRetryBudgets(), profile.retryThrottles)
             .withRootThrottles(profile.rootThrottles)
             .withArrivalClock(trafficRuntimeLoop.monitor())
+            .withConnectionLimits(ConnectionLimits.ofProcess())
             .withMetrics(metrics());
     profile.localApi.ifPresent(api -> builder.withDialect(profile.dialect, api));
     this.daemon = builder.build();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Collaborators.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Collaborators.java
@@ -10,6 +10,7 @@
 import org.cornelspoke.coordination.retry.RetryBudgets;
 import org.cornelspoke.coordination.retry.RetryThrottles;
 import org.cornelspoke.coordination.routing.TargetSelector;
+import org.cornelspoke.transport.http.ConnectionLimits;
 import org.cornelspoke.transport.loop.ArrivalClock;
 
 /**
@@ -32,4 +33,5 @@
     LocalApiFactory localApi,
     TrafficMetrics metrics,
     Timers timers,
-    ArrivalClock arrivalClock) {}
+    ArrivalClock arrivalClock,
+    ConnectionLimits connectionLimits) {}
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficDaemon.java
@@ -22,6 +22,7 @@
 import org.cornelspoke.model.Verdict;
 import org.cornelspoke.protocol.call.CallCodec;
 import org.cornelspoke.protocol.context.ContextSigner;
+import org.cornelspoke.transport.http.ConnectionLimits;
 import org.cornelspoke.transport.http.HttpResponse;
 import org.cornelspoke.transport.http.HttpServer;
 import org.cornelspoke.transport.link.LinkServer;
@@ -101,6 +102,7 @@
             registry,
             "edge",
             backlog);
+    this.edge.withConnectionLimits(collaborators.connectionLimits());
     this.local =
         new HttpServer(
             reactor,
@@ -328,6 +330,7 @@
     private LocalApiFactory localApi = LocalApi::new;
     private TargetPublisher publisher;
     private ArrivalClock arrivalClock = System::nanoTime;
+    private ConnectionLimits connectionLimits = ConnectionLimits.UNLIMITED;
     private MetricRegistry metrics;
 
     private Builder(TrafficSettings settings, Eventloop reactor) {
@@ -386,6 +389,12 @@
       return this;
     }
 
+    /** Sets the limits of the connections of callers. */
+    public Builder withConnectionLimits(ConnectionLimits newConnectionLimits) {
+      this.connectionLimits = newConnectionLimits;
+      return this;
+    }
+
     /** Sets the metric registry. */
     public Builder withMetrics(MetricRegistry newMetrics) {
       this.metrics = newMetrics;
@@ -415,7 +424,8 @@
               Assert.notNull(localApi, "localApi"),
               new TrafficMetrics(Assert.notNull(metrics, "metrics")),
               new Timers(reactor),
-              Assert.notNull(arrivalClock, "arrivalClock")));
+              Assert.notNull(arrivalClock, "arrivalClock"),
+              Assert.notNull(connectionLimits, "connectionLimits")));
     }
   }
 }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -46,6 +46,7 @@
 import org.cornelspoke.state.config.Route;
 import org.cornelspoke.state.registry.Target;
 import org.cornelspoke.state.view.FleetView;
+import org.cornelspoke.transport.http.ConnectionLimits;
 import org.cornelspoke.transport.loop.EventLoopMonitor;
 import org.cornelspoke.transport.loop.EventLoops;
 
@@ -75,6 +76,9 @@
   /** Settings of the daemons that are started from now on. */
   ChainAdmissionSettings chainAdmission = ChainAdmissionSettings.OFF;
 
+  /** Limits of the daemons that are started from now on. */
+  ConnectionLimits connectionLimits = ConnectionLimits.UNLIMITED;
+
   HttpDialect dialect = new DefaultDialect();
 
   /** Creates the local API of the daemons that are started from now on. */
@@ -143,9 +147,11 @@
             () -> System.currentTimeMillis() + clockStepMillis.get(),
             System::nanoTime);
     Eventloop loop = EventLoops.builder(monitor).build();
+    loop.execute(() -> monitor.start(loop));
     loops.put(settings.daemonId().value(), loop);
     return TrafficDaemon.builder(settings, loop)
         .withArrivalClock(monitor)
+        .withConnectionLimits(connectionLimits)
         .withFleet(viewsOf(settings.daemonId().value()), this)
         .withAdmission(limiter, claims, gates)
         .withDialect(dialect, localApi)
