Close accepted connections between daemons that fall silent

A VM that is lost without a trace left its accepted connection open for good, with a descriptor and, for announcements of members, up to 64 MB of unsent bytes. FrameServer now closes a connection on which no frame arrives within 10 s, and PeerConnections one whose VM, which pings several times a second, is silent for 10 s.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/FrameConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/FrameConnection.java
@@ -44,6 +44,7 @@
   private int lengthBytesRead;
   private byte[] frame;
   private int frameBytesRead;
+  private boolean frameReceived;
 
   private FrameConnection(NioReactor reactor, ITcpSocket socket) {
     this.reactor = reactor;
@@ -113,6 +114,11 @@
     this.writableListener = Assert.notNull(newWritableListener, "newWritableListener");
   }
 
+  /** Returns true if at least one complete frame has been received. */
+  boolean hasReceivedFrame() {
+    return frameReceived;
+  }
+
   /** Returns true once either side has closed the connection. */
   public boolean isClosed() {
     return closed;
@@ -222,6 +228,7 @@
     if (frameBytesRead == frame.length) {
       byte[] completeFrame = frame;
       frame = null;
+      frameReceived = true;
       listener.onFrame(completeFrame);
     }
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/FrameServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/FrameServer.java
@@ -1,6 +1,7 @@
 package org.cornelspoke.transport.link;
 
 import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
@@ -10,21 +11,36 @@
 
 /**
  * Accepts frame connections. The acceptor must call {@link FrameConnection#start} on each
- * connection.
+ * connection. A connection on which no frame arrives in time is closed, because its peer may have
+ * been lost without a trace.
  *
  * <p>Confined to the thread of its reactor.
  */
 public final class FrameServer {
 
+  private static final long FIRST_FRAME_TIMEOUT_MILLIS = 10_000;
+
+  private final NioReactor reactor;
+  private final Consumer<FrameConnection> acceptor;
+  private final long firstFrameTimeoutMillis;
   private final SimpleServer server;
 
   /** Creates a server that is not yet listening. */
   public FrameServer(
       NioReactor reactor, InetSocketAddress address, Consumer<FrameConnection> acceptor) {
-    Assert.notNull(acceptor, "acceptor");
+    this(reactor, address, acceptor, FIRST_FRAME_TIMEOUT_MILLIS);
+  }
+
+  FrameServer(
+      NioReactor reactor,
+      InetSocketAddress address,
+      Consumer<FrameConnection> acceptor,
+      long firstFrameTimeoutMillis) {
+    this.reactor = Assert.notNull(reactor, "reactor");
+    this.acceptor = Assert.notNull(acceptor, "acceptor");
+    this.firstFrameTimeoutMillis = firstFrameTimeoutMillis;
     this.server =
-        SimpleServer.builder(
-                reactor, socket -> acceptor.accept(FrameConnection.ofAccepted(reactor, socket)))
+        SimpleServer.builder(reactor, this::accept)
             .withListenAddress(address)
             .withSocketSettings(SocketSettings.builder().withTcpNoDelay(true).build())
             .build();
@@ -44,6 +60,18 @@
     return server.getBoundAddresses().get(0);
   }
 
+  private void accept(ITcpSocket socket) {
+    FrameConnection connection = FrameConnection.ofAccepted(reactor, socket);
+    reactor.delayBackground(
+        firstFrameTimeoutMillis,
+        () -> {
+          if (!connection.hasReceivedFrame()) {
+            connection.close();
+          }
+        });
+    acceptor.accept(connection);
+  }
+
   /** Stops listening. Accepted connections stay open. */
   public void stop() {
     server.close();
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/consensus/PeerConnections.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.cornelspoke.coordination.consensus.Member;
 import org.cornelspoke.coordination.consensus.Membership;
@@ -36,6 +38,12 @@
     void onDisconnected(VmId vmId);
   }
 
+  /**
+   * Time without a frame after which an accepted connection is closed. The other VM pings several
+   * times a second, and opens a new connection after two seconds without an answer.
+   */
+  private static final long SILENCE_TIMEOUT_MILLIS = 10_000;
+
   private static final byte[] PONG = PeerMessageCodec.encode(new PeerMessage.Pong());
 
   private final NioReactor reactor;
@@ -48,7 +56,8 @@
   private final Map<VmId, PeerMessage.Hello> helloByVm = new HashMap<>();
   private final Map<MemberIdentity, VmId> vmByIdentity = new HashMap<>();
   private final Map<VmId, Long> lastHeardAtMillis = new HashMap<>();
-  private final Set<FrameConnection> acceptedConnections = new HashSet<>();
+  private final Set<IncomingConnection> acceptedConnections = new HashSet<>();
+  private final LongSupplier millisClock;
   private byte[] membersFrame = new byte[0];
 
   PeerConnections(
@@ -58,6 +67,25 @@
       Map<VmId, Endpoint> staticPeers,
       Supplier<PeerMessage.Hello> hello,
       Listener listener) {
+    this(
+        reactor,
+        self,
+        address,
+        staticPeers,
+        hello,
+        listener,
+        () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+  }
+
+  PeerConnections(
+      NioReactor reactor,
+      VmId self,
+      Endpoint address,
+      Map<VmId, Endpoint> staticPeers,
+      Supplier<PeerMessage.Hello> hello,
+      Listener listener,
+      LongSupplier millisClock) {
+    this.millisClock = millisClock;
     this.reactor = reactor;
     this.self = self;
     this.staticPeers = staticPeers;
@@ -75,17 +103,22 @@
   void stop() {
     server.stop();
     links.values().forEach(PeerLink::stop);
-    Set.copyOf(acceptedConnections).forEach(FrameConnection::close);
+    Set.copyOf(acceptedConnections).forEach(IncomingConnection::close);
   }
 
   InetSocketAddress boundAddress() {
     return server.boundAddress();
   }
 
-  /** Connects the links that are down and checks the others for liveness. */
+  /** Connects the links that are down and closes connections whose peer is silent. */
   void maintain() {
     long currentMillis = nowMillis();
     links.values().forEach(link -> link.maintain(currentMillis));
+    for (IncomingConnection incoming : Set.copyOf(acceptedConnections)) {
+      if (currentMillis - incoming.lastFrameAtMillis > SILENCE_TIMEOUT_MILLIS) {
+        incoming.close();
+      }
+    }
   }
 
   /** Updates the VM of each identity and adds links to members that have none. */
@@ -108,7 +141,7 @@
   /** Announces the members to the connected VMs and to those that connect later. */
   void announce(PeerMessage.Members newMembers) {
     membersFrame = PeerMessageCodec.encode(newMembers);
-    acceptedConnections.forEach(connection -> connection.send(membersFrame));
+    acceptedConnections.forEach(incoming -> incoming.connection.send(membersFrame));
   }
 
   /** Returns the hellos of the connected VMs that sent a frame within the given time. */
@@ -151,29 +184,36 @@
                 address,
                 hello,
                 listener::onDisconnected,
-                PeerConnections::nowMillis,
+                millisClock,
                 listener::onMembers));
   }
 
-  private static long nowMillis() {
-    return System.nanoTime() / 1_000_000;
+  private long nowMillis() {
+    return millisClock.getAsLong();
   }
 
   private void accept(FrameConnection connection) {
-    acceptedConnections.add(connection);
-    connection.start(new IncomingConnection(connection));
+    IncomingConnection incoming = new IncomingConnection(connection);
+    acceptedConnections.add(incoming);
+    connection.start(incoming);
   }
 
   private final class IncomingConnection implements FrameListener {
     private final FrameConnection connection;
     private PeerMessage.Hello peer;
+    private long lastFrameAtMillis = nowMillis();
 
     IncomingConnection(FrameConnection connection) {
       this.connection = connection;
     }
 
+    void close() {
+      connection.close();
+    }
+
     @Override
     public void onFrame(byte[] frame) {
+      lastFrameAtMillis = nowMillis();
       PeerMessage message;
       try {
         message = PeerMessageCodec.decode(frame);
@@ -202,7 +242,7 @@
 
     @Override
     public void onClosed(Exception cause) {
-      acceptedConnections.remove(connection);
+      acceptedConnections.remove(this);
       if (peer != null) {
         helloByVm.remove(peer.vmId(), peer);
       }
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/consensus/PeerConnectionsTest.java
@@ -0,0 +1,78 @@
+package org.cornelspoke.daemon.consensus;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import java.io.DataOutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cornelspoke.model.Endpoint;
+import org.cornelspoke.model.VmId;
+import org.cornelspoke.protocol.consensus.PeerMessage;
+import org.cornelspoke.protocol.consensus.PeerMessageCodec;
+import org.cornelspoke.state.log.MemberIdentity;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeerConnectionsTest {
+
+  private static final VmId SELF = new VmId("control-1");
+  private static final PeerMessage.Hello HELLO =
+      new PeerMessage.Hello(
+          new VmId("control-2"), MemberIdentity.seeded(2), new Endpoint("127.0.0.1", 1), true);
+  private static final int READ_TIMEOUT_MILLIS = 20_000;
+
+  private final Eventloop reactor = Eventloop.create();
+  private final AtomicLong nowMillis = new AtomicLong();
+  private final CountDownLatch helloReceived = new CountDownLatch(1);
+  private final PeerConnections connections =
+      new PeerConnections(
+          reactor,
+          SELF,
+          new Endpoint("127.0.0.1", 0),
+          Map.of(),
+          () -> HELLO,
+          new PeerConnections.Listener() {
+            @Override
+            public void onMessage(VmId from, PeerMessage message) {
+              helloReceived.countDown();
+            }
+
+            @Override
+            public void onDisconnected(VmId vmId) {}
+          },
+          nowMillis::get);
+  private final Thread thread = new Thread(reactor, "peer-connections-test");
+
+  @AfterEach
+  void stop() throws Exception {
+    reactor.submit(connections::stop).get();
+    reactor.keepAlive(false);
+    reactor.execute(reactor::breakEventloop);
+    thread.join();
+  }
+
+  @Test
+  void acceptedConnectionOfAVmThatFellSilentIsClosed() throws Exception {
+    reactor.keepAlive(true);
+    thread.start();
+    reactor.submit(connections::start).get();
+    try (Socket socket =
+        new Socket(InetAddress.getLoopbackAddress(), connections.boundAddress().getPort())) {
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+      DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+      for (PeerMessage message : new PeerMessage[] {HELLO, new PeerMessage.Pong()}) {
+        byte[] frame = PeerMessageCodec.encode(message);
+        out.writeInt(frame.length);
+        out.write(frame);
+      }
+      helloReceived.await();
+      nowMillis.addAndGet(60_000);
+      reactor.submit(connections::maintain).get();
+      assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+}
