Close the listener of a stopping server although no descriptor is left

Without a free descriptor, accepting the rest of the accept queue fails also if the queue is empty. HttpServer then forgot its listener without closing it, so that callers still connected to a stopped daemon. It now closes it in any case. The new test of LimitedDescriptorsTest fails without the change (trial on a scratch copy) and passes.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/HttpServer.java
@@ -277,13 +277,13 @@
         accept(queued);
         queued = listener.accept();
       }
-      listener.close();
     } catch (IOException e) {
       LOGGER.log(
           System.Logger.Level.WARNING,
           "failed to accept the remaining connections in the accept queue",
           e);
     }
+    reactor.closeChannel(listener, null);
     listener = null;
   }
 
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LimitedDescriptorsTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LimitedDescriptorsTest.java
@@ -2,11 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.cornelspoke.daemon.traffic.RawClient.request;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -17,7 +19,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
+@Timeout(60)
 class LimitedDescriptorsTest {
 
   private static final int DESCRIPTORS = 300;
@@ -56,6 +60,7 @@
       client.close();
     }
     process.getOutputStream().close();
+    process.destroy();
     process.waitFor();
   }
 
@@ -95,6 +100,14 @@
     assertThat(client.read().status()).isEqualTo(200);
   }
 
+  @Test
+  void stoppedDaemonNoLongerListensAlthoughNoDescriptorWasLeft() throws Exception {
+    assertThat(RawClient.once(edge, request("GET", "/open", "")).status()).isEqualTo(200);
+    assertThat(command("exhaust")).isEqualTo("exhausted");
+    assertThat(command("stop")).isEqualTo("stopped");
+    assertThrows(ConnectException.class, this::connect);
+  }
+
   private RawClient connect() throws IOException {
     RawClient client = new RawClient(edge);
     clients.add(client);
