--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/EdgeRequest.java
@@ -48,7 +48,7 @@
   private final Collaborators collaborators;
   private final HttpExchange exchange;
   private final long startNanos;
-  private final long socketWaitNanos;
+  private final long connectionWaitNanos;
   private String requestId;
   private long callerDeadlineNanos = Long.MAX_VALUE;
   private CallHead head;
@@ -70,8 +70,8 @@
     this.collaborators = dependencies.collaborators();
     this.exchange = exchange;
     this.startNanos = exchange.arrivalNanos();
-    this.socketWaitNanos = System.nanoTime() - startNanos;
-    collaborators.metrics().socketWaitTime.update(socketWaitNanos, TimeUnit.NANOSECONDS);
+    this.connectionWaitNanos = System.nanoTime() - startNanos;
+    collaborators.metrics().connectionWaitTime.update(connectionWaitNanos, TimeUnit.NANOSECONDS);
     exchange.onAbandoned(this::onAbandoned);
   }
 
@@ -471,7 +471,8 @@
     line.append("event=").append(event).append(" request=").append(requestId);
     line.append(" lateMillis=").append(TimeUnit.NANOSECONDS.toMillis(nowNanos - deadlineNanos));
     line.append(" ageMillis=").append(TimeUnit.NANOSECONDS.toMillis(nowNanos - startNanos));
-    line.append(" socketWaitMillis=").append(TimeUnit.NANOSECONDS.toMillis(socketWaitNanos));
+    line.append(" connectionWaitMillis=")
+        .append(TimeUnit.NANOSECONDS.toMillis(connectionWaitNanos));
     line.append(" path=").append(exchange.head().path());
     line.append(" service=").append(head.service().value());
     line.append(" revision=").append(collaborators.views().current().revision().number());
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
@@ -19,8 +19,8 @@
   /** Time between the deadline and the end of requests that ended after it. */
   final Timer lateness;
 
-  /** Upper bound of the time that requests waited on their socket before they were read. */
-  final Timer socketWaitTime;
+  /** Upper bound of the time that requests waited on their connection before they started. */
+  final Timer connectionWaitTime;
 
   final Timer gateWaitTime;
   final Timer upstreamTime;
@@ -44,7 +44,7 @@
     }
     this.requestTime = timer("edge.request-time");
     this.lateness = timer("edge.lateness");
-    this.socketWaitTime = timer("edge.socket-wait-time");
+    this.connectionWaitTime = timer("edge.connection-wait-time");
     this.gateWaitTime = timer("gate.wait-time");
     this.upstreamTime = timer("upstream.time");
     this.answered = registry.counter("edge.answered");
