Record which requests run at an upstream when its process ends

The daemon beside an upstream now takes a lost connection for a crash if the address then refuses connections or another process is announced there, counts it and logs the requests that ran with a fingerprint of their content. No logic of the request path is changed.

CrashDetectorTest passes, 6 tests.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -197,6 +197,9 @@
     collaborators.metrics().upstreamTime.update(now - sentAtNanos, TimeUnit.NANOSECONDS);
     upstream.gate.complete(ticket, completionOf(result), now);
     endWork(completionOf(result), now);
+    if (result instanceof CallResult.Failed) {
+      calls.upstreams().onConnectionLost(upstream, head, body, sentAtNanos, now);
+    }
     complete(result, closeCall());
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstream.java
@@ -27,6 +27,7 @@
   final UpstreamGate gate;
   final UpstreamPool pool;
   final ChainAdmission chains;
+  final CrashDetector crashDetector;
   private final UpstreamNoticeTracker noticeTracker = new UpstreamNoticeTracker(System.nanoTime());
   private final UpstreamNoticeLog noticeLog;
   final UpstreamCapacity capacity;
@@ -45,7 +46,9 @@
       UpstreamCapacity capacity,
       ChainAdmission chains,
       UpstreamPool pool,
+      CrashDetector crashDetector,
       TrafficMetrics metrics) {
+    this.crashDetector = crashDetector;
     this.chains = chains;
     this.process = process;
     this.service = service;
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.cornelspoke.coordination.admission.CallRooms;
 import org.cornelspoke.coordination.admission.GateLoad;
@@ -14,6 +16,7 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
+import org.cornelspoke.protocol.call.CallHead;
 import org.cornelspoke.protocol.call.RootOrigin;
 import org.cornelspoke.protocol.call.TargetNotice;
 import org.cornelspoke.state.config.Preset;
@@ -28,7 +31,11 @@
 
   private static final System.Logger LOGGER = System.getLogger(LocalUpstreams.class.getName());
 
+  /** Requests named in the log line of a crash. */
+  private static final int MAX_LOGGED_REQUESTS = 16;
+
   private final Collaborators collaborators;
+  private final RequestFingerprints fingerprints = new RequestFingerprints();
   private final Map<ServiceName, LocalUpstream> upstreams = new HashMap<>();
 
   /** Withdrawn upstreams that still have calls in flight. */
@@ -77,6 +84,9 @@
             && upstream.address.equals(announcement.address())
             && upstream.process.equals(announcement.process());
     if (upstream != null && !sameProcess) {
+      if (!upstream.draining) {
+        upstream.crashDetector.onReplaced(System.nanoTime());
+      }
       withdraw(service);
       upstream = null;
     }
@@ -117,6 +127,7 @@
       return false;
     }
     upstream.draining = true;
+    upstream.crashDetector.stop();
     upstream.leaseTimer.cancel();
     upstream.gate.setDraining(true);
     upstream.pool.close();
@@ -203,6 +214,23 @@
     drainIfLeaving(upstream);
   }
 
+  /** Records that the connection of a running request ended before a complete response. */
+  void onConnectionLost(
+      LocalUpstream upstream, CallHead head, byte[] body, long sentAtNanos, long nowNanos) {
+    if (upstream.draining) {
+      return;
+    }
+    upstream.crashDetector.onConnectionLost(
+        new LostRequest(
+            fingerprints.of(head, body),
+            fingerprints.headHash(head),
+            head.method(),
+            head.requestTarget(),
+            head.account(),
+            nowNanos - sentAtNanos,
+            nowNanos));
+  }
+
   void onCallStarted(LocalUpstream upstream, long nowNanos) {
     upstream.inFlight++;
     // Without pending requests there are no ticks, and the rate may have changed since the last.
@@ -285,6 +313,29 @@
     return sum;
   }
 
+  private void onCrash(Announcement announcement, List<LostRequest> running) {
+    collaborators.metrics().upstreamCrashes.inc();
+    LOGGER.log(
+        System.Logger.Level.WARNING,
+        "event=upstream-crashed service={0} process={1} running={2} requests={3}",
+        announcement.service(),
+        announcement.process().map(ProcessId::toString).orElse("unknown"),
+        running.size(),
+        running.stream().limit(MAX_LOGGED_REQUESTS).map(LocalUpstreams::describe).toList());
+  }
+
+  private static String describe(LostRequest request) {
+    return request.fingerprint()
+        + " "
+        + request.method()
+        + " "
+        + request.requestTarget()
+        + " account="
+        + request.account()
+        + " runMillis="
+        + TimeUnit.NANOSECONDS.toMillis(request.runNanos());
+  }
+
   private void drainIfLeaving(LocalUpstream upstream) {
     // A withdrawn upstream must not be published again.
     if (upstream.isLeaving() && upstreams.get(upstream.service) == upstream) {
@@ -295,6 +346,7 @@
   private void startDraining(LocalUpstream upstream) {
     if (!upstream.draining) {
       upstream.draining = true;
+      upstream.crashDetector.stop();
       upstream.gate.setDraining(true);
       publish(upstream);
     }
@@ -328,6 +380,10 @@
                 announcement.service(), announcement.process(), learningGate.capacity()),
             new ChainAdmission(collaborators, announcement.service(), System.nanoTime()),
             pool,
+            new CrashDetector(
+                new ConnectProbe(collaborators.reactor(), announcement.address()),
+                collaborators.timers(),
+                (number, running) -> onCrash(announcement, running)),
             collaborators.metrics());
     upstream.slots = announcement.slots();
     configuration.ifPresent(
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/TrafficMetrics.java
@@ -31,6 +31,10 @@
   final Counter abandoned;
   final Counter leasesEnded;
   final Counter coldPeriods;
+
+  /** Upstream processes that ended under their requests. */
+  final Counter upstreamCrashes;
+
   final Counter sentWhileCold;
   final Counter forgedContexts;
 
@@ -53,6 +57,7 @@
     this.retriesThrottled = registry.counter("edge.retries-throttled");
     this.abandoned = registry.counter("edge.abandoned");
     this.leasesEnded = registry.counter("local.leases-ended");
+    this.upstreamCrashes = registry.counter("local.upstream-crashes");
     this.coldPeriods = registry.counter("local.cold-periods");
     this.sentWhileCold = registry.counter("local.sent-while-cold");
     this.evacuated = registry.counter("local.evacuated");
--- /dev/null
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/CrashDetectorTest.java
@@ -0,0 +1,114 @@
+package org.cornelspoke.daemon.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.cornelspoke.model.AccountId;
+import org.cornelspoke.model.RequestFingerprint;
+import org.junit.jupiter.api.Test;
+
+/** Tests what is taken for a crash of an upstream, with a probe that answers as told. */
+class CrashDetectorTest {
+
+  private final Eventloop loop = Eventloop.create();
+  private final Deque<Boolean> probeResults = new ArrayDeque<>();
+  private final List<List<String>> crashes = new ArrayList<>();
+  private final List<Integer> crashNumbers = new ArrayList<>();
+  private final CrashDetector detector =
+      new CrashDetector(
+          () -> Promise.of(probeResults.remove()),
+          new Timers(loop),
+          (number, running) -> {
+            crashNumbers.add(number);
+            crashes.add(
+                running.stream().map(request -> request.fingerprint().value()).sorted().toList());
+          });
+
+  @Test
+  void requestsLostTogetherBelongToOneCrash() {
+    probeResults.add(true);
+    run(
+        () -> {
+          detector.onConnectionLost(lost('a', System.nanoTime()));
+          detector.onConnectionLost(lost('b', System.nanoTime()));
+        });
+    assertThat(crashes).containsExactly(List.of(id('a'), id('b')));
+  }
+
+  @Test
+  void lostConnectionIsNoCrashWhileTheProcessAcceptsOthers() {
+    probeResults.add(false);
+    probeResults.add(false);
+    run(() -> detector.onConnectionLost(lost('a', System.nanoTime())));
+    assertThat(crashes).isEmpty();
+    assertThat(probeResults).isEmpty();
+  }
+
+  @Test
+  void processThatAcceptsWhileItEndsIsProbedAgain() {
+    probeResults.add(false);
+    probeResults.add(true);
+    run(() -> detector.onConnectionLost(lost('a', System.nanoTime())));
+    assertThat(crashes).containsExactly(List.of(id('a')));
+  }
+
+  @Test
+  void replacedProcessHasCrashedUnderTheRequestsThatItLostLast() {
+    probeResults.add(false);
+    probeResults.add(false);
+    long now = System.nanoTime();
+    run(
+        () -> {
+          detector.onConnectionLost(lost('a', now - 5_000_000_000L));
+          detector.onConnectionLost(lost('b', now));
+        });
+    detector.onReplaced(System.nanoTime());
+    assertThat(crashes).containsExactly(List.of(id('b')));
+  }
+
+  @Test
+  void leavingProcessCrashesUnderNoRequest() {
+    probeResults.add(true);
+    run(
+        () -> {
+          detector.onConnectionLost(lost('a', System.nanoTime()));
+          detector.stop();
+        });
+    detector.onReplaced(System.nanoTime());
+    assertThat(crashes).isEmpty();
+  }
+
+  @Test
+  void laterLossIsAnotherCrash() {
+    probeResults.add(true);
+    probeResults.add(true);
+    run(() -> detector.onConnectionLost(lost('a', System.nanoTime())));
+    run(() -> detector.onConnectionLost(lost('b', System.nanoTime() + 1_000_000_000L)));
+    assertThat(crashNumbers).containsExactly(1, 2).inOrder();
+  }
+
+  private void run(Runnable action) {
+    loop.post(action);
+    loop.run();
+  }
+
+  private static LostRequest lost(char digit, long lostAtNanos) {
+    return new LostRequest(
+        new RequestFingerprint(id(digit)),
+        digit,
+        "GET",
+        "/read/" + digit,
+        new AccountId("farm"),
+        0,
+        lostAtNanos);
+  }
+
+  private static String id(char digit) {
+    return String.valueOf(digit).repeat(32);
+  }
+}
