--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/TestFleet.java
@@ -80,6 +80,9 @@
   /** Limits of the daemons that are started from now on. */
   ConnectionLimits connectionLimits = ConnectionLimits.UNLIMITED;
 
+  /** Maximum size of a body at the daemons that are started from now on. */
+  int maxBodyBytes = 1 << 20;
+
   HttpDialect dialect = new DefaultDialect();
 
   /** Creates the local API of the daemons that are started from now on. */
@@ -116,7 +119,7 @@
     TrafficSettings settings =
         TrafficSettings.builder(new DaemonId(name), dataCentres.getOrDefault(name, HERE))
             .withAddresses(ANY_PORT, ANY_PORT, ANY_PORT)
-            .withMaxBodyBytes(1 << 20)
+            .withMaxBodyBytes(maxBodyBytes)
             .withStopTimes(drainMillis, stopTimeoutMillis)
             .withChainAdmission(chainAdmission)
             .build();
