Hold the few requests that ran in the same two crashes

Cause: innocent requests that ran in the first crash are retried 75 ms later and run in the second one too, so the request that causes both isn't the only one common to them and was held only after a third crash.

Change: up to 16 requests common to two crashes are held for a minute instead of one only. An innocent one is held at the price of its retry, a further crash ends 20 to 100 of them; a successful response still clears it.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineTable.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineTable.java
@@ -25,9 +25,15 @@
  */
 public final class QuarantineTable {
 
-  /** Number of crashes after which a request is held if no other one of the last ran in as many. */
+  /** Number of crashes after which a request is held. */
   public static final int CRASHES_TO_HOLD = 2;
 
+  /**
+   * Number of requests that may be held because they ran in the same two crashes. If there are
+   * more, most of them were retried from one upstream to the other.
+   */
+  static final int MAX_HELD_TOGETHER = 16;
+
   /** Number of crashes after which a request is blocked. */
   public static final int CRASHES_TO_BLOCK = 3;
 
@@ -176,7 +182,7 @@
     int mostCrashes = repeated.stream().mapToInt(entry -> entry.crashes().size()).max().orElse(0);
     List<QuarantineEntry> likeliest =
         repeated.stream().filter(entry -> entry.crashes().size() == mostCrashes).toList();
-    if (mostCrashes < CRASHES_TO_BLOCK && likeliest.size() != 1) {
+    if (mostCrashes < CRASHES_TO_BLOCK && likeliest.size() > MAX_HELD_TOGETHER) {
       return false;
     }
     QuarantineState state =
