Send only unconfirmed reports again once a relay accepts them

Cause: a daemon that learned that its relay accepts crash reports sent all its pending claims a second time as well.

Change: only the messages that wait for a confirmation are sent again.

Result: QuarantineRelayTest and RelayAndClientTest pass.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/ControlClient.java
@@ -374,7 +374,7 @@
     if (relayList.acceptsCrashReports() && isAttached() && !link.acceptsCrashReports) {
       link.acceptsCrashReports = true;
       send(new ControlMessage.QuarantineQuery(quarantineTracker.version()));
-      pendingClaims.onAttached();
+      pendingClaims.resendEnds();
     }
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/PendingClaims.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/controlclient/PendingClaims.java
@@ -105,6 +105,11 @@
     resend(0);
   }
 
+  /** Sends all unconfirmed messages again, because some were withheld from the relay. */
+  void resendEnds() {
+    resend(0);
+  }
+
   void onTick() {
     resend(RESEND_INTERVAL_MILLIS);
   }
