Reserve memory for a call only after its first message is valid

Cause: a call whose first chunk exceeds its announced length closed the link after its memory had been reserved, which was never returned.

Change: the assembler, which checks the length, is created first.

Result: found by reading the change; PeerLinkTest passes, 10 tests.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/link/ServerLink.java
@@ -176,12 +176,12 @@
       refuse(call, new CallResult.Refused(RefusalReason.TOO_LARGE, 0));
       return;
     }
+    BodyAssembler body = new BodyAssembler(call.bodyBytes(), call.chunk());
     if (!server.memory().tryReserve(call.bodyBytes())) {
       refuse(call, new CallResult.Refused(RefusalReason.OVERLOAD, OVERLOAD_RETRY_MILLIS));
       return;
     }
     long arrivalNanos = server.backlog().arrivalNanos();
-    BodyAssembler body = new BodyAssembler(call.bodyBytes(), call.chunk());
     if (body.isComplete()) {
       serve(call.correlationId(), call.head(), body, arrivalNanos);
       return;
