--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ControlMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ControlMessage.java
@@ -129,7 +129,7 @@
   record AttachmentReport(List<DaemonId> daemons) implements ControlMessage {}
 
   /**
-   * Requests the requests that have run in crashes, now and after each change.
+   * Subscribes to the quarantine table: its entries now, and each later change.
    *
    * @param version version of the quarantine table that the daemon has, or 0
    */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quarantine/CrashReporter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quarantine/CrashReporter.java
@@ -3,7 +3,7 @@
 import org.cornelspoke.model.RequestFingerprint;
 import org.cornelspoke.state.quarantine.CrashReport;
 
-/** Passes on what daemons observe of requests that may crash upstreams. Thread-safe. */
+/** Reports crashes of upstreams, and responses to suspected requests. Thread-safe. */
 public interface CrashReporter {
 
   /** Ignores all reports. */
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineSnapshot.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineSnapshot.java
@@ -5,7 +5,7 @@
 /**
  * Complete state of a {@link QuarantineTable}, for snapshots.
  *
- * @param floor version up to which entries may have been dropped
+ * @param floor version up to which held or blocked entries may have been dropped
  * @param entries in the order of their versions
  */
 public record QuarantineSnapshot(
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineState.java
@@ -4,7 +4,7 @@
 public enum QuarantineState {
   /** The request ran in a crash that other requests may have caused; it is forwarded. */
   SUSPECTED,
-  /** The request is the only one that ran in two crashes; it is refused for a while. */
+  /** The request is one of the few that ran in the same two crashes; it is refused for a while. */
   HELD,
   /** The request is refused until an operator releases it. */
   BLOCKED,
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineTable.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineTable.java
@@ -15,10 +15,11 @@
  * Finds the requests that crash the upstreams that run them, from the requests that ran in each
  * crash of the fleet.
  *
- * <p>One crash proves nothing against any of the requests that it ended. A request is held once it
- * is the only one that ran in two crashes, and blocked once it ran in three. A crash in which a
- * held or blocked request ran counts against that request only. A response to a run clears a
- * request, also a blocked one: not every run crashes its upstream.
+ * <p>One crash proves nothing against any of the requests that it ended. The few requests that ran
+ * in two crashes are held, and a request is blocked if it ran in three and no other one of the last
+ * crash ran in more. A crash in which a held or blocked request ran counts against that request
+ * only. A successful response clears a request, also a blocked one: not every run crashes its
+ * upstream.
  *
  * <p>Deterministic: the table's time is the latest timestamp of the applied commands. Not
  * thread-safe; confined to the control thread.
@@ -81,9 +82,10 @@
    */
   public boolean recordCrash(CrashReport report, long commandTimestampMillis) {
     advanceTime(commandTimestampMillis);
-    List<CrashReport.RunningRequest> culprits =
+    List<CrashReport.RunningRequest> refusedRequests =
         report.running().stream().filter(request -> isRefused(request.fingerprint())).toList();
-    List<CrashReport.RunningRequest> counted = culprits.isEmpty() ? report.running() : culprits;
+    List<CrashReport.RunningRequest> counted =
+        refusedRequests.isEmpty() ? report.running() : refusedRequests;
     List<QuarantineEntry> repeated = new ArrayList<>();
     for (CrashReport.RunningRequest request : counted) {
       QuarantineEntry entry = addCrash(request, report);
@@ -91,7 +93,7 @@
         repeated.add(entry);
       }
     }
-    boolean changed = convict(repeated);
+    boolean changed = refuseLikeliest(repeated);
     dropExcess();
     return changed;
   }
@@ -177,8 +179,8 @@
     return put(request, report.service(), state, crashes, Optional.empty());
   }
 
-  /** Convicts the requests that ran in the most crashes, if the evidence suffices. */
-  private boolean convict(List<QuarantineEntry> repeated) {
+  /** Holds or blocks the requests that ran in the most crashes, if the evidence suffices. */
+  private boolean refuseLikeliest(List<QuarantineEntry> repeated) {
     int mostCrashes = repeated.stream().mapToInt(entry -> entry.crashes().size()).max().orElse(0);
     List<QuarantineEntry> likeliest =
         repeated.stream().filter(entry -> entry.crashes().size() == mostCrashes).toList();
