Give each run of the model checker its own folder for temporary files

Cause: TLC unpacks its standard modules into the folder for temporary files, under fixed names. One run read the module while the other wrote it.

Change: java.io.tmpdir of the model checker is the temporary folder of the test.

--- a/cornelspoke-core/src/test/java/org/cornelspoke/spec/SpecificationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/spec/SpecificationTest.java
@@ -74,6 +74,9 @@
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                     "-XX:+UseSerialGC",
                     "-Xmx2g",
+                    // TLC unpacks its standard modules there; another run could read them half
+                    // written.
+                    "-Djava.io.tmpdir=" + metadata,
                     "-cp",
                     tlcClassPath(),
                     "tlc2.TLC",
