Let operators of the platform see and release refused requests

Cause: the list and the release of requests that crash upstreams need an operator's token, and the platform's deployment has none, so that nobody could use them there.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/QuarantineServlet.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/admin/QuarantineServlet.java
@@ -3,14 +3,10 @@
 import static io.activej.http.HttpMethod.DELETE;
 import static io.activej.http.HttpMethod.GET;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.http.HttpResponse;
 import io.activej.http.RoutingServlet;
 import io.activej.promise.Promise;
-import java.util.Locale;
 import org.cornelspoke.model.RequestFingerprint;
-import org.cornelspoke.state.quarantine.QuarantineEntry;
 
 /** Registers the API paths that list and release requests that crash upstreams. */
 final class QuarantineServlet {
@@ -30,14 +26,7 @@
   }
 
   private Promise<HttpResponse> list() {
-    return backend
-        .quarantine()
-        .map(
-            entries -> {
-              ObjectNode node = JsonConverter.object();
-              node.set("requests", JsonConverter.array(entries, QuarantineServlet::toJson));
-              return Answers.json(OK, node);
-            });
+    return backend.quarantine().map(entries -> Answers.json(OK, QuarantineListing.toJson(entries)));
   }
 
   private Promise<HttpResponse> release(ApiRequest request) throws ApiException {
@@ -56,27 +45,4 @@
                       .put("fingerprint", fingerprint.value()));
             });
   }
-
-  private static ObjectNode toJson(QuarantineEntry entry) {
-    ObjectNode node =
-        JsonConverter.object()
-            .put("fingerprint", entry.fingerprint().value())
-            .put("state", entry.state().name().toLowerCase(Locale.ROOT))
-            .put("service", entry.service().value())
-            .put("account", entry.request().account().value())
-            .put("method", entry.request().method())
-            .put("requestTarget", entry.request().requestTarget())
-            .put("changedAtMillis", entry.changedAtMillis())
-            .put("crashCount", entry.crashes().size());
-    ArrayNode crashes = node.putArray("crashes");
-    for (QuarantineEntry.Crash crash : entry.crashes()) {
-      crashes
-          .addObject()
-          .put("process", crash.process())
-          .put("daemon", crash.daemon().value())
-          .put("atMillis", crash.atMillis());
-    }
-    entry.releasedBy().ifPresent(operator -> node.put("releasedBy", operator.value()));
-    return node;
-  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -12,6 +12,7 @@
 import org.cornelspoke.coordination.consensus.Membership;
 import org.cornelspoke.daemon.admin.AdminServer;
 import org.cornelspoke.daemon.admin.Health;
+import org.cornelspoke.daemon.admin.QuarantineListing;
 import org.cornelspoke.daemon.consensus.ConsensusService;
 import org.cornelspoke.daemon.consensus.ConsensusServiceBuilder;
 import org.cornelspoke.daemon.relay.ControlBackend;
@@ -22,6 +23,7 @@
 import org.cornelspoke.daemon.settings.PeerSettings;
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.OperatorId;
+import org.cornelspoke.model.RequestFingerprint;
 import org.cornelspoke.model.VmId;
 import org.cornelspoke.state.config.ChangeRequest;
 import org.cornelspoke.state.config.ChangeResult;
@@ -258,6 +260,23 @@
           .map(confirmed -> stateMachine.config().routingDocument());
     }
 
+    @Override
+    public Promise<String> readQuarantine(long timeoutMillis) {
+      return backend
+          .readConfig(deadlineNanos(timeoutMillis))
+          .map(
+              confirmed ->
+                  QuarantineListing.toJson(stateMachine.quarantine().entries()).toString());
+    }
+
+    @Override
+    public Promise<Boolean> release(
+        RequestFingerprint fingerprint, OperatorId operator, long timeoutMillis) {
+      return backend
+          .release(fingerprint, operator, deadlineNanos(timeoutMillis))
+          .map(changed -> changed || stateMachine.quarantine().entry(fingerprint).isPresent());
+    }
+
     private static long deadlineNanos(long timeoutMillis) {
       return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
     }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RoutingAdministration.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RoutingAdministration.java
@@ -3,14 +3,15 @@
 import io.activej.promise.Promise;
 import java.util.Optional;
 import org.cornelspoke.model.OperatorId;
+import org.cornelspoke.model.RequestFingerprint;
 import org.cornelspoke.state.config.ChangeRequest;
 import org.cornelspoke.state.config.ChangeResult;
 import org.cornelspoke.state.config.ConfigChange;
 import org.cornelspoke.state.config.RoutingDocument;
 
 /**
- * Reads and changes the routing configuration on behalf of operators. Must be used on the control
- * thread only.
+ * Reads and changes the routing configuration and the quarantine on behalf of operators. Must be
+ * used on the control thread only.
  */
 public interface RoutingAdministration {
 
@@ -37,4 +38,19 @@
    *     current
    */
   Promise<Optional<RoutingDocument>> read(long timeoutMillis);
+
+  /**
+   * Reads the requests that have run in crashes of upstreams, as a JSON object.
+   *
+   * @return fails if no quorum confirms within the timeout that they are current
+   */
+  Promise<String> readQuarantine(long timeoutMillis);
+
+  /**
+   * Releases a request that is refused because it crashes upstreams.
+   *
+   * @return true also if the request is already released, false if there is no evidence against it;
+   *     fails if the outcome is not known within the timeout
+   */
+  Promise<Boolean> release(RequestFingerprint fingerprint, OperatorId operator, long timeoutMillis);
 }
