--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -110,7 +110,9 @@
             nanoClock);
     RetryingLog retryingLog = new RetryingLog(reactor, log, nanoClock);
     this.claimService = new ClaimService(retryingLog, nanoClock, builder.wallClockMillis);
-    this.quarantineService = new QuarantineService(retryingLog, nanoClock, builder.wallClockMillis);
+    this.quarantineService =
+        new QuarantineService(
+            retryingLog, machine.quarantine(), nanoClock, builder.wallClockMillis);
     this.peerLinks =
         new PeerLinks(
             reactor,
