Count the crashes of processes that are announced late or not at all

The upstream of the soak restarts after 1 s and sends a heartbeat every 500 ms, so it can crash again before it has announced itself.

Cause: a crash was attributed to the process that was announced last. A process that crashed before its announcement was reported under the name of the one before, which the table counts once; an announcement and the end of a lease ended the detector that knew the requests in flight.

Change: LostRequest carries the time at which its connection was opened. What was lost on a connection that was opened after a crash ran in another process, so the crash gets a name of its own (process#number). The detector of an address is shared by the upstreams that are announced there until one drains or withdraws. The table tells crashes apart by process and daemon.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/CrashReport.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/CrashReport.java
@@ -11,7 +11,7 @@
  * Reports which requests ran at an upstream process when it crashed. A process crashes once, so
  * that several reports of a process are about the same crash.
  *
- * @param process the upstream process; unique within the fleet and in time
+ * @param process the upstream process; unique at its daemon and in time
  * @param daemon the daemon beside the upstream
  */
 public record CrashReport(
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineEntry.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineEntry.java
@@ -43,8 +43,9 @@
     return state == QuarantineState.HELD || state == QuarantineState.BLOCKED;
   }
 
-  boolean hasCrash(String process) {
-    return crashes.stream().anyMatch(crash -> crash.process().equals(process));
+  boolean hasCrash(String process, DaemonId daemon) {
+    return crashes.stream()
+        .anyMatch(crash -> crash.process().equals(process) && crash.daemon().equals(daemon));
   }
 
   /**
--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineTable.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/quarantine/QuarantineTable.java
@@ -166,7 +166,7 @@
     QuarantineEntry entry = entries.get(request.fingerprint());
     boolean cleared = entry != null && entry.state() == QuarantineState.CLEARED;
     if (entry != null
-        && (entry.hasCrash(report.process())
+        && (entry.hasCrash(report.process(), report.daemon())
             || (!cleared && entry.crashes().size() >= QuarantineEntry.MAX_CRASHES))) {
       return entry;
     }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamConnection.java
@@ -46,6 +46,7 @@
   private final SocketReader reader;
   private final ReadBuffer in = new ReadBuffer();
   private final ByteBuffer probe = ByteBuffer.allocate(1);
+  private final long connectedAtNanos;
   private UpstreamExchange exchange;
   private ResponseHead head;
   private BodyReader bodyReader;
@@ -64,7 +65,8 @@
     this.pool = pool;
     this.socket = socket;
     this.reader = new SocketReader(socket, this);
-    this.idleStartNanos = System.nanoTime();
+    this.connectedAtNanos = System.nanoTime();
+    this.idleStartNanos = connectedAtNanos;
     socket.setInspector(new WriteCounter(count -> writtenBytes += count));
   }
 
@@ -72,6 +74,10 @@
     reader.start();
   }
 
+  long connectedAtNanos() {
+    return connectedAtNanos;
+  }
+
   long idleStartNanos() {
     return idleStartNanos;
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamExchange.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/transport/http/UpstreamExchange.java
@@ -53,6 +53,14 @@
     return nothingWritten;
   }
 
+  /**
+   * Returns the monotonic time at which the connection of the exchange was opened, or 0 before the
+   * exchange has a connection.
+   */
+  public long connectedAtNanos() {
+    return connection == null ? 0 : connection.connectedAtNanos();
+  }
+
   UpstreamRequest request() {
     return request;
   }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/state/quarantine/QuarantineTableTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/state/quarantine/QuarantineTableTest.java
@@ -38,6 +38,15 @@
     assertThat(stateOf('a')).isEqualTo(QuarantineState.BLOCKED);
   }
 
+  /** Guards against crashes that count once because their processes have the same name. */
+  @Test
+  void processesOfTheSameNameAtTwoDaemonsAreTwo() {
+    table.recordCrash(crash("d", "p1", "a"), 1);
+    assertThat(table.recordCrash(crash("d", "p1", "a"), 2)).isFalse();
+    assertThat(table.recordCrash(crash("e", "p1", "a"), 3)).isTrue();
+    assertThat(stateOf('a')).isEqualTo(QuarantineState.HELD);
+  }
+
   /** Guards against a third upstream that crashes because a retried request ran in both others. */
   @Test
   void requestsThatRanTogetherInTwoCrashesAreHeldUntilOneIsKnown() {
@@ -175,10 +184,14 @@
 
   /** Returns the crash of a process that ran a request for each digit. */
   private static CrashReport crash(String process, String digits) {
+    return crash("d", process, digits);
+  }
+
+  private static CrashReport crash(String daemon, String process, String digits) {
     return new CrashReport(
         process,
         new ServiceName("svc"),
-        new DaemonId("d"),
+        new DaemonId(daemon),
         digits.chars().mapToObj(digit -> request((char) digit)).toList());
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CrashDetector.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/CrashDetector.java
@@ -4,6 +4,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -11,6 +13,9 @@
  * crash: the process may have closed it, or the response may have been malformed. A crash is
  * assumed if the address then refuses connections, or if another process is announced there.
  *
+ * <p>A process may crash before it has been announced. A request whose connection was opened after
+ * a crash therefore belongs to another process, whatever was announced last.
+ *
  * <p>Delays are scheduled on the reactor, because ticks of the timer wheel are too coarse for them.
  * Confined to the reactor thread.
  */
@@ -34,10 +39,22 @@
   private final UpstreamProbe probe;
   private final Reactor reactor;
   private final Listener listener;
-  private final Deque<LostRequest> lostRequests = new ArrayDeque<>();
+  private final UUID unnamed = UUID.randomUUID();
+  private Optional<ProcessId> process;
+
+  /** Requests that were lost without a known crash. */
+  private final Deque<LostRequest> unexplained = new ArrayDeque<>();
+
+  /** Requests of the last crash that have not been reported yet. */
+  private final Deque<LostRequest> unreported = new ArrayDeque<>();
+
   private boolean probing;
   private int crashCount;
-  private long crashedAtNanos;
+  private String crashedProcess;
+
+  /** Connections that were opened until then were connections to a process that has crashed. */
+  private long crashEndNanos;
+
   private boolean stopped;
 
   /** Receives the crashes of an upstream. */
@@ -47,16 +64,23 @@
      * Called when a process has crashed, and again for the same crash if the connections of further
      * requests end afterwards.
      *
-     * @param crashNumber number of the crash among those of this upstream, beginning with 1
+     * @param crashedProcess name of the process, unique at this daemon and in time; a process that
+     *     was not announced is named after the one that was announced last
      * @param running the requests that ran when the process crashed
      */
-    void onCrash(int crashNumber, List<LostRequest> running);
+    void onCrash(String crashedProcess, List<LostRequest> running);
   }
 
-  /** Creates a detector for one upstream. */
-  CrashDetector(UpstreamProbe probe, Reactor reactor, Listener listener) {
+  /**
+   * Creates a detector for one address.
+   *
+   * @param process the announced process, or empty if it isn't named
+   */
+  CrashDetector(
+      UpstreamProbe probe, Reactor reactor, Optional<ProcessId> process, Listener listener) {
     this.probe = probe;
     this.reactor = reactor;
+    this.process = process;
     this.listener = listener;
   }
 
@@ -65,30 +89,44 @@
     if (stopped) {
       return;
     }
-    lostRequests.addLast(request);
-    if (lostRequests.size() > MAX_LOST_REQUESTS) {
-      lostRequests.removeFirst();
-    }
-    if (crashCount > 0 && request.lostAtNanos() - crashedAtNanos <= SAME_CRASH_NANOS) {
+    if (belongsToLastCrash(request)) {
+      addLast(unreported, request);
       scheduleReport();
-    } else if (!probing) {
+      return;
+    }
+    addLast(unexplained, request);
+    if (!probing) {
       probing = true;
       probe(true);
     }
   }
 
+  /** Records an announcement of a process at the address. */
+  void onAnnounced(Optional<ProcessId> announced, long nowNanos) {
+    if (!announced.equals(process)) {
+      onReplaced(nowNanos);
+      process = announced;
+    }
+  }
+
   /** Records that another process has been announced although this one did not drain. */
   void onReplaced(long nowNanos) {
-    lostRequests.removeIf(request -> nowNanos - request.lostAtNanos() > RETENTION_NANOS);
-    beginCrash();
+    unexplained.removeIf(request -> nowNanos - request.lostAtNanos() > RETENTION_NANOS);
+    if (!unexplained.isEmpty()) {
+      beginCrash(unexplained.getLast().lostAtNanos());
+    }
     report();
-    stop();
   }
 
   /** Ends the detection, because the process leaves in an orderly way. */
   void stop() {
     stopped = true;
-    lostRequests.clear();
+    unexplained.clear();
+    unreported.clear();
+  }
+
+  boolean isStopped() {
+    return stopped;
   }
 
   private void probe(boolean first) {
@@ -98,7 +136,7 @@
             refused -> {
               if (refused) {
                 probing = false;
-                beginCrash();
+                beginCrash(System.nanoTime());
                 scheduleReport();
               } else if (first) {
                 reactor.delayBackground(SECOND_PROBE_DELAY_MILLIS, () -> probe(false));
@@ -108,15 +146,24 @@
             });
   }
 
-  private void beginCrash() {
-    if (lostRequests.isEmpty()) {
+  private boolean belongsToLastCrash(LostRequest request) {
+    return crashCount > 0 && request.connectedAtNanos() - crashEndNanos <= 0;
+  }
+
+  /** Explains the requests that were lost last by a crash, and forgets earlier ones. */
+  private void beginCrash(long endNanos) {
+    if (unexplained.isEmpty()) {
       return;
     }
-    long lostAtNanos = lostRequests.getLast().lostAtNanos();
-    if (crashCount == 0 || lostAtNanos - crashedAtNanos > SAME_CRASH_NANOS) {
-      crashCount++;
-      crashedAtNanos = lostAtNanos;
-    }
+    report();
+    crashCount++;
+    crashedProcess = process.map(ProcessId::toString).orElse(unnamed.toString()) + "#" + crashCount;
+    crashEndNanos = endNanos;
+    long lastNanos = unexplained.getLast().lostAtNanos();
+    unexplained.stream()
+        .filter(request -> lastNanos - request.lostAtNanos() <= SAME_CRASH_NANOS)
+        .forEach(unreported::addLast);
+    unexplained.clear();
   }
 
   private void scheduleReport() {
@@ -124,15 +171,18 @@
   }
 
   private void report() {
-    if (stopped || lostRequests.isEmpty()) {
+    if (stopped || unreported.isEmpty()) {
       return;
     }
-    long lastNanos = lostRequests.getLast().lostAtNanos();
-    List<LostRequest> running =
-        lostRequests.stream()
-            .filter(request -> lastNanos - request.lostAtNanos() <= SAME_CRASH_NANOS)
-            .toList();
-    lostRequests.clear();
-    listener.onCrash(crashCount, running);
+    List<LostRequest> running = List.copyOf(unreported);
+    unreported.clear();
+    listener.onCrash(crashedProcess, running);
+  }
+
+  private static void addLast(Deque<LostRequest> requests, LostRequest request) {
+    requests.addLast(request);
+    if (requests.size() > MAX_LOST_REQUESTS) {
+      requests.removeFirst();
+    }
   }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalCall.java
@@ -211,11 +211,18 @@
     if (result instanceof CallResult.Responded response && response.status() < 500) {
       calls.upstreams().quarantine().onResponse(head, body);
     } else if (result instanceof CallResult.Failed) {
-      calls.upstreams().onConnectionLost(upstream, head, body, sentAtNanos, now);
+      LostRequest lost =
+          calls.upstreams().quarantine().lost(head, body, connectedAtNanos(), sentAtNanos, now);
+      upstream.crashDetector.onConnectionLost(lost);
     }
     complete(result, closeCall());
   }
 
+  private long connectedAtNanos() {
+    // The exchange is unknown if it ends while it is being sent.
+    return exchange == null ? sentAtNanos : exchange.connectedAtNanos();
+  }
+
   private boolean isRoot() {
     return upstream.chains.isRoot(head);
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/LocalUpstreams.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.cornelspoke.coordination.admission.CallRooms;
 import org.cornelspoke.coordination.admission.GateLoad;
 import org.cornelspoke.coordination.admission.UpstreamGate;
@@ -17,8 +17,6 @@
 import org.cornelspoke.model.Endpoint;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
-import org.cornelspoke.protocol.call.CallHead;
-import org.cornelspoke.protocol.call.MessageBody;
 import org.cornelspoke.protocol.call.RootOrigin;
 import org.cornelspoke.protocol.call.TargetNotice;
 import org.cornelspoke.state.config.Preset;
@@ -90,15 +88,12 @@
         upstream != null
             && upstream.address.equals(announcement.address())
             && upstream.process.equals(announcement.process());
-    if (upstream != null && !sameProcess) {
-      if (!upstream.draining) {
-        upstream.crashDetector.onReplaced(System.nanoTime());
+    if (upstream == null || !sameProcess) {
+      CrashDetector crashDetector = crashDetector(announcement);
+      if (upstream != null) {
+        remove(upstream);
       }
-      withdraw(service);
-      upstream = null;
-    }
-    if (upstream == null) {
-      upstream = create(announcement);
+      upstream = create(announcement, crashDetector);
       upstreams.put(service, upstream);
       upstream.onReport(announcement.coldRemainingMillis(), System.nanoTime());
       publish(upstream);
@@ -129,19 +124,12 @@
 
   @Override
   public boolean withdraw(ServiceName service) {
-    LocalUpstream upstream = upstreams.remove(service);
+    LocalUpstream upstream = upstreams.get(service);
     if (upstream == null) {
       return false;
     }
-    upstream.draining = true;
     upstream.crashDetector.stop();
-    upstream.leaseTimer.cancel();
-    upstream.gate.setDraining(true);
-    upstream.pool.close();
-    collaborators.publisher().withdraw(targetId(service));
-    if (upstream.inFlight > 0) {
-      withdrawnUpstreams.add(upstream);
-    }
+    remove(upstream);
     return true;
   }
 
@@ -150,6 +138,7 @@
     stopping = true;
     for (LocalUpstream upstream : upstreams.values()) {
       upstream.draining = true;
+      upstream.crashDetector.stop();
       upstream.leaseTimer.cancel();
       upstream.gate.setDraining(true);
       collaborators.publisher().withdraw(targetId(upstream.service));
@@ -226,15 +215,6 @@
     return quarantine;
   }
 
-  /** Records that the connection of a running request ended before a complete response. */
-  void onConnectionLost(
-      LocalUpstream upstream, CallHead head, MessageBody body, long sentAtNanos, long nowNanos) {
-    if (upstream.draining) {
-      return;
-    }
-    upstream.crashDetector.onConnectionLost(quarantine.lost(head, body, sentAtNanos, nowNanos));
-  }
-
   void onCallStarted(LocalUpstream upstream, long nowNanos) {
     upstream.inFlight++;
     // Without pending requests there are no ticks, and the rate may have changed since the last.
@@ -317,26 +297,18 @@
     return sum;
   }
 
-  private void onCrash(Announcement announcement, String process, List<LostRequest> running) {
+  private void onCrash(ServiceName service, String process, List<LostRequest> running) {
     collaborators.metrics().upstreamCrashes.inc();
-    quarantine.onCrash(process, announcement.service(), running);
+    quarantine.onCrash(process, service, running);
     LOGGER.log(
         System.Logger.Level.WARNING,
         "event=upstream-crashed service={0} process={1} running={2} requests={3}",
-        announcement.service(),
+        service,
         process,
         running.size(),
         running.stream().limit(MAX_LOGGED_REQUESTS).map(LocalUpstreams::describe).toList());
   }
 
-  /** Returns a name that is unique in time, also if the upstream doesn't name its process. */
-  private static String processName(Announcement announcement, UUID unnamed, int crashNumber) {
-    return announcement
-        .process()
-        .map(ProcessId::toString)
-        .orElseGet(() -> unnamed + "#" + crashNumber);
-  }
-
   private static String describe(LostRequest request) {
     return request.fingerprint()
         + " "
@@ -365,7 +337,47 @@
     }
   }
 
-  private LocalUpstream create(Announcement announcement) {
+  /** Removes an upstream that gets no further calls; those in flight continue. */
+  private void remove(LocalUpstream upstream) {
+    upstreams.remove(upstream.service);
+    upstream.draining = true;
+    upstream.leaseTimer.cancel();
+    upstream.gate.setDraining(true);
+    upstream.pool.close();
+    collaborators.publisher().withdraw(targetId(upstream.service));
+    if (upstream.inFlight > 0) {
+      withdrawnUpstreams.add(upstream);
+    }
+  }
+
+  /**
+   * Returns the detector of crashes at the announced address. It is shared with an upstream that
+   * was there before, unless that one has left in an orderly way: requests that were sent to the
+   * earlier one may run in the announced process.
+   */
+  private CrashDetector crashDetector(Announcement announcement) {
+    Optional<LocalUpstream> earlier =
+        Stream.concat(upstreams.values().stream(), withdrawnUpstreams.stream())
+            .filter(upstream -> upstream.service.equals(announcement.service()))
+            .filter(upstream -> !upstream.crashDetector.isStopped())
+            .findFirst();
+    if (earlier.isPresent()) {
+      CrashDetector detector = earlier.get().crashDetector;
+      if (earlier.get().address.equals(announcement.address())) {
+        detector.onAnnounced(announcement.process(), System.nanoTime());
+        return detector;
+      }
+      detector.onReplaced(System.nanoTime());
+      detector.stop();
+    }
+    return new CrashDetector(
+        new ConnectProbe(collaborators.reactor(), announcement.address()),
+        collaborators.reactor(),
+        announcement.process(),
+        (process, running) -> onCrash(announcement.service(), process, running));
+  }
+
+  private LocalUpstream create(Announcement announcement, CrashDetector crashDetector) {
     LearningGate learningGate =
         collaborators
             .gates()
@@ -383,7 +395,6 @@
             responseMemory,
             collaborators.metrics().registry());
     pool.warmUp();
-    UUID unnamed = UUID.randomUUID();
     LocalUpstream upstream =
         new LocalUpstream(
             announcement.service(),
@@ -394,11 +405,7 @@
                 announcement.service(), announcement.process(), learningGate.capacity()),
             new ChainAdmission(collaborators, announcement.service(), System.nanoTime()),
             pool,
-            new CrashDetector(
-                new ConnectProbe(collaborators.reactor(), announcement.address()),
-                collaborators.reactor(),
-                (number, running) ->
-                    onCrash(announcement, processName(announcement, unnamed, number), running)),
+            crashDetector,
             collaborators.metrics());
     upstream.slots = announcement.slots();
     configuration.ifPresent(
@@ -419,7 +426,7 @@
   private void onLeaseExpired(LocalUpstream upstream) {
     if (upstreams.get(upstream.service) == upstream) {
       collaborators.metrics().leasesEnded.inc();
-      withdraw(upstream.service);
+      remove(upstream);
     }
   }
 
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/QuarantineCheck.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/QuarantineCheck.java
@@ -62,13 +62,15 @@
   }
 
   /** Returns the record of a request whose connection has just ended. */
-  LostRequest lost(CallHead head, MessageBody body, long sentAtNanos, long nowNanos) {
+  LostRequest lost(
+      CallHead head, MessageBody body, long connectedAtNanos, long sentAtNanos, long nowNanos) {
     return new LostRequest(
         fingerprints.of(head, body),
         fingerprints.headHash(head),
         head.method(),
         head.requestTarget(),
         head.account(),
+        connectedAtNanos,
         nowNanos - sentAtNanos,
         nowNanos);
   }
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LearnedCapacityLinkTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/LearnedCapacityLinkTest.java
@@ -82,37 +82,6 @@
     }
   }
 
-  /** Names the process of every upstream, as the API of a platform does. */
-  private static final class NamingRegistration implements UpstreamRegistration {
-    private final UpstreamRegistration delegate;
-
-    NamingRegistration(UpstreamRegistration delegate) {
-      this.delegate = delegate;
-    }
-
-    @Override
-    public boolean announce(Announcement announcement) {
-      return delegate.announce(
-          new Announcement(
-              announcement.service(),
-              announcement.address(),
-              announcement.slots(),
-              announcement.leaseMillis(),
-              Optional.of(new ProcessId("i-1", 7)),
-              announcement.coldRemainingMillis()));
-    }
-
-    @Override
-    public boolean drain(ServiceName service) {
-      return delegate.drain(service);
-    }
-
-    @Override
-    public boolean withdraw(ServiceName service) {
-      return delegate.withdraw(service);
-    }
-  }
-
   @AfterEach
   void stop() throws Exception {
     fleet.close();
@@ -128,7 +97,9 @@
               StandInUpstream.respond(socket, 200, "ok");
             })) {
       fleet.setGates(new LearningGates());
-      fleet.localApi = registration -> new LocalApi(new NamingRegistration(registration));
+      fleet.localApi =
+          registration ->
+              new LocalApi(new NamingRegistration(registration, () -> new ProcessId("i-1", 7)));
       TrafficDaemon target = fleet.startWith("target", "svc", upstream);
       TrafficDaemon edge = fleet.start("edge", edgeSelector);
       fleet.awaitRoute(edge, "/open");
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/StandInUpstream.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/traffic/StandInUpstream.java
@@ -29,8 +29,13 @@
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
   StandInUpstream(Script script) throws IOException {
+    this(script, 0);
+  }
+
+  /** Listens on a port, or on a free one if the port is 0. */
+  StandInUpstream(Script script, int port) throws IOException {
     this.script = script;
-    this.server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+    this.server = new ServerSocket(port, 200, InetAddress.getLoopbackAddress());
     daemonThread(this::acceptAll);
   }
 
