Leave the lead to others when the disk of the leader hangs and theirs keep up

Seen: in a simulated group of three whose leader's disk hangs, the others commit what it sends until 2,000 bytes (16 MiB on real VMs) aren't synced at the leader. From then on it refuses every proposal, for as long as the disk hangs, although two members with sound disks follow it.

Cause: nothing compares the leader's own disk with those of the quorum. A leader steps down when a write fails or a quorum is silent, a hanging sync is neither.

Change: a leader that has refused proposals for two election timeouts because its disk is behind, while others commit beyond what it has synced, becomes a follower. A member whose disk is behind starts no election, as it could not store its vote.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/LeaderState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/LeaderState.java
@@ -23,23 +23,31 @@
   /** Heartbeat intervals without a reply after which a snapshot chunk is sent again. */
   private static final int SNAPSHOT_RESEND_HEARTBEATS = 5;
 
+  /** Election timeouts for which a leader refuses proposals until it leaves the lead to others. */
+  private static final int DISK_BEHIND_ELECTION_TIMEOUTS = 2;
+
   private final RaftState state;
   private final Map<MemberIdentity, Progress> progressByMember = new TreeMap<>();
   private final ReadQueue reads = new ReadQueue();
   private final long termStartIndex;
   private long heartbeatRound;
   private long nextHeartbeatAtNanos;
+  private long diskSufficedAtNanos;
 
   LeaderState(RaftState state) {
     this.state = state;
     this.termStartIndex = state.append(EntryKind.NO_OP, new byte[0]).index();
+    this.diskSufficedAtNanos = state.nowNanos;
     updateMembers();
     sendHeartbeats();
   }
 
-  /** Returns false if a quorum has not replied within the election timeout. */
+  /**
+   * Returns false if this member must not lead any longer: a quorum has not replied within the
+   * election timeout, or the disk of this member is behind while those of a quorum keep up.
+   */
   boolean tick() {
-    if (!state.membership().isQuorum(recentlyActiveMembers())) {
+    if (!state.membership().isQuorum(recentlyActiveMembers()) || isDiskBehindOthers()) {
       return false;
     }
     if (state.nowNanos - nextHeartbeatAtNanos >= 0) {
@@ -331,6 +339,15 @@
     state.outbox.send(new SnapshotRequest(state.self, to, state.term, chunk));
   }
 
+  private boolean isDiskBehindOthers() {
+    boolean othersCommit = state.commitIndex > state.outbox.durableIndex();
+    if (!state.isDiskBehind() || !othersCommit) {
+      diskSufficedAtNanos = state.nowNanos;
+    }
+    return state.nowNanos - diskSufficedAtNanos
+        >= DISK_BEHIND_ELECTION_TIMEOUTS * state.settings.electionTimeoutNanos();
+  }
+
   private Set<MemberIdentity> recentlyActiveMembers() {
     Set<MemberIdentity> active = new HashSet<>();
     active.add(state.self);
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
@@ -131,7 +131,9 @@
       if (!leaderState.tick()) {
         becomeFollower(state.term, null);
       }
-    } else if (!state.storageFailed && nowNanos - electionDeadlineNanos >= 0) {
+    } else if (!state.storageFailed
+        && !state.isDiskBehind()
+        && nowNanos - electionDeadlineNanos >= 0) {
       startPreVote();
     }
   }
@@ -206,7 +208,7 @@
     Assert.isTrue(
         command.length <= RaftSettings.MAX_COMMAND_BYTES,
         "command must be at most " + RaftSettings.MAX_COMMAND_BYTES + " bytes");
-    if (role != Role.LEADER || state.unsyncedBytes() >= state.settings.maxUnsyncedBytes()) {
+    if (role != Role.LEADER || state.isDiskBehind()) {
       return OptionalLong.empty();
     }
     return OptionalLong.of(state.append(EntryKind.COMMAND, command).index());
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftState.java
@@ -60,6 +60,11 @@
     return log.bytesBetween(outbox.durableIndex(), log.lastIndex());
   }
 
+  /** Returns true if so much is not durable that this member takes no further entries. */
+  boolean isDiskBehind() {
+    return unsyncedBytes() >= settings.maxUnsyncedBytes();
+  }
+
   void advanceCommitIndex(long index) {
     commitIndex = Math.max(commitIndex, index);
   }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
@@ -355,6 +355,29 @@
     assertThat(cluster.checker.violations()).isEmpty();
   }
 
+  /** Guards against a leader that refuses all proposals while its disk hangs and others commit. */
+  @Test
+  void leaderWhoseDiskHangsHandsOverOnceItRefusesProposals() {
+    SimulatedCluster cluster = started(3);
+    SimulatedVm hanging = cluster.leader().orElseThrow();
+    hanging.pauseDisk(true);
+    for (int i = 0; i < 400; i++) {
+      cluster.propose(hanging);
+      cluster.run(SimulatedCluster.HEARTBEAT / 10);
+    }
+    cluster.run(30 * SimulatedCluster.HEARTBEAT);
+    SimulatedVm leader = cluster.leader().orElseThrow();
+    assertThat(leader).isNotEqualTo(hanging);
+    long committed = leader.node.commitIndex();
+    cluster.propose(leader);
+    cluster.run(5 * SimulatedCluster.HEARTBEAT);
+    assertThat(leader.node.commitIndex()).isGreaterThan(committed);
+    assertThat(hanging.node.electionCount()).isAtMost(1);
+    hanging.pauseDisk(false);
+    cluster.settleAndCheck();
+    assertThat(cluster.checker.violations()).isEmpty();
+  }
+
   private static SimulatedCluster started(int size) {
     SimulatedCluster cluster = new SimulatedCluster(FIXED_SEED, size, Mutation.NONE);
     cluster.bootstrap(size);
