--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/consensus/RaftNode.java
@@ -50,14 +50,8 @@
   }
 
   private final RaftState state;
-  private final RandomGenerator random;
   private final FollowerState followerState;
-
-  /**
-   * Fraction of the election timeout over which the first pre-vote of a restarted member and the
-   * retries are spread at random, so that candidates rarely compete.
-   */
-  private static final double PRE_VOTE_TIMEOUT_FRACTION = 0.4;
+  private final ElectionTimer electionTimer;
 
   /** A pre-vote grant lasts for several round trips and syncs, also of newly started processes. */
   private static final int PRE_VOTE_GRANTS_PER_ELECTION_TIMEOUT = 4;
@@ -67,7 +61,6 @@
   private Role role = Role.FOLLOWER;
   private LeaderState leaderState;
   private MemberIdentity leader;
-  private long electionDeadlineNanos;
   private long leaderContactAtNanos;
   private MemberIdentity preVoteGrantee;
   private long preVoteGrantEndNanos;
@@ -85,20 +78,19 @@
   public RaftNode(
       RaftSettings settings, RecoveredLog recovered, RandomGenerator random, long nowNanos) {
     this.state = new RaftState(settings, recovered, nowNanos);
-    this.random = Assert.notNull(random, "random");
     this.followerState = new FollowerState(state);
+    this.electionTimer = new ElectionTimer(state, random);
     this.pendingRestore = state.snapshot;
     this.deliveredIndex = state.commitIndex;
     preVoteGrantEndNanos = nowNanos;
-    resetElectionTimer();
     if (!isBlank()) {
       // Members in contact with a leader reject pre-votes, so a restarted one may request them
       // early.
-      electionDeadlineNanos = nowNanos + randomTimeoutNanos(PRE_VOTE_TIMEOUT_FRACTION);
+      electionTimer.restartForPreVote(0);
     }
     if (state.membership().voterCount() == 1) {
       // No other member can become leader, so a wait would only delay the restart.
-      electionDeadlineNanos = nowNanos;
+      electionTimer.expire();
     }
   }
 
@@ -115,7 +107,7 @@
     }
     state.append(EntryKind.MEMBERSHIP, membership.encode());
     state.persistAppended();
-    electionDeadlineNanos = state.nowNanos;
+    electionTimer.expire();
   }
 
   /** Returns true if the member has neither a log nor a snapshot. */
@@ -131,9 +123,7 @@
       if (!leaderState.tick()) {
         becomeFollower(state.term, null);
       }
-    } else if (!state.storageFailed
-        && !state.isDiskBehind()
-        && nowNanos - electionDeadlineNanos >= 0) {
+    } else if (!state.storageFailed && !state.isDiskBehind() && electionTimer.isDue()) {
       startPreVote();
     }
   }
@@ -192,7 +182,7 @@
 
   /** Reports that the requests that failed have been carried out. */
   public void onStorageAvailable() {
-    resetElectionTimer();
+    electionTimer.onDiskRecovered();
     state.storageFailed = false;
   }
 
@@ -476,7 +466,7 @@
       if (state.votedFor.isEmpty()) {
         state.setTerm(state.term, Optional.of(request.from()));
       }
-      resetElectionTimer();
+      electionTimer.reset();
     }
     state.outbox.sendWhenAllDurable(
         new VoteResponse(state.self, request.from(), state.term, granted));
@@ -494,15 +484,13 @@
   }
 
   private void startPreVote() {
-    resetElectionTimer();
+    electionTimer.reset();
     if (!state.membership().isVoter(state.self)) {
       return;
     }
     // A pre-vote changes no term or vote and may be lost while other members start: retry soon.
-    electionDeadlineNanos =
-        state.nowNanos
-            + state.settings.electionTimeoutNanos() / PRE_VOTE_GRANTS_PER_ELECTION_TIMEOUT
-            + randomTimeoutNanos(PRE_VOTE_TIMEOUT_FRACTION);
+    electionTimer.restartForPreVote(
+        state.settings.electionTimeoutNanos() / PRE_VOTE_GRANTS_PER_ELECTION_TIMEOUT);
     if (!tryGrantPreVote(state.self)) {
       return;
     }
@@ -526,7 +514,7 @@
     role = Role.CANDIDATE;
     electionCount++;
     grantedVotes.clear();
-    resetElectionTimer();
+    electionTimer.reset();
     state.setTerm(state.term + 1, Optional.of(state.self));
     for (MemberIdentity to : otherVoters()) {
       state.outbox.sendWhenAllDurable(
@@ -549,7 +537,7 @@
     role = Role.FOLLOWER;
     leader = from;
     leaderContactAtNanos = state.nowNanos;
-    resetElectionTimer();
+    electionTimer.reset();
   }
 
   private void becomeFollower(long newTerm, MemberIdentity newLeader) {
@@ -562,7 +550,7 @@
       state.setTerm(newTerm, Optional.empty());
     }
     if (role != Role.FOLLOWER) {
-      resetElectionTimer();
+      electionTimer.reset();
     }
     role = Role.FOLLOWER;
     leader = newLeader;
@@ -586,14 +574,4 @@
         || (leader != null
             && state.nowNanos - leaderContactAtNanos < state.settings.electionTimeoutNanos());
   }
-
-  private void resetElectionTimer() {
-    long minTimeoutNanos = state.settings.electionTimeoutNanos();
-    electionDeadlineNanos = state.nowNanos + minTimeoutNanos + randomTimeoutNanos(1);
-  }
-
-  /** Returns a random duration of up to the given fraction of the election timeout. */
-  private long randomTimeoutNanos(double fraction) {
-    return (long) (random.nextDouble() * fraction * state.settings.electionTimeoutNanos());
-  }
 }
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/consensus/RaftSimulationTest.java
@@ -355,6 +355,32 @@
     assertThat(cluster.checker.violations()).isEmpty();
   }
 
+  /** Guards against a disk that fails now and then and ends the leadership of its VM each time. */
+  @Test
+  void vmWhoseDiskHasFailedLeadsOnlyIfNoOtherDoes() {
+    for (long seed = 0; seed < 20; seed++) {
+      SimulatedCluster cluster = new SimulatedCluster(seed, 3, Mutation.NONE);
+      cluster.bootstrap(3);
+      SimulatedVm failing = cluster.awaitLeader().orElseThrow();
+      load(cluster, 5);
+      failing.disk.failSyncAfter(0);
+      cluster.propose(failing);
+      cluster.run(30 * SimulatedCluster.HEARTBEAT);
+      failing.disk.clearFaults();
+      cluster.run(10 * SimulatedCluster.HEARTBEAT);
+      assertThat(failing.node.isStorageFailed()).isFalse();
+      SimulatedVm second = cluster.leader().orElseThrow();
+      second.stop();
+      cluster.run(60 * SimulatedCluster.HEARTBEAT);
+      SimulatedVm third = cluster.leader().orElseThrow();
+      assertWithMessage("seed %s", seed).that(third).isNotEqualTo(failing);
+      third.stop();
+      second.start();
+      cluster.run(60 * SimulatedCluster.HEARTBEAT);
+      assertWithMessage("seed %s", seed).that(cluster.leader().isPresent()).isTrue();
+    }
+  }
+
   /** Guards against a leader that refuses all proposals while its disk hangs and others commit. */
   @Test
   void leaderWhoseDiskHangsHandsOverOnceItRefusesProposals() {
