Replace connections between relays whose other end is silent

Cause: the connections between relays have no time-out, unlike those of consensus, of daemons to relays and between daemons. After a cut TCP retransmits with pauses that double, up to two minutes, and shares of rates and attachments wait as long; a VM that lost its power is noticed only by the reset of its successor.

Change: a peer that has sent nothing for 1 s is asked for a status with the correlation id 0, which this build answers without the list of daemons and an earlier one with it. Without an answer within 2 s the connection is closed and the owner of the shares counts as lost. A relay that connects again replaces its former connection, whose end may never arrive.

RecordingShareEndpoint moves to a file of its own.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ControlMessage.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/dissemination/ControlMessage.java
@@ -119,7 +119,13 @@
   record ClaimEndReply(long correlationId) implements ControlMessage {}
 
   /** Requests from another relay the daemons that are attached to it. */
-  record StatusQuery(long correlationId) implements ControlMessage {}
+  record StatusQuery(long correlationId) implements ControlMessage {
+
+    /**
+     * Only asks for a sign of life, so that the reply names no daemons; earlier builds name them.
+     */
+    public static final StatusQuery PROBE = new StatusQuery(0);
+  }
 
   /** A chunk of the reply to a status query. */
   record StatusReply(long correlationId, boolean last, List<DaemonStatus> daemons)
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -119,7 +119,8 @@
             builder.vm,
             builder.peers,
             this::receivePeerReply,
-            vm -> shareEndpoint.ifPresent(endpoint -> endpoint.onOwnerLost(vm)));
+            vm -> shareEndpoint.ifPresent(endpoint -> endpoint.onOwnerLost(vm)),
+            nanoClock);
     this.server =
         new FrameServer(
             reactor,
@@ -267,7 +268,11 @@
 
   void attachPeer(VmId vm, FrameConnection connection) {
     peerConnections.add(connection);
-    connectionsByRelay.put(vm, connection);
+    FrameConnection previous = connectionsByRelay.put(vm, connection);
+    if (previous != null) {
+      // The relay has lost it; its end may never arrive here.
+      previous.close();
+    }
   }
 
   void detachPeer(VmId vm, FrameConnection connection) {
@@ -312,7 +317,8 @@
 
   void receiveFromPeer(VmId vm, FrameConnection connection, ControlMessage message) {
     if (message instanceof ControlMessage.StatusQuery query) {
-      List<DaemonStatus> statuses = attachedDaemons();
+      List<DaemonStatus> statuses =
+          query.equals(ControlMessage.StatusQuery.PROBE) ? List.of() : attachedDaemons();
       for (int from = 0; from == 0 || from < statuses.size(); from += STATUSES_PER_MESSAGE) {
         int to = Math.min(statuses.size(), from + STATUSES_PER_MESSAGE);
         send(
@@ -352,6 +358,7 @@
     nextTick = reactor.delayBackground(TICK_INTERVAL_MILLIS, this::tick);
     long nowNanos = nanoClock.getAsLong();
     confirmFreshness(nowNanos);
+    peerLinks.onTick();
     registryWriter.proposeAnnouncedTargets();
     for (RelaySession session :
         sessions.silentSessions(SESSION_TIMEOUT_MILLIS * NANOS_PER_MILLI, nowNanos)) {
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/relay/RelayAndClientTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/relay/RelayAndClientTest.java
@@ -474,42 +474,6 @@
     return future.get(WAIT_SECONDS, TimeUnit.SECONDS);
   }
 
-  /** Records the events at the relays. */
-  private static final class RecordingShareEndpoint implements ShareEndpoint {
-
-    final ConcurrentLinkedQueue<String> events = new ConcurrentLinkedQueue<>();
-
-    @Override
-    public void onAttached(DaemonId daemon) {
-      events.add("attached " + daemon);
-    }
-
-    @Override
-    public void onDetached(DaemonId daemon) {
-      events.add("detached " + daemon);
-    }
-
-    @Override
-    public void onDaemonMessage(DaemonId daemon, byte[] message) {
-      events.add(daemon + ": " + new String(message, StandardCharsets.UTF_8));
-    }
-
-    @Override
-    public void onRelayMessage(VmId relay, byte[] message) {
-      events.add("relay " + relay + ": " + new String(message, StandardCharsets.UTF_8));
-    }
-
-    @Override
-    public void onOwnerMessage(VmId owner, byte[] message) {
-      events.add("owner " + owner + ": " + new String(message, StandardCharsets.UTF_8));
-    }
-
-    @Override
-    public void onOwnerLost(VmId owner) {
-      events.add("lost " + owner);
-    }
-  }
-
   /** Records the messages that a daemon receives. */
   private final class RecordingShareListener implements ShareListener {
 
