Wait for the target's word on requests that reach their time-out

Seen: requests that waited at the gate of their target until the time-out got "upstream-timeout, may have run" from their own daemon, although they had reached no upstream; a caller may not repeat them if they aren't safe.

Cause: the target's daemon tells "deadline, not run" with the first tick of its timers (20 ms) after the deadline, which it counts from the arrival of the call. The daemon of the caller waited 10 ms beyond the deadline, less than a tick and a round trip, so the phase of two timers decided.

Change: it waits 50 ms: a tick on either side and 10 ms for the round trip.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/traffic/Forwarding.java
@@ -29,8 +29,11 @@
  */
 final class Forwarding {
 
-  /** Time allowed for the target's own deadline result to arrive, which is more precise. */
-  private static final long DEADLINE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  /**
+   * Time allowed for the target's own deadline result to arrive, which tells whether the request
+   * has run: a tick of the timers on either side and the round trip between two data centres.
+   */
+  private static final long DEADLINE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
   private static final long MIN_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
   private static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
