Log and publish how late the work for rate shares is done

Neither logs nor metrics could tell whether replies to token requests are late, tokens are missing, or shares stay with a relay that is silent. Control VMs log the delay of share tasks, messages by type, requested and issued tokens, and the owner logs what it counts as issued to a silent relay and until when. No logic is changed.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HolderState.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/HolderState.java
@@ -139,6 +139,10 @@
                 UNLEASED_HOLDER_RETENTION_NANOS, ShareTimes.expiryNanos(remainingLeaseNanos)));
   }
 
+  long reportedAtNanos() {
+    return reportedAtNanos;
+  }
+
   long expiresAtNanos() {
     return expiresAtNanos;
   }
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareAllocator.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareAllocator.java
@@ -376,6 +376,19 @@
     return new TokenShare(rate, burst, level);
   }
 
+  /** Adds to the totals, by holder, the shares that this owner counts as issued. */
+  void addIssuedShares(Map<String, IssuedShares> totals) {
+    holders.forEach(
+        (holder, state) ->
+            totals.merge(
+                holder,
+                new IssuedShares(
+                    new TokenShare(state.rate(), state.burst(), 0),
+                    state.reportedAtNanos(),
+                    state.expiresAtNanos()),
+                IssuedShares::plus));
+  }
+
   ClassAmounts demandPerSecond(long nowNanos) {
     ClassAmounts sum = tokenAllocator.demandPerSecond(nowNanos);
     for (HolderState state : holders.values()) {
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import org.cornelspoke.coordination.quota.ShareMessage.Report;
 import org.cornelspoke.coordination.quota.ShareMessage.Return;
@@ -123,6 +124,13 @@
     return withheld;
   }
 
+  /** Returns what counts as issued, by relay. */
+  public Map<String, IssuedShares> issuedShares() {
+    Map<String, IssuedShares> totals = new TreeMap<>();
+    accounts.values().forEach(owned -> owned.allocator().addIssuedShares(totals));
+    return totals;
+  }
+
   /** Returns the rate of all configured accounts. */
   public double configuredRatePerSecond() {
     return accounts.values().stream()
--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareTaskQueue.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareTaskQueue.java
@@ -26,8 +26,12 @@
   private static final long MIN_SLICE_INTERVAL_NANOS = 5_000_000L;
 
   private final LongSupplier clock;
-  private final Deque<Runnable> tasks = new ArrayDeque<>();
+  private final Deque<Task> tasks = new ArrayDeque<>();
   private long nextSliceStartNanos;
+  private long maxDelayNanos;
+  private long usedNanos;
+
+  private record Task(Runnable action, long addedAtNanos) {}
 
   /**
    * Creates an empty queue.
@@ -41,7 +45,7 @@
 
   /** Adds a task to the next slice that has time for it. */
   public void add(Runnable item) {
-    tasks.add(Assert.notNull(item, "item"));
+    tasks.add(new Task(Assert.notNull(item, "item"), clock.getAsLong()));
   }
 
   /** Returns true if tasks are queued. */
@@ -49,6 +53,11 @@
     return !tasks.isEmpty();
   }
 
+  /** Returns the number of queued tasks. */
+  public int size() {
+    return tasks.size();
+  }
+
   /** Returns the time until the next slice may start, 0 or less if it may start now. */
   public long delayNanos() {
     return nextSliceStartNanos - clock.getAsLong();
@@ -60,12 +69,29 @@
     long nowNanos = startNanos;
     try {
       while (!tasks.isEmpty() && nowNanos - startNanos < MAX_SLICE_NANOS) {
-        tasks.poll().run();
+        Task task = tasks.poll();
+        maxDelayNanos = Math.max(maxDelayNanos, nowNanos - task.addedAtNanos());
+        task.action().run();
         nowNanos = clock.getAsLong();
       }
     } finally {
-      long usedNanos = clock.getAsLong() - startNanos;
-      nextSliceStartNanos = startNanos + Math.max(MIN_SLICE_INTERVAL_NANOS, 2 * usedNanos);
+      long sliceNanos = clock.getAsLong() - startNanos;
+      usedNanos += sliceNanos;
+      nextSliceStartNanos = startNanos + Math.max(MIN_SLICE_INTERVAL_NANOS, 2 * sliceNanos);
     }
   }
+
+  /** Returns the longest time between the arrival and the start of a task since the last call. */
+  public long takeMaxDelayNanos() {
+    long delayNanos = maxDelayNanos;
+    maxDelayNanos = 0;
+    return delayNanos;
+  }
+
+  /** Returns the time spent in tasks since the last call. */
+  public long takeUsedNanos() {
+    long nanos = usedNanos;
+    usedNanos = 0;
+    return nanos;
+  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ControlRuntime.java
@@ -101,6 +101,7 @@
                 profile.shareTimes.quietPeriodNanos(),
                 profile.shareTimes.daemonLeaseNanos()),
             new WithheldRates(metrics()),
+            metrics(),
             profile);
     this.relay =
         RelayServer.builder()
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -1,5 +1,6 @@
 package org.cornelspoke.daemon.runtime;
 
+import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.io.IOException;
@@ -65,6 +66,7 @@
   private final Supplier<Membership> committedMembership;
   private final ShareHolderHistory history;
   private final WithheldRates withheldRates;
+  private final ShareLoad load;
   private final ShareTimes times;
   private final double sharedBurstFraction;
   private final ShareRelay shareRelay;
@@ -100,10 +102,12 @@
       Supplier<Membership> committedMembership,
       ShareHolderHistory history,
       WithheldRates withheldRates,
+      MetricRegistry metrics,
       ControlProfile profile) {
     this.committedMembership = committedMembership;
     this.history = history;
     this.withheldRates = withheldRates;
+    this.load = new ShareLoad(turns, metrics);
     this.times = profile.shareTimes;
     this.sharedBurstFraction = profile.sharedBurstFraction;
     this.reactor = reactor;
@@ -183,6 +187,7 @@
   }
 
   private void receiveFromDaemon(DaemonId daemon, ShareFrame frame) {
+    load.onReceived(frame);
     if (frame instanceof ShareMessage share) {
       shareRelay.onHolderMessage(daemon.value(), share, System.nanoTime());
     } else {
@@ -222,6 +227,7 @@
   }
 
   private void receiveAsOwner(ShareOwner current, VmId relay, ShareFrame frame) {
+    load.onReceived(frame);
     long nowNanos = System.nanoTime();
     if (frame instanceof ShareMessage message) {
       current.onMessage(relay.value(), message, nowNanos);
@@ -291,7 +297,10 @@
           if (connectedLeader.filter(from::equals).isPresent()) {
             ownerSender.onReply();
             batch.forEach(
-                frame -> shareRelay.onOwnerMessage((ShareMessage) frame, System.nanoTime()));
+                frame -> {
+                  load.onReceived(frame);
+                  shareRelay.onOwnerMessage((ShareMessage) frame, System.nanoTime());
+                });
           }
         });
   }
@@ -372,6 +381,7 @@
     connectToLeader(nowNanos);
     owner.ifPresent(current -> current.onTick(nowNanos));
     shareRelay.onTick(nowNanos);
+    load.update(attachments.size(), owner, nowNanos);
     flush();
   }
 
@@ -495,10 +505,12 @@
   }
 
   private void sendToRelay(String relay, ShareMessage message) {
+    load.onSent(message);
     relayReplies.computeIfAbsent(new VmId(relay), unused -> new ArrayList<>()).add(message);
   }
 
   private void sendToDaemon(String daemon, ShareMessage message) {
+    load.onSent(message);
     daemonReplies.computeIfAbsent(new DaemonId(daemon), unused -> new ArrayList<>()).add(message);
   }
 
