--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/DemandMeter.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/DemandMeter.java
@@ -1,6 +1,5 @@
 package org.cornelspoke.coordination.quota;
 
-import java.util.Arrays;
 import org.cornelspoke.model.TrafficClass;
 
 /**
@@ -77,7 +76,10 @@
     advance(nowNanos);
     double seconds =
         ((filledSlots - 1) * SLOT_NANOS + (nowNanos - slotStartNanos)) / NANOS_PER_SECOND;
-    int recent = Arrays.stream(slots).sum();
+    int recent = 0;
+    for (int count : slots) {
+      recent += count;
+    }
     return isDemandChange(recent, perSecond * seconds)
         ? recent / Math.max(SLOT_NANOS / NANOS_PER_SECOND, seconds)
         : perSecond;
