Ignore token requests whose callers have been answered meanwhile

On a control VM that was 0.5 to 2.2 s late with share messages, tokens went to requests that had been refused after their wait of 0.2 s: 236 of the tokens in a second lapsed, each with its burst. A relay now gets the arrival time of a message and ignores a token request that is older than its wait, as it does with requests it has queued itself.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareRelay.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareRelay.java
@@ -103,9 +103,22 @@
     }
   }
 
-  /** Handles a message from a daemon. */
+  /** Handles a message from a daemon as it arrives. */
   public void onHolderMessage(String holder, ShareMessage message, long nowNanos) {
+    onHolderMessage(holder, message, nowNanos, nowNanos);
+  }
+
+  /**
+   * Handles a message from a daemon that arrived at the given time. A token request whose requests
+   * have meanwhile reached their deadline is ignored, as its tokens would lapse.
+   */
+  public void onHolderMessage(
+      String holder, ShareMessage message, long arrivedAtNanos, long nowNanos) {
     Assert.notNull(holder, "holder");
+    if (message instanceof TokenRequest
+        && nowNanos - arrivedAtNanos >= times.tokenRequestRetentionNanos()) {
+      return;
+    }
     RelayedAccount account =
         accounts.computeIfAbsent(message.account(), id -> newAccount(id, nowNanos));
     if (message instanceof Report report) {
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -174,6 +174,7 @@
   public void onDaemonMessage(DaemonId daemon, byte[] message) {
     List<ShareFrame> batch = decode(message);
     Long attachment = attachments.get(daemon);
+    long arrivedAtNanos = System.nanoTime();
     enqueueWork(
         () -> {
           if (attachment == null || !attachment.equals(attachments.get(daemon))) {
@@ -182,14 +183,14 @@
           }
           // Reply to every batch, even with an empty one: the daemon waits for it before the next.
           daemonReplies.computeIfAbsent(daemon, unused -> new ArrayList<>());
-          batch.forEach(frame -> receiveFromDaemon(daemon, frame));
+          batch.forEach(frame -> receiveFromDaemon(daemon, frame, arrivedAtNanos));
         });
   }
 
-  private void receiveFromDaemon(DaemonId daemon, ShareFrame frame) {
+  private void receiveFromDaemon(DaemonId daemon, ShareFrame frame, long arrivedAtNanos) {
     load.onReceived(frame);
     if (frame instanceof ShareMessage share) {
-      shareRelay.onHolderMessage(daemon.value(), share, System.nanoTime());
+      shareRelay.onHolderMessage(daemon.value(), share, arrivedAtNanos, System.nanoTime());
     } else {
       readyDaemons.add(daemon);
       if (connectedLeader.isPresent()) {
