Add the setting controlEndpointOrder of traffic daemons

Daemons with the same list of control endpoints all attach to its first entry, so its loss withholds the rates of all of them for a lease. The setting spread gives each daemon an order of its own; listed stays the default, as the list was documented to be in order of preference. SettingsReaderTest covers the default and a wrong value.

--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficProfile.java
@@ -11,7 +11,6 @@
 import org.cornelspoke.coordination.admission.ConcurrencyLimit;
 import org.cornelspoke.coordination.admission.LimitAlgorithm;
 import org.cornelspoke.coordination.admission.RootRequestThrottle;
-import org.cornelspoke.coordination.dissemination.RelayOrder;
 import org.cornelspoke.coordination.quota.ShareTimes;
 import org.cornelspoke.coordination.retry.DefaultRetryThrottle;
 import org.cornelspoke.coordination.retry.RetryThrottles;
@@ -39,7 +38,6 @@
   RetryThrottles retryThrottles =
       RetryThrottles.shared(new DefaultRetryThrottle(INITIAL_RETRY_RATIO));
   Supplier<List<Endpoint>> relaySource = List::of;
-  RelayOrder relayOrder = RelayOrder.LISTED;
   IntFunction<ConcurrencyLimit> concurrencyLimits = LimitAlgorithm.DEFAULT::create;
   ShareTimes shareTimes = ShareTimes.DEFAULT;
   Supplier<RootRequestThrottle> rootThrottles = RootRequestThrottle::none;
@@ -76,12 +74,6 @@
     return this;
   }
 
-  /** Sets the order in which the daemon prefers the relays; by default, that of the settings. */
-  public TrafficProfile withRelayOrder(RelayOrder order) {
-    this.relayOrder = Assert.notNull(order, "order");
-    return this;
-  }
-
   /** Replaces the throttles that limit retries to a ratio of the requests. */
   public TrafficProfile withRetryThrottles(RetryThrottles newThrottles) {
     this.retryThrottles = Assert.notNull(newThrottles, "newThrottles");
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/TrafficRuntime.java
@@ -11,6 +11,7 @@
 import org.cornelspoke.coordination.admission.ConcurrencyLimit;
 import org.cornelspoke.coordination.admission.DefaultUpstreamGate;
 import org.cornelspoke.coordination.admission.UpstreamGate;
+import org.cornelspoke.coordination.dissemination.RelayOrder;
 import org.cornelspoke.coordination.quota.FloorRateLimiter;
 import org.cornelspoke.coordination.quota.RateLimiter;
 import org.cornelspoke.coordination.retry.DefaultRetryBudgets;
@@ -21,6 +22,7 @@
 import org.cornelspoke.daemon.admin.AdminServer;
 import org.cornelspoke.daemon.admin.Health;
 import org.cornelspoke.daemon.controlclient.ControlClient;
+import org.cornelspoke.daemon.settings.ControlEndpointOrder;
 import org.cornelspoke.daemon.settings.LearnedCapacitySettings;
 import org.cornelspoke.daemon.settings.TrafficSettings;
 import org.cornelspoke.daemon.traffic.StaleKeys;
@@ -70,7 +72,7 @@
             .withDataCentre(settings.dataCentre())
             .withRelays(
                 settings.controlEndpoints().stream().map(Endpoint::toSocketAddress).toList())
-            .withRelayOrder(profile.relayOrder)
+            .withRelayOrder(relayOrder(settings.controlEndpointOrder()))
             .withFreshnessBoundMillis(settings.freshnessBoundMillis())
             .withShareListener(shareChannel)
             .build();
@@ -222,4 +224,11 @@
         .withChainAdmission(profile.chainAdmission.orElse(settings.chainAdmission()))
         .build();
   }
+
+  private static RelayOrder relayOrder(ControlEndpointOrder order) {
+    return switch (order) {
+      case LISTED -> RelayOrder.LISTED;
+      case SPREAD -> RelayOrder.SPREAD;
+    };
+  }
 }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/SettingsReader.java
@@ -124,6 +124,8 @@
             object.endpoint("localAddress"),
             object.endpoint("adminAddress"),
             controlEndpoints(object),
+            object.enumConstant(
+                "controlEndpointOrder", ControlEndpointOrder.class, ControlEndpointOrder.LISTED),
             object.intValue(
                 "freshnessBoundMillis",
                 DEFAULT_FRESHNESS_BOUND_MILLIS,
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/TrafficSettings.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/settings/TrafficSettings.java
@@ -13,7 +13,8 @@
  * @param edgeAddress address for requests of callers and nested calls of the upstream
  * @param linkAddress address on which links from other daemons are accepted
  * @param localAddress loopback address of the API with which the upstream registers and drains
- * @param controlEndpoints relay addresses of control daemons, in order of preference
+ * @param controlEndpoints relay addresses of control daemons
+ * @param controlEndpointOrder order in which the relays are preferred
  * @param freshnessBoundMillis maximum time without proof that the configuration is current
  * @param staleKeys how requests with a client key are treated after that time
  * @param shareWaitMillis maximum time that a request waits for spare rate capacity
@@ -30,6 +31,7 @@
     Endpoint localAddress,
     Endpoint adminAddress,
     List<Endpoint> controlEndpoints,
+    ControlEndpointOrder controlEndpointOrder,
     long freshnessBoundMillis,
     StaleKeys staleKeys,
     long shareWaitMillis,
@@ -43,6 +45,7 @@
   /** Makes an unmodifiable copy of the list. */
   public TrafficSettings {
     controlEndpoints = List.copyOf(controlEndpoints);
+    Assert.notNull(controlEndpointOrder, "controlEndpointOrder");
     Assert.notNull(learnedCapacity, "learnedCapacity");
     Assert.notNull(chainAdmission, "chainAdmission");
     Assert.notNull(returns, "returns");
@@ -57,6 +60,7 @@
       Endpoint localAddress,
       Endpoint adminAddress,
       List<Endpoint> controlEndpoints,
+      ControlEndpointOrder controlEndpointOrder,
       long freshnessBoundMillis,
       StaleKeys staleKeys,
       long shareWaitMillis,
@@ -70,6 +74,7 @@
         localAddress,
         adminAddress,
         controlEndpoints,
+        controlEndpointOrder,
         freshnessBoundMillis,
         staleKeys,
         shareWaitMillis,
--- a/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/settings/SettingsReaderTest.java
+++ b/cornelspoke-daemon/src/test/java/org/cornelspoke/daemon/settings/SettingsReaderTest.java
@@ -55,6 +55,7 @@
     assertThat(settings.controlEndpoints()).hasSize(2);
     assertThat(settings.freshnessBoundMillis()).isEqualTo(3_000);
     assertThat(settings.staleKeys()).isEqualTo(StaleKeys.REFUSE);
+    assertThat(settings.controlEndpointOrder()).isEqualTo(ControlEndpointOrder.LISTED);
     assertThat(settings.shareWaitMillis()).isEqualTo(50);
     assertThat(settings.maxBodyBytes()).isEqualTo(8_388_608);
     assertThat(settings.log()).isEqualTo(new LogSettings(LogFormat.TEXT, LogLevel.INFO));
@@ -141,6 +142,8 @@
             + "freshnessBoundSeconds: unknown field; did you mean freshnessBoundMillis?",
         "/* two relays */ | \"staleKeys\": \"keep\" | "
             + "staleKeys: must be one of \"refuse\", \"serve\"",
+        "/* two relays */ | \"controlEndpointOrder\": \"any\" | "
+            + "controlEndpointOrder: must be one of \"listed\", \"spread\"",
         "/* two relays */ | \"shareWaitMillis\": -1 | shareWaitMillis: must be between 0 and 10000",
         "/* two relays */ | \"maxBodyBytes\": 99999999999 | maxBodyBytes: must be between 1 and",
         "/* two relays */ | \"returns\": true | returns: must be an object, not a boolean",
