--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/SizedShareFleet.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/SizedShareFleet.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntUnaryOperator;
+import java.util.function.LongConsumer;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.cornelspoke.coordination.consensus.RaftSettings;
 import org.cornelspoke.model.AccountId;
@@ -43,6 +45,9 @@
   /** Cost of decoding a message and applying it to the account. */
   private static final long MESSAGE_NANOS = TimeUnit.MICROSECONDS.toNanos(30);
 
+  /** Attempts of a client that returns when it is told to. */
+  private static final int MAX_ATTEMPTS = 3;
+
   private static final long LINK_NANOS = MILLI;
   private static final long TICK_NANOS = 50 * MILLI;
   private static final long WAIT_NANOS = 200 * MILLI;
@@ -57,6 +62,8 @@
   final SimulatedNetwork network;
   private final RandomGenerator random;
   private final boolean batched;
+  private final double rate;
+  private int attempts = 1;
   private final ShareOwner owner;
   private final List<Vm> vms = new ArrayList<>();
   private final List<Daemon> daemons = new ArrayList<>();
@@ -69,8 +76,20 @@
 
   /** Creates a fleet; without batching, each message is a frame and is handled as it arrives. */
   SizedShareFleet(RandomGenerator random, boolean batched) {
+    this(random, batched, RATE, daemon -> daemon % VMS);
+  }
+
+  /**
+   * Creates a fleet.
+   *
+   * @param rate rate of each account in requests per second
+   * @param placement index of the control VM to which the daemon with a given index is attached
+   */
+  SizedShareFleet(
+      RandomGenerator random, boolean batched, double rate, IntUnaryOperator placement) {
     this.random = random;
     this.batched = batched;
+    this.rate = rate;
     network = new SimulatedNetwork(random);
     owner =
         new ShareOwner(TIMES, (relay, message) -> vms.get(0).reply(relay, message), -SECOND * 60);
@@ -78,14 +97,14 @@
     List<Account> configured = new ArrayList<>();
     for (int i = 0; i < ACCOUNTS; i++) {
       accounts.add(new AccountId("account-" + i));
-      configured.add(new Account(accounts.get(i), RATE, RATE, 1));
+      configured.add(new Account(accounts.get(i), rate, rate, 1));
     }
     owner.setAccounts(configured, 0);
     for (int i = 0; i < VMS; i++) {
       vms.add(new Vm(i));
     }
     for (int i = 0; i < DAEMONS; i++) {
-      daemons.add(new Daemon(i, vms.get(i % VMS)));
+      daemons.add(new Daemon(i, vms.get(placement.applyAsInt(i))));
     }
     heartbeat();
     tick();
@@ -95,7 +114,23 @@
   void start(boolean firstAboveItsRate) {
     for (int i = 0; i < ACCOUNTS; i++) {
       boolean within = i > 0 || !firstAboveItsRate;
-      arrive(accounts.get(i), RATE * (within ? LOAD_FRACTION : EXCESS_FACTOR), within);
+      arrive(accounts.get(i), rate * (within ? LOAD_FRACTION : EXCESS_FACTOR), within);
+    }
+  }
+
+  /** Lets refused clients of accounts within their rates return as they are told. */
+  void returnRefusedClients() {
+    attempts = MAX_ATTEMPTS;
+  }
+
+  /** Freezes a control VM until the end; its daemons move to others as the function says. */
+  void freeze(int vm, long detectionNanos, IntUnaryOperator newPlacement) {
+    vms.get(vm).frozen = true;
+    for (Daemon daemon : daemons) {
+      if (daemon.vm == vms.get(vm)) {
+        Vm newVm = vms.get(newPlacement.applyAsInt(daemon.index));
+        network.after(detectionNanos, () -> daemon.moveTo(newVm));
+      }
     }
   }
 
@@ -133,22 +168,37 @@
   }
 
   private void arrive(AccountId account, double perSecond, boolean within) {
-    Daemon daemon = daemons.get(random.nextInt(DAEMONS));
     if (within) {
-      offered++;
-      daemon.request(account, () -> refused++);
+      requestAndReturn(account, attempts);
     } else {
-      requestWithRetries(daemon, account, IMMEDIATE_RETRIES);
+      requestWithRetries(daemons.get(random.nextInt(DAEMONS)), account, IMMEDIATE_RETRIES);
     }
     network.after(
         (long) (-Math.log(1 - random.nextDouble()) / perSecond * SECOND),
         () -> arrive(account, perSecond, within));
   }
 
+  /** Sends a request to any daemon, and again when the caller is told to return. */
+  private void requestAndReturn(AccountId account, int remainingAttempts) {
+    offered++;
+    daemons
+        .get(random.nextInt(DAEMONS))
+        .request(
+            account,
+            retryAfterMillis -> {
+              refused++;
+              if (remainingAttempts > 1) {
+                network.after(
+                    retryAfterMillis * MILLI,
+                    () -> requestAndReturn(account, remainingAttempts - 1));
+              }
+            });
+  }
+
   private void requestWithRetries(Daemon daemon, AccountId account, int remainingRetries) {
     daemon.request(
         account,
-        () -> {
+        retryAfterMillis -> {
           if (remainingRetries > 0) {
             network.after(
                 2 * LINK_NANOS, () -> requestWithRetries(daemon, account, remainingRetries - 1));
@@ -182,6 +232,7 @@
     private final Deque<Runnable> tasks = new ArrayDeque<>();
     private boolean busy;
     private long chargedNanos;
+    boolean frozen;
     long busyNanos;
 
     /** Adds a task with a fixed cost; the task may charge more while it runs. */
@@ -206,7 +257,7 @@
     }
 
     private void runNext() {
-      Runnable task = tasks.poll();
+      Runnable task = frozen ? null : tasks.poll();
       if (task == null) {
         busy = false;
         return;
@@ -378,7 +429,8 @@
   /** A daemon whose own thread is never overloaded. */
   private final class Daemon {
     private final int index;
-    private final Vm vm;
+    private Vm vm;
+    private long session = 1;
     private final ShareHolder holder;
     private final ShareOutbox outbox = new ShareOutbox(DAEMON_BATCH_NANOS);
 
@@ -386,10 +438,17 @@
       this.index = index;
       this.vm = vm;
       holder = new ShareHolder(TIMES, this::send);
-      holder.onConnected(1, 0);
+      holder.onConnected(session, 0);
+    }
+
+    void moveTo(Vm newVm) {
+      vm = newVm;
+      outbox.clear();
+      holder.onDisconnected(network.nowNanos());
+      holder.onConnected(++session, network.nowNanos());
     }
 
-    void request(AccountId account, Runnable onRefused) {
+    void request(AccountId account, LongConsumer onRefused) {
       long now = network.nowNanos();
       holder.acquire(
           account,
@@ -402,7 +461,7 @@
 
             @Override
             public void onRefused(long retryAfterMillis) {
-              onRefused.run();
+              onRefused.accept(retryAfterMillis);
             }
           },
           now);
