Find silent relays without a sum over all accounts every second

The log line about shares at silent relays summed all accounts and relays once a second on the owner, and appeared for relays that were idle. The owner now remembers when each relay was last heard and sums only while one has become silent; ShareRelayTest plays it.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/coordination/quota/ShareOwner.java
@@ -33,6 +33,7 @@
   private final RecoveryPeriod recovery;
   private final long unrecordedShareEndNanos;
   private final Map<AccountId, OwnedAccount> accounts = new HashMap<>();
+  private final Map<String, Long> heardAtNanos = new HashMap<>();
   private long leadershipProvedAtNanos;
 
   private record OwnedAccount(TokenBucket spare, ShareAllocator allocator, Account account) {}
@@ -124,10 +125,21 @@
     return withheld;
   }
 
-  /** Returns what counts as issued, by relay. */
-  public Map<String, IssuedShares> issuedShares() {
+  /**
+   * Returns what counts as issued to relays that have sent nothing for the given time, by relay.
+   * Cheap while no relay has become silent within the last leases.
+   */
+  public Map<String, IssuedShares> sharesAtSilentRelays(long silentNanos, long nowNanos) {
+    heardAtNanos
+        .values()
+        .removeIf(heard -> nowNanos - heard >= silentNanos + 2 * times.leaseNanos());
     Map<String, IssuedShares> totals = new TreeMap<>();
-    accounts.values().forEach(owned -> owned.allocator().addIssuedShares(totals));
+    if (heardAtNanos.values().stream().anyMatch(heard -> nowNanos - heard >= silentNanos)) {
+      accounts.values().forEach(owned -> owned.allocator().addIssuedShares(totals));
+      totals
+          .keySet()
+          .removeIf(relay -> nowNanos - heardAtNanos.getOrDefault(relay, nowNanos) < silentNanos);
+    }
     return totals;
   }
 
@@ -157,7 +169,7 @@
 
   /** Handles a message from a holder. */
   public void onMessage(String holder, ShareMessage message, long nowNanos) {
-    Assert.notNull(holder, "holder");
+    heardAtNanos.put(Assert.notNull(holder, "holder"), nowNanos);
     OwnedAccount owned = owned(message.account(), nowNanos);
     if (message instanceof UnrecordedShare unrecorded) {
       // No lease of an earlier leader outlasts the regular quiet period.
--- a/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ShareRelayTest.java
+++ b/cornelspoke-core/src/test/java/org/cornelspoke/coordination/quota/ShareRelayTest.java
@@ -40,6 +40,25 @@
     assertThat(replies).isEmpty();
   }
 
+  @Test
+  void ownerStatesWhatASilentRelayHolds() {
+    owner.confirmLeadership(0);
+    owner.setAccounts(List.of(new Account(ACCOUNT, 100, 100, 1)), 0);
+    relay.onConnected(1, 0);
+    request(1, 0);
+    tick();
+    assertThat(owner.sharesAtSilentRelays(SECOND, nowNanos)).isEmpty();
+    nowNanos += SECOND;
+    IssuedShares issued = owner.sharesAtSilentRelays(SECOND / 2, nowNanos).get("r");
+    assertThat(issued.share().burstTokens()).isAtLeast(1);
+    assertThat(nowNanos - issued.reportedAtNanos()).isAtLeast(SECOND);
+    assertThat(issued.countedUntilNanos() - nowNanos).isLessThan(TIMES.leaseNanos());
+    nowNanos += 3 * TIMES.leaseNanos();
+    owner.confirmLeadership(nowNanos);
+    owner.onTick(nowNanos);
+    assertThat(owner.sharesAtSilentRelays(SECOND / 2, nowNanos)).isEmpty();
+  }
+
   private void request(long number, long delayNanos) {
     TokenRequest request =
         new TokenRequest(ACCOUNT, 1, number, ClassAmounts.NONE.plus(TrafficClass.BULK, 1));
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ShareLoad.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ShareLoad.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.lang.System.Logger.Level;
-import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -83,7 +82,11 @@
     long maxDelayNanos = tasks.takeMaxDelayNanos();
     maxDelayMillis = TimeUnit.NANOSECONDS.toMillis(maxDelayNanos);
     busyFraction = (double) tasks.takeUsedNanos() / elapsedNanos;
-    owner.ifPresent(current -> logSilentRelays(current, nowNanos));
+    owner.ifPresent(
+        current ->
+            current
+                .sharesAtSilentRelays(SILENT_NANOS, nowNanos)
+                .forEach((relay, shares) -> logSilent(relay, shares, nowNanos)));
     if (!messageCounts.isEmpty()
         && (maxDelayNanos >= LATE_NANOS || nowNanos - loggedAtNanos >= LOG_INTERVAL_NANOS)) {
       loggedAtNanos = nowNanos;
@@ -104,24 +107,7 @@
     issuedTokens = 0;
   }
 
-  private static void logSilentRelays(ShareOwner owner, long nowNanos) {
-    Map<String, IssuedShares> issued = owner.issuedShares();
-    issued.values().stream()
-        .max(Comparator.comparingLong(IssuedShares::reportedAtNanos))
-        .filter(latest -> nowNanos - latest.reportedAtNanos() < SILENT_NANOS)
-        .ifPresent(
-            latest ->
-                issued.forEach(
-                    (relay, shares) -> {
-                      long silentNanos = nowNanos - shares.reportedAtNanos();
-                      if (silentNanos >= SILENT_NANOS) {
-                        logSilent(relay, shares, silentNanos, nowNanos);
-                      }
-                    }));
-  }
-
-  private static void logSilent(
-      String relay, IssuedShares shares, long silentNanos, long nowNanos) {
+  private static void logSilent(String relay, IssuedShares shares, long nowNanos) {
     LOGGER.log(
         Level.INFO,
         "event=rate-shares-at-silent-relay relay={0} perSecond={1} burst={2} silentMillis={3}"
@@ -129,7 +115,7 @@
         relay,
         Math.round(shares.share().rateTokensPerSecond()),
         Math.round(shares.share().burstTokens()),
-        TimeUnit.NANOSECONDS.toMillis(silentNanos),
+        TimeUnit.NANOSECONDS.toMillis(nowNanos - shares.reportedAtNanos()),
         TimeUnit.NANOSECONDS.toMillis(shares.countedUntilNanos() - nowNanos));
   }
 }
