Collect the registered daemons only when the registry has changed

Every 50 ms a control VM collected the daemons of all registered targets, compared them with the former ones and sorted their names for the file of share holders, the leader twice: work on the control thread that grows with the fleet, like the sums over holders behind SHORT. It is now done when the version of the registry changes, names are compared before they are copied, the lines of the file are built when a name has changed and otherwise once a second, and the sets of holders that a new owner waits for only while it waits.

--- a/cornelspoke-core/src/main/java/org/cornelspoke/state/registry/Registry.java
+++ b/cornelspoke-core/src/main/java/org/cornelspoke/state/registry/Registry.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelspoke.model.DaemonId;
 import org.cornelspoke.model.ServiceName;
 import org.cornelspoke.model.TargetId;
@@ -74,6 +75,11 @@
     return List.copyOf(targetsByDaemon.getOrDefault(daemon, Map.of()).values());
   }
 
+  /** Returns the daemons with registered targets. */
+  public Set<DaemonId> daemons() {
+    return Set.copyOf(targetsByDaemon.keySet());
+  }
+
   /** Returns the processes beside a daemon that have said that they leave, the earliest first. */
   public List<String> departedProcesses(DaemonId daemon) {
     return departures.processesOf(daemon);
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/relay/RelayServer.java
@@ -226,9 +226,12 @@
 
   /** Returns the daemons with registered targets. */
   public Set<DaemonId> registeredDaemons() {
-    Set<DaemonId> daemons = new HashSet<>();
-    machine.registry().targets().forEach(e -> daemons.add(e.target().orElseThrow().daemon()));
-    return daemons;
+    return machine.registry().daemons();
+  }
+
+  /** Returns a number that changes with every change of the registered targets. */
+  public long registryVersion() {
+    return machine.registry().version();
   }
 
   /** Returns the total size of all sent frames in bytes, without the length prefixes. */
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RecentNames.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RecentNames.java
@@ -20,12 +20,16 @@
     this.retentionNanos = retentionNanos;
   }
 
-  /** Replaces the current names. */
-  void setCurrent(Set<String> names, long nowNanos) {
+  /** Replaces the current names; returns false if they are the same as before. */
+  boolean setCurrent(Set<String> names, long nowNanos) {
+    if (names.equals(current)) {
+      return false;
+    }
     Set<String> left = new HashSet<>(current);
     left.removeAll(names);
     retain(left, nowNanos);
     current = Set.copyOf(names);
+    return true;
   }
 
   /** Adds names that have left just now. */
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/RelayShares.java
@@ -84,6 +84,8 @@
   private long ownerTerm;
   private boolean leadershipConfirmed;
   private Set<VmId> membersInForce = Set.of();
+  private Set<String> registeredDaemons = Set.of();
+  private long registeredDaemonsVersion = -1;
   private Revision ownerConfigRevision = Revision.NONE;
   private boolean burstReservedForFloors = true;
   private int peakDaemonCount;
@@ -248,7 +250,7 @@
    * requires that all earlier log entries are applied.
    */
   private void issueSharesIfReady(ShareOwner current, long nowNanos) {
-    if (leadershipConfirmed && historyOpen) {
+    if (leadershipConfirmed && historyOpen && current.isInQuietPeriod(nowNanos)) {
       updateHistory(nowNanos);
       current.endQuietPeriodIfReady(history.daemons(nowNanos), nowNanos);
       current.endQuietPeriodIfRelaysComplete(history.relays(nowNanos), nowNanos);
@@ -276,9 +278,15 @@
   }
 
   private Set<String> registeredDaemons() {
-    return relayServer.registeredDaemons().stream()
-        .map(DaemonId::value)
-        .collect(Collectors.toSet());
+    // Ticks must not cost more in a larger fleet, and the registry changes seldom.
+    if (registeredDaemonsVersion != relayServer.registryVersion()) {
+      registeredDaemonsVersion = relayServer.registryVersion();
+      registeredDaemons =
+          relayServer.registeredDaemons().stream()
+              .map(DaemonId::value)
+              .collect(Collectors.toUnmodifiableSet());
+    }
+    return registeredDaemons;
   }
 
   @Override
@@ -414,8 +422,7 @@
     }
     ShareOwner current = owner.get();
     issueSharesIfReady(current, nowNanos);
-    withheldRates.update(
-        current, ownerTerm, history.daemons(nowNanos), history.relays(nowNanos), nowNanos);
+    withheldRates.update(current, ownerTerm, history, nowNanos);
     boolean floorsInUse = floorsInUse();
     if (!config.revision().equals(ownerConfigRevision) || floorsInUse != burstReservedForFloors) {
       ownerConfigRevision = config.revision();
@@ -442,7 +449,7 @@
    */
   private boolean floorsInUse() {
     if (peakDaemonCount <= FloorRateLimiter.MAX_DAEMONS_WITH_FLOOR) {
-      peakDaemonCount = Math.max(peakDaemonCount, relayServer.registeredDaemons().size());
+      peakDaemonCount = Math.max(peakDaemonCount, registeredDaemons().size());
     }
     return peakDaemonCount <= FloorRateLimiter.MAX_DAEMONS_WITH_FLOOR;
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ShareHolderHistory.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/ShareHolderHistory.java
@@ -59,6 +59,8 @@
   private volatile boolean lastWriteFailed;
   private List<String> storedLines = List.of();
   private long storedAtNanos;
+  private boolean changed;
+  private long checkedAtNanos;
   private long formerLeaseNanos;
 
   /**
@@ -91,6 +93,7 @@
     }
     storedLines = lines(nowNanos);
     storedAtNanos = nowNanos;
+    checkedAtNanos = nowNanos;
     if (!writeAndLog(storedLines) && formerLeaseNanos < daemonLeaseNanos) {
       throw new IOException(
           "can't write the longer lease of this process to " + folder.resolve(FILE_NAME));
@@ -114,9 +117,13 @@
 
   /** Sets the control VMs in force and the registered daemons. */
   void update(Set<String> currentRelays, Set<String> currentDaemons, long nowNanos) {
-    relays.setCurrent(currentRelays, nowNanos);
-    daemons.setCurrent(currentDaemons, nowNanos);
-    if (nowNanos - storedAtNanos >= MIN_WRITE_INTERVAL_NANOS) {
+    changed |= relays.setCurrent(currentRelays, nowNanos);
+    changed |= daemons.setCurrent(currentDaemons, nowNanos);
+    // Names are also dropped by time alone.
+    boolean checkDue = changed || nowNanos - checkedAtNanos >= MIN_WRITE_INTERVAL_NANOS;
+    if (checkDue && nowNanos - storedAtNanos >= MIN_WRITE_INTERVAL_NANOS) {
+      changed = false;
+      checkedAtNanos = nowNanos;
       store(lines(nowNanos), nowNanos);
     }
   }
--- a/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/WithheldRates.java
+++ b/cornelspoke-daemon/src/main/java/org/cornelspoke/daemon/runtime/WithheldRates.java
@@ -40,10 +40,9 @@
   /**
    * Publishes and logs the state of the owner of a term.
    *
-   * @param daemons registered daemons
-   * @param relays relays that may hold or have issued shares
+   * @param holders daemons and relays that may hold shares
    */
-  void update(ShareOwner owner, long term, Set<String> daemons, Set<String> relays, long nowNanos) {
+  void update(ShareOwner owner, long term, ShareHolderHistory holders, long nowNanos) {
     if (!owner.isInQuietPeriod(nowNanos)) {
       onNotOwner();
       if (issuedLoggedTerm != term) {
@@ -52,8 +51,8 @@
       }
       return;
     }
-    Set<String> unready = owner.unreadyHolders(daemons);
-    Set<String> incomplete = owner.incompleteRelays(relays, nowNanos);
+    Set<String> unready = owner.unreadyHolders(holders.daemons(nowNanos));
+    Set<String> incomplete = owner.incompleteRelays(holders.relays(nowNanos), nowNanos);
     withheldPerSecond = owner.withheldRatePerSecond(nowNanos);
     missingDaemons = unready.size();
     missingRelays = incomplete.size();
